Close idle connections at a planned stop, read settings again at SIGHUP, call the store less

Change: idle connections are closed at the stop, and requests later than the balancer's delay are refused as not run; SIGHUP reads the settings; carriers read the list only while they fetch.

--- a/internal/command/railcarriercmd/carrier.go
+++ b/internal/command/railcarriercmd/carrier.go
@@ -22,8 +22,8 @@
 const (
 	// configWait is the time for which the store may hold a call for a change of the configuration.
 	configWait = 15 * time.Second
-	// listPause is the time between two looks at the list of endpoints, which only says whom to ask for weights.
-	listPause = 1500 * time.Millisecond
+	// listFor is the time for which a list of endpoints is used, which only says whom to ask for weights.
+	listFor = 1500 * time.Millisecond
 )
 
 // NewCmdCarrier returns the command.
@@ -42,16 +42,9 @@
 	if err != nil {
 		return errors.Wrap(err, "read the setting inner")
 	}
-	var mu sync.Mutex
-	var instances []railinstance.Instance
+	list := &lister{Process: p}
 	config := p.Follow(platform.TableOperator, configWait, 0, p.TakeCatalog)
-	list := p.Follow(platform.TableInstances, 0, listPause, func(rows map[string]railrows.Row) {
-		mu.Lock()
-		defer mu.Unlock()
-		instances = p.Instances(rows)
-	})
 	go config.Run(ctx)
-	go list.Run(ctx)
 	dialer := &raildialer.Dialer{Key: []byte(site.SharedKey), Timeout: site.Timeout}
 	defer func() { _ = dialer.Close() }()
 	carrier := &railcarrier.Carrier{
@@ -59,11 +52,39 @@
 		Key:  []byte(site.SharedKey), Inner: inner, Port: port, Dialer: dialer, Catalog: p.Current.Get, NamedFor: p.Current.NamedFor,
 		Engine:  &platform.Engine{HTTP: p.Store.HTTP, Address: site.Endpoint, Layers: func() int { return p.Layers(site.Service) }},
 		Weights: p.Site.Bounds.Weights, Regions: p.Site.Regions, Log: p.Log,
-		Instances: func() []railinstance.Instance {
-			mu.Lock()
-			defer mu.Unlock()
-			return instances
-		},
+		Instances: list.instances,
 	}
 	return carrier.Run(ctx)
 }
+
+// lister reads the list of endpoints when it is asked for, since a carrier needs it only while it fetches weights.
+type lister struct {
+	*railsiteprocess.Process
+
+	mu   sync.Mutex
+	read time.Time
+	last []railinstance.Instance
+}
+
+// instances returns the list as it was a moment ago, or the last one that could be read.
+func (l *lister) instances() []railinstance.Instance {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if time.Since(l.read) < listFor {
+		return l.last
+	}
+	l.read = time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), l.Site.Process.Timeout)
+	defer cancel()
+	page, err := l.Store.Table(ctx, platform.TableInstances)
+	if err != nil {
+		l.Log.Warn("list of endpoints not read, the last one is used", "err", err, "known", len(l.last))
+		return l.last
+	}
+	rows := make(map[string]railrows.Row, len(page.Rows))
+	for _, row := range page.Rows {
+		rows[row.Key] = row
+	}
+	l.last = l.Instances(rows)
+	return l.last
+}
--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -25,9 +25,9 @@
 	// tableEntries holds the address for digests of each entry, by its name.
 	tableEntries = "entries"
 	// configWait is the part of the bound on a configuration for which the store may hold a call.
-	configWait = 0.6
+	configWait = 0.8
 	// listPause is the part of the bound on leaving endpoints between two looks at their list.
-	listPause = 0.3
+	listPause = 0.4
 	// entriesWait is the time for which the store may hold a call for changes among the entries.
 	entriesWait = 20 * time.Second
 	// keyAge is the part of the bound on revocations for which a view of the configuration is trusted.
--- a/internal/command/railsiteprocess/process.go
+++ b/internal/command/railsiteprocess/process.go
@@ -5,6 +5,9 @@
 	"log/slog"
 	"net"
 	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,6 +42,9 @@
 	Store   *platform.Store
 	Current *railcurrent.Current
 	Clock   railclock.Boot
+
+	path  string
+	level slog.LevelVar
 }
 
 // Command returns a command that loads the settings and runs a role.
@@ -54,16 +60,18 @@
 		if err != nil {
 			return railexit.With(err, railexit.Usage)
 		}
-		p := &Process{Factory: f, Role: role, Site: site}
+		p := &Process{Factory: f, Role: role, Site: site, path: *path}
 		return p.run(run)
 	}
 	return cmd
 }
 
 func (p *Process) run(run func(context.Context, *Process) error) error {
-	p.Log = slog.New(slog.NewJSONHandler(p.Factory.Out, &slog.HandlerOptions{Level: p.Site.Level()})).With("role", p.Role, "name", p.Site.Process.Name)
+	p.level.Set(p.Site.Level())
+	p.Log = slog.New(slog.NewJSONHandler(p.Factory.Out, &slog.HandlerOptions{Level: &p.level})).With("role", p.Role, "name", p.Site.Process.Name)
 	ctx, cancel := p.Factory.Context()
 	defer cancel()
+	go p.reload(ctx)
 	p.Clock = railclock.New()
 	p.Store = &platform.Store{HTTP: &platform.Caller{Timeout: p.Site.Process.Timeout}, Address: p.Site.Process.Store}
 	p.Current = &railcurrent.Current{Weights: p.Site.Bounds.Weights, Log: raillog.Part(p.Log, "config")}
@@ -79,6 +87,28 @@
 	return err
 }
 
+// reload reads the settings again on each hang-up signal. The level of the logs changes at once; for all else that is
+// different the line says that it takes a new start.
+func (p *Process) reload(ctx context.Context) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		site, err := railsite.Load(p.path)
+		if err != nil {
+			p.Log.Error("settings can't be read, the last ones stay in force", "err", err)
+			continue
+		}
+		p.level.Set(site.Level())
+		p.Log.Info("settings read again", "needsRestart", !reflect.DeepEqual(site, p.Site))
+	}
+}
+
 // Follow keeps a copy of a table; changed gets all rows after each change.
 func (p *Process) Follow(table string, wait, pause time.Duration, changed func(map[string]railrows.Row)) *railrows.Follower {
 	return &railrows.Follower{
--- a/internal/node/railconn/conn.go
+++ b/internal/node/railconn/conn.go
@@ -10,23 +10,14 @@
 type Conn struct {
 	net.Conn
 
+	// closed is called when the connection is closed.
+	closed func()
+
 	mu      sync.Mutex
 	pending []byte
 	err     error
-}
-
-// Listener accepts connections as Conns.
-type Listener struct {
-	net.Listener
-}
-
-// Accept returns the next connection.
-func (l Listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &Conn{Conn: c}, nil
+	// busy says that a request has begun to come, or is being answered.
+	busy bool
 }
 
 // Watch calls left when the caller leaves before the returned function is called; that function returns once reading may
@@ -70,7 +61,22 @@
 	if err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.setBusy(true)
+	}
+	return n, err
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	c.closed()
+	return c.Conn.Close()
+}
+
+// Idle notes that a request has been answered and that the next one has not begun to come.
+func (c *Conn) Idle() {
+	c.setBusy(false)
 }
 
 // Abort ends the connection by a reset, so that what was written can't look whole.
@@ -78,7 +84,19 @@
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // Without it the close would look like a regular end.
 	}
-	_ = c.Conn.Close()
+	_ = c.Close()
+}
+
+func (c *Conn) setBusy(busy bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = busy || len(c.pending) > 0
+}
+
+func (c *Conn) isBusy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.busy
 }
 
 func (c *Conn) keep(data []byte, err error) {
--- a/internal/node/railgateway/gateway.go
+++ b/internal/node/railgateway/gateway.go
@@ -27,7 +27,8 @@
 	// idleTimeout is longer than any caller keeps an idle connection: the callers close theirs.
 	idleTimeout   = 10 * time.Minute
 	drainInterval = 20 * time.Millisecond
-	// balancerDelay is the time after which the balancer sends no new connection to an entry that is not ready.
+	// balancerDelay is the time after which the balancer sends no new connection to an entry that is not ready, which asks
+	// once a second and goes by two answers in a row.
 	balancerDelay = 2500 * time.Millisecond
 )
 
@@ -49,7 +50,9 @@
 	RetryShare float64
 	Log        *slog.Logger
 
-	stopping  atomic.Bool
+	stopping atomic.Bool
+	// leaving is the time of the planned stop.
+	leaving   atomic.Int64
 	running   atomic.Int64
 	admitters sync.Map
 	budgets   sync.Map
@@ -60,11 +63,12 @@
 	server := &fasthttp.Server{
 		Handler: g.handle, Concurrency: concurrency, ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, IdleTimeout: idleTimeout, Logger: silent{},
-		DisablePreParseMultipartForm: true,
+		DisablePreParseMultipartForm: true, ConnState: noteIdle,
 	}
+	listener := &railconn.Listener{Listener: g.Callers}
 	ready := &fasthttp.Server{Handler: g.readiness, NoDefaultServerHeader: true, Logger: silent{}}
 	failed := make(chan error, 2)
-	go func() { failed <- server.Serve(railconn.Listener{Listener: g.Callers}) }()
+	go func() { failed <- server.Serve(listener) }()
 	go func() { failed <- ready.Serve(g.Ready) }()
 	g.Log.Info("gateway started", "callers", g.Callers.Addr().String())
 	select {
@@ -72,7 +76,19 @@
 		return errors.Wrap(err, "serve")
 	case <-ctx.Done():
 	}
-	return g.drain(drain)
+	return g.drain(listener, drain)
+}
+
+// noteIdle notes that a caller's connection waits for its next request.
+func noteIdle(c net.Conn, state fasthttp.ConnState) {
+	if watched, ok := c.(*railconn.Conn); ok && state == fasthttp.StateIdle {
+		watched.Idle()
+	}
+}
+
+// closing reports whether the stop has come so far that a new request could not end before it.
+func (g *Gateway) closing() bool {
+	return g.stopping.Load() && time.Since(time.Unix(0, g.leaving.Load())) > balancerDelay
 }
 
 // Wake grants places to waiting requests as far as there is room.
@@ -84,10 +100,11 @@
 }
 
 // drain takes the entry out of the balancer and waits until nothing runs.
-func (g *Gateway) drain(limit time.Duration) error {
-	g.stopping.Store(true)
+func (g *Gateway) drain(listener *railconn.Listener, limit time.Duration) error {
 	began := time.Now()
-	g.Log.Info("gateway leaves, running requests end", "running", g.running.Load())
+	g.leaving.Store(began.UnixNano())
+	g.stopping.Store(true)
+	g.Log.Info("gateway leaves, running requests end", "running", g.running.Load(), "idleClosed", listener.CloseIdle())
 	for time.Since(began) < limit {
 		if time.Since(began) > balancerDelay && g.running.Load() == 0 {
 			g.Log.Info("gateway has left, nothing was cut off")
--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -84,6 +84,9 @@
 
 // admit finds a request's route and customer, or the reason for which it is not taken.
 func (g *Gateway) admit(c *call) *refusal {
+	if g.closing() {
+		return &refusal{fasthttp.StatusServiceUnavailable, "the entry is about to stop"}
+	}
 	catalog, known := g.Catalog()
 	if !known {
 		return &refusal{fasthttp.StatusServiceUnavailable, "no configuration is known yet"}
--- a/internal/rollout/railinstaller/installer.go
+++ b/internal/rollout/railinstaller/installer.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	idlePause  = 400 * time.Millisecond
+	idlePause  = 800 * time.Millisecond
 	retryPause = 150 * time.Millisecond
 	loadLook   = 60 * time.Millisecond
 	// loadLimit bounds the wait for an ordered load, which begins after the engine's running answers.
@@ -130,11 +130,12 @@
 	return s, errors.Wrap(err, "read the engine's state")
 }
 
-// prepare returns the manifest of the wanted version and learns which of its pieces are staged.
+// prepare returns the manifest of the wanted version; at first it learns which of its pieces are staged already.
 func (n *Installer) prepare(ctx context.Context, model string, wanted int64) (railmanifest.Manifest, int64, error) {
 	n.mu.Lock()
 	m, version := n.content, n.version
 	known := n.model == model && version == wanted && wanted > 0
+	first := n.version == 0
 	n.mu.Unlock()
 	if !known {
 		var err error
@@ -146,6 +147,9 @@
 		n.mu.Unlock()
 		n.Stage.SetManifest(model, m)
 	}
+	if !first {
+		return m, version, nil
+	}
 	return m, version, errors.Wrap(n.Store.Refresh(ctx), "look at what is staged")
 }
 
