Fetch weights while the engine serves, and let the engines take turns

Cause: a version named 4 s after another one found the first one dropped, and requests waited in engines that were about to load. Change: pieces are kept in memory and put in place just before a load; turns spread over the time that the oldest version due leaves; carriers tell the entries of each change.

--- a/internal/command/railcarriercmd/carrier.go
+++ b/internal/command/railcarriercmd/carrier.go
@@ -16,6 +16,8 @@
 	"github.com/fulmarrail/fulmarrail/internal/node/railcarrier"
 	"github.com/fulmarrail/fulmarrail/internal/platform/railrows"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildialer"
+	"github.com/fulmarrail/fulmarrail/internal/wire/raildigest"
+	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 	"github.com/fulmarrail/fulmarrail/platform"
 )
 
@@ -24,6 +26,10 @@
 	configWait = 15 * time.Second
 	// listFor is the time for which a list of endpoints is used, which only says whom to ask for weights.
 	listFor = 1500 * time.Millisecond
+	// entriesFor is the time for which the entries' addresses are used before they are read again.
+	entriesFor = 10 * time.Second
+	// noticeLimit bounds the time for which a change of weights waits for the entries' addresses.
+	noticeLimit = 200 * time.Millisecond
 )
 
 // NewCmdCarrier returns the command.
@@ -43,20 +49,51 @@
 		return errors.Wrap(err, "read the setting inner")
 	}
 	list := &lister{Process: p}
+	datagrams, err := net.ListenPacket("udp4", site.Inner)
+	if err != nil {
+		return errors.Wrap(err, "listen on inner for datagrams")
+	}
+	notifier := &notifier{Process: p, conn: datagrams}
 	config := p.Follow(platform.TableOperator, configWait, 0, p.TakeCatalog)
 	go config.Run(ctx)
 	dialer := &raildialer.Dialer{Key: []byte(site.SharedKey), Timeout: site.Timeout}
 	defer func() { _ = dialer.Close() }()
 	carrier := &railcarrier.Carrier{
 		Self: railmember.Member{Name: host, Role: railmember.RoleAgent, Address: site.Inner, Zone: site.Zone, Region: site.Region, Service: site.Service},
-		Key:  []byte(site.SharedKey), Inner: inner, Port: port, Dialer: dialer, Catalog: p.Current.Get, NamedFor: p.Current.NamedFor,
+		Key:  []byte(site.SharedKey), Inner: inner, Port: port, Dialer: dialer, Catalog: p.Current.Get, Named: p.Current.Named,
 		Engine:  &platform.Engine{HTTP: p.Store.HTTP, Address: site.Endpoint, Layers: func() int { return p.Layers(site.Service) }},
 		Weights: p.Site.Bounds.Weights, Regions: p.Site.Regions, Log: p.Log,
-		Instances: list.instances,
+		Instances: list.instances, Notify: notifier.notify,
 	}
 	return carrier.Run(ctx)
 }
 
+// notifier tells the entries of the engine's changes.
+type notifier struct {
+	*railsiteprocess.Process
+
+	conn    net.PacketConn
+	read    time.Time
+	entries []*net.UDPAddr
+}
+
+// notify tells every entry which version serves; only one goroutine calls it.
+func (n *notifier) notify(version int64) {
+	if time.Since(n.read) > entriesFor {
+		ctx, cancel := context.WithTimeout(context.Background(), noticeLimit)
+		defer cancel()
+		page, err := n.Store.Table(ctx, railsiteprocess.TableEntries)
+		if err != nil {
+			n.Log.Warn("entries not read, those known last are told", "err", err, "known", len(n.entries))
+		} else {
+			n.read = time.Now()
+			n.entries = n.Entries(page.Rows)
+		}
+	}
+	notice := &railproto.EndpointNotice{Address: n.Site.Process.Endpoint, Version: version}
+	raildigest.Send(n.conn, n.entries, &railproto.Datagram{Content: &railproto.Datagram_Notice{Notice: notice}}, n.Log)
+}
+
 // lister reads the list of endpoints when it is asked for, since a carrier needs it only while it fetches weights.
 type lister struct {
 	*railsiteprocess.Process
--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -22,8 +22,6 @@
 )
 
 const (
-	// tableEntries holds the address for digests of each entry, by its name.
-	tableEntries = "entries"
 	// configWait is the part of the bound on a configuration for which the store may hold a call.
 	configWait = 0.8
 	// listPause is the part of the bound on leaving endpoints between two looks at their list.
@@ -82,7 +80,7 @@
 	}
 	front.Fleet = g.fleet
 	exchange := &raildigest.Exchange{
-		Name: site.Process.Name, Conn: datagrams, Peers: g.others, Digest: g.fleet.Digest, Absorb: g.fleet.Absorb, Interval: digestInterval,
+		Name: site.Process.Name, Conn: datagrams, Peers: g.others, Digest: g.fleet.Digest, Absorb: g.fleet.Absorb, Notice: g.fleet.Notice, Interval: digestInterval,
 		Log: raillog.Part(p.Log, "digest"),
 	}
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -106,7 +104,7 @@
 		g.mu.Unlock()
 		g.refresh()
 	})
-	entries := g.Follow(tableEntries, entriesWait, 0, g.takeEntries)
+	entries := g.Follow(railsiteprocess.TableEntries, entriesWait, 0, g.takeEntries)
 	go g.config.Run(ctx)
 	go g.list.Run(ctx)
 	go entries.Run(ctx)
@@ -128,17 +126,13 @@
 }
 
 func (g *gateway) takeEntries(rows map[string]railrows.Row) {
-	var peers []*net.UDPAddr
+	list := make([]railrows.Row, 0, len(rows))
 	for name, row := range rows {
-		address, err := net.ResolveUDPAddr("udp4", string(row.Value))
-		if err != nil {
-			g.Log.Warn("entry's row is not an address", "row", tableEntries+"/"+name, "err", err)
-			continue
-		}
 		if name != g.Site.Process.Name {
-			peers = append(peers, address)
+			list = append(list, row)
 		}
 	}
+	peers := g.Entries(list)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.peers, g.names = peers, len(rows)
@@ -161,7 +155,7 @@
 func (g *gateway) announce(ctx context.Context) {
 	for {
 		bounded, cancel := context.WithTimeout(ctx, g.Site.Process.Timeout)
-		err := g.Store.Put(bounded, tableEntries, g.Site.Process.Name, []byte(g.Site.Process.Inner))
+		err := g.Store.Put(bounded, railsiteprocess.TableEntries, g.Site.Process.Name, []byte(g.Site.Process.Inner))
 		cancel()
 		if err == nil {
 			return
--- a/internal/command/railsiteprocess/process.go
+++ b/internal/command/railsiteprocess/process.go
@@ -26,6 +26,9 @@
 )
 
 const (
+	// TableEntries holds the address for datagrams of each entry, by its name.
+	TableEntries = "entries"
+
 	settingsFlag = "settings"
 	// settingsVariable names the settings file where no flag does.
 	settingsVariable = "FULMARRAIL_CONFIG"
@@ -133,6 +136,20 @@
 	return platform.Instances(rows, p.Site.Regions, p.Layers, raillog.Part(p.Log, "endpoints"))
 }
 
+// Entries returns the addresses that the entries' rows hold.
+func (p *Process) Entries(rows []railrows.Row) []*net.UDPAddr {
+	var list []*net.UDPAddr
+	for _, row := range rows {
+		address, err := net.ResolveUDPAddr("udp4", string(row.Value))
+		if err != nil {
+			p.Log.Warn("entry's row is not an address", "row", TableEntries+"/"+row.Key, "version", row.Version, "err", err)
+			continue
+		}
+		list = append(list, address)
+	}
+	return list
+}
+
 // Layers returns the number of layers of the model that a service's engines serve, or 0 where none is known.
 func (p *Process) Layers(service string) int {
 	catalog, _ := p.Current.Get()
--- a/internal/config/railcurrent/current.go
+++ b/internal/config/railcurrent/current.go
@@ -6,11 +6,12 @@
 	"time"
 
 	"github.com/fulmarrail/fulmarrail/internal/config/railcatalog"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railturn"
 )
 
 const (
 	// switchMargin is the share of the time for new weights before whose end no answer begins on older ones.
-	switchMargin = 0.2
+	switchMargin = 0.08
 	// seenAtStart is the share of that time that is taken to have passed for a version that a process meets at its start.
 	seenAtStart = 0.5
 )
@@ -70,17 +71,15 @@
 	return oldest
 }
 
-// NamedFor returns the version of a model's weights that is wanted and for how long it has been known here; version 0 says
-// that none was named.
-func (c *Current) NamedFor(model string) (int64, time.Duration) {
+// Named returns the versions of a model's weights in the order in which they were named, with the time since then.
+func (c *Current) Named(model string) []railturn.Naming {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	list := c.named[model]
-	if len(list) == 0 {
-		return 0, 0
+	list := make([]railturn.Naming, len(c.named[model]))
+	for i, n := range c.named[model] {
+		list[i] = railturn.Naming{Version: n.version, For: time.Since(n.since)}
 	}
-	last := list[len(list)-1]
-	return last.version, time.Since(last.since)
+	return list
 }
 
 func (c *Current) allowance() time.Duration {
--- a/internal/membership/railfleet/endpoint.go
+++ b/internal/membership/railfleet/endpoint.go
@@ -16,6 +16,8 @@
 	// refusedAvoidance is the time for which an endpoint is left that has refused a request as not run.
 	refusedAvoidance = 150 * time.Millisecond
 	maxStrikes       = 8
+	// noticeFor is the time for which a carrier's notice goes before the list.
+	noticeFor = 4 * time.Second
 	// paceWeight is the weight of the newest answer in an endpoint's pace.
 	paceWeight  = 0.2
 	slowestPace = 20
@@ -29,12 +31,17 @@
 	load   railpass.Load
 	window railwindow.Window
 	// pace is the time that answers take to begin, over what was predicted.
-	pace       float64
-	strikes    int
+	pace    float64
+	strikes int
+	// noticed is when the carrier beside the endpoint last told its version, which the list shows later.
+	noticed    time.Time
 	avoidUntil time.Time
 }
 
 func (e *endpoint) update(i railinstance.Instance) {
+	if time.Since(e.noticed) < noticeFor {
+		i.Version = e.Version
+	}
 	if e.Version != i.Version {
 		e.avoidUntil, e.strikes = time.Time{}, 0
 	}
--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -77,6 +77,19 @@
 	f.Changed()
 }
 
+// Notice takes over the version that an endpoint's carrier tells, before the list shows it; 0 says that it takes nothing new.
+func (f *Fleet) Notice(address string, version int64) {
+	f.mu.Lock()
+	for _, e := range f.endpoints {
+		if e.Address == address {
+			f.Log.Info("endpoint changes its weights", "endpoint", e.ID, "from", e.Version, "to", version)
+			e.Version, e.noticed = version, time.Now()
+		}
+	}
+	f.mu.Unlock()
+	f.Changed()
+}
+
 // Reserve chooses the endpoint at which the answer is predicted to begin soonest and counts the request there, or reports
 // false when none can begin it in time.
 func (f *Fleet) Reserve(need Need) (*Lease, bool) {
--- a/internal/node/railcarrier/carrier.go
+++ b/internal/node/railcarrier/carrier.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,7 +22,9 @@
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railpacer"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railsharing"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railstage"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railturn"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railuploads"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railvault"
 	"github.com/fulmarrail/fulmarrail/internal/routing/railhash"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildialer"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raillistener"
@@ -29,17 +32,13 @@
 )
 
 const (
-	// windowBytes holds the chunks of the version that is wanted and of the one before.
-	windowBytes = 8 << 20
 	uploadSlots = 4
-	fetchWindow = 24
+	// fetchWindow is the number of chunks that are asked for at once: an agent waits for most of them.
+	fetchWindow = 96
 	// importWindow is the number of chunks that are imported at once.
 	importWindow = 2
 	takeover     = 400 * time.Millisecond
 	askLimit     = 3 * time.Second
-	// firstTurn and lastTurn bound the part of the time for new weights in which the engines change over, one after the other.
-	firstTurn = 0.5
-	lastTurn  = 0.85
 )
 
 // Engine is the engine beside the process, and the origin.
@@ -61,11 +60,13 @@
 	Port   string
 	Engine Engine
 	Dialer *raildialer.Dialer
-	// Catalog returns the configuration in force, Instances the endpoints that are listed, and NamedFor the version of a
-	// model's weights that is wanted with the time for which it has been.
+	// Catalog returns the configuration in force, Instances the endpoints that are listed, and Named the versions of a model's
+	// weights in the order in which they were named.
 	Catalog   func() (railcatalog.Catalog, bool)
 	Instances func() []railinstance.Instance
-	NamedFor  func(model string) (int64, time.Duration)
+	Named     func(model string) []railturn.Naming
+	// Notify tells the entries which version serves, or 0 while the engine takes nothing new.
+	Notify func(version int64)
 	// Weights is the time in which new weights are to serve everywhere.
 	Weights time.Duration
 	// Regions holds the region of each zone.
@@ -92,15 +93,16 @@
 }
 
 func (c *Carrier) init() {
-	stage := &railstage.Stage{Engine: c.Engine}
-	c.store = &railchunks.Store{Endpoint: stage, WindowBytes: windowBytes}
+	vault := &railvault.Vault{}
+	stage := &railstage.Stage{Engine: c.Engine, Chunk: vault.Chunk}
+	c.store = &railchunks.Store{Endpoint: vault}
 	c.sharing = &railsharing.Server{Store: c.store, Uploads: &railuploads.Scheduler{Slots: uploadSlots}, Pacer: &railpacer.Pacer{}}
 	c.fetcher = &railfetcher.Fetcher{
 		Self: c.Self, Store: c.store, Members: c.members, Ask: c.ask, Origin: c.origin, OriginRegion: c.originRegion,
 		Takeover: takeover, Window: fetchWindow, Imports: importWindow, Log: raillog.Part(c.Log, "fetcher"),
 	}
 	c.installer = &railinstaller.Installer{
-		Engine: c.Engine, Wanted: c.wanted, Manifest: c.manifest, Turn: c.turn, Stage: stage, Store: c.store, Fetcher: c.fetcher,
+		Engine: c.Engine, Wanted: c.wanted, Manifest: c.manifest, Turn: c.turn, Notify: c.Notify, Stage: stage, Store: c.store, Fetcher: c.fetcher,
 		Log: raillog.Part(c.Log, "rollout"),
 	}
 }
@@ -171,18 +173,12 @@
 }
 
 // turn returns the time until this engine's turn to change over: the engines follow each other, so that the others serve.
-func (c *Carrier) turn() time.Duration {
+func (c *Carrier) turn(serving, loading int64) time.Duration {
 	model, _ := c.wanted()
-	_, since := c.NamedFor(model)
 	members := c.members("")
-	place := 0
-	for i, m := range members {
-		if m.Name == c.Self.Name {
-			place = i
-		}
-	}
-	at := firstTurn + (lastTurn-firstTurn)*float64(place)/float64(len(members))
-	return time.Duration(at*float64(c.Weights)) - since
+	place := slices.IndexFunc(members, func(m railmember.Member) bool { return m.Name == c.Self.Name })
+	schedule := railturn.Schedule{Weights: c.Weights, Named: c.Named(model)}
+	return schedule.Turn(serving, loading, place, len(members))
 }
 
 // service answers the other agents.
--- a/internal/rollout/railinstaller/installer.go
+++ b/internal/rollout/railinstaller/installer.go
@@ -16,12 +16,16 @@
 )
 
 const (
-	idlePause  = 800 * time.Millisecond
-	retryPause = 150 * time.Millisecond
-	loadLook   = 60 * time.Millisecond
+	idlePause = 800 * time.Millisecond
+	look      = 60 * time.Millisecond
+	// lookEngine is the time between two looks at an engine that does not answer or has not been ready yet.
+	lookEngine = 150 * time.Millisecond
 	// loadLimit bounds the wait for an ordered load, which begins after the engine's running answers.
-	loadLimit = 12 * time.Second
-	callLimit = time.Second
+	loadLimit  = 12 * time.Second
+	callLimit  = time.Second
+	stageLimit = 5 * time.Second
+	// noticeLead is the time by which the entries hear of a change before it is ordered.
+	noticeLead = 30 * time.Millisecond
 )
 
 var (
@@ -51,114 +55,108 @@
 	Engine Engine
 	// Wanted returns the model and the version of its weights that is wanted; version 0 is the newest that the origin has.
 	Wanted func() (model string, version int64)
-	// Manifest returns the manifest of a version.
+	// Manifest returns the manifest of a version, and the version.
 	Manifest func(ctx context.Context, model string, version int64) (railmanifest.Manifest, int64, error)
-	// Turn returns the time until this engine's turn to change from one version to another.
-	Turn    func() time.Duration
+	// Turn returns the time until the engine's turn to load a version in place of the one that serves.
+	Turn func(serving, loading int64) time.Duration
+	// Notify tells the entries which version serves, or 0 while the engine takes nothing new.
+	Notify  func(version int64)
 	Stage   *railstage.Stage
 	Store   *railchunks.Store
 	Fetcher *railfetcher.Fetcher
 	Log     *slog.Logger
 
-	mu      sync.Mutex
-	version int64
-	model   string
-	content railmanifest.Manifest
-	lastErr string
+	mu sync.Mutex
+	// fetching and complete are the version that is fetched now and the newest one that is there whole.
+	fetching, complete weights
+	recovered          bool
 }
 
-// Run installs what is wanted until ctx is done.
+// weights is one version of a model's weights.
+type weights struct {
+	model    string
+	version  int64
+	manifest railmanifest.Manifest
+}
+
+// Run fetches and installs what is wanted until ctx is done.
 func (n *Installer) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		pause := idlePause
-		if err := n.install(ctx); err != nil && ctx.Err() == nil {
-			pause = retryPause
-			if err.Error() != n.lastErr {
-				n.lastErr = err.Error()
-				n.Log.Warn("weights are not in place yet", "err", err)
-			}
-		}
-		railtimer.Sleep(ctx, pause)
-	}
+	var wg sync.WaitGroup
+	wg.Go(func() { n.repeat(ctx, "fetch", look, n.fetch) })
+	wg.Go(func() { n.repeat(ctx, "install", idlePause, n.install) })
+	wg.Wait()
 }
 
 // Chunk returns the place of a chunk in the version that is fetched now.
 func (n *Installer) Chunk(digest string) (model string, version int64, index int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.model, n.version, n.content.Index(digest)
+	return n.fetching.model, n.fetching.version, n.fetching.manifest.Index(digest)
 }
 
-// install makes one pass: it returns nil once the wanted version serves.
-func (n *Installer) install(ctx context.Context) error {
+// repeat makes passes, with a pause after each that found nothing to do.
+func (n *Installer) repeat(ctx context.Context, name string, idle time.Duration, pass func(context.Context) error) {
+	last := ""
+	for ctx.Err() == nil {
+		err := pass(ctx)
+		pause := idle
+		if err != nil {
+			pause = lookEngine
+		}
+		if err != nil && err.Error() != last && ctx.Err() == nil {
+			last = err.Error()
+			n.Log.Warn("weights are not in place yet", "step", name, "err", err)
+		}
+		railtimer.Sleep(ctx, pause)
+	}
+}
+
+// fetch brings the wanted version in, unless it is there.
+func (n *Installer) fetch(ctx context.Context) error {
 	model, wanted := n.Wanted()
 	if model == "" {
 		return errNoModel
 	}
-	state, err := n.state(ctx)
-	if err != nil {
-		return err
-	}
-	if wanted > 0 && state.Version == wanted {
+	n.mu.Lock()
+	there := n.complete.model == model && n.complete.version > 0 && (wanted == 0 || n.complete.version == wanted)
+	n.mu.Unlock()
+	if there {
 		return nil
 	}
-	if state.Busy {
-		return errors.New("the engine is busy with an order")
-	}
-	m, version, err := n.prepare(ctx, model, wanted)
+	m, version, err := n.Manifest(ctx, model, wanted)
 	if err != nil {
-		return err
+		return errors.Wrap(err, "read the manifest")
 	}
-	if state.Version == version {
-		return nil
+	w := weights{model: model, version: version, manifest: m}
+	n.setFetching(w)
+	if err := n.recover(ctx, w); err != nil {
+		n.Log.Info("engine's own pieces not read, all are fetched", "err", err)
 	}
 	began := time.Now()
-	if err := n.fetch(ctx, m, wanted); err != nil {
+	if err := n.bring(ctx, m, wanted); err != nil {
 		return err
 	}
-	n.Log.Info("pieces staged", "version", version, "took", time.Since(began))
-	if state.Version != 0 && !n.sleep(ctx, n.Turn(), wanted) {
-		return errSuperseded
-	}
-	return n.load(ctx, m, version, wanted)
+	n.Log.Info("weights fetched", "version", version, "took", time.Since(began))
+	return n.setComplete(ctx, w)
 }
 
-func (n *Installer) state(ctx context.Context) (State, error) {
-	ctx, cancel := context.WithTimeout(ctx, callLimit)
-	defer cancel()
-	s, err := n.Engine.State(ctx)
-	return s, errors.Wrap(err, "read the engine's state")
-}
-
-// prepare returns the manifest of the wanted version; at first it learns which of its pieces are staged already.
-func (n *Installer) prepare(ctx context.Context, model string, wanted int64) (railmanifest.Manifest, int64, error) {
-	n.mu.Lock()
-	m, version := n.content, n.version
-	known := n.model == model && version == wanted && wanted > 0
-	first := n.version == 0
-	n.mu.Unlock()
-	if !known {
-		var err error
-		if m, version, err = n.Manifest(ctx, model, wanted); err != nil {
-			return m, 0, errors.Wrap(err, "read the manifest")
-		}
-		n.mu.Lock()
-		n.model, n.version, n.content = model, version, m
-		n.mu.Unlock()
-		n.Stage.SetManifest(model, m)
-	}
-	if !first {
-		return m, version, nil
+// recover takes over what the engine has staged from before this process began.
+func (n *Installer) recover(ctx context.Context, w weights) error {
+	if n.recovered {
+		return nil
 	}
-	return m, version, errors.Wrap(n.Store.Refresh(ctx), "look at what is staged")
+	n.recovered = true
+	ctx, cancel := context.WithTimeout(ctx, stageLimit)
+	defer cancel()
+	return n.Stage.Recover(ctx, w.model, w.manifest, func(digest string, data []byte) error { return n.Store.Put(ctx, digest, data) })
 }
 
-// fetch brings the missing pieces unless another version is wanted meanwhile.
-func (n *Installer) fetch(ctx context.Context, m railmanifest.Manifest, wanted int64) error {
+// bring fetches the missing chunks unless another version is wanted meanwhile.
+func (n *Installer) bring(ctx context.Context, m railmanifest.Manifest, wanted int64) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go func() {
-		for railtimer.Sleep(ctx, loadLook) {
+		for railtimer.Sleep(ctx, look) {
 			if _, now := n.Wanted(); now != wanted {
 				cancel(errSuperseded)
 			}
@@ -170,37 +168,101 @@
 	return nil
 }
 
-// load reads the pieces back, orders the load and waits for its end.
-func (n *Installer) load(ctx context.Context, m railmanifest.Manifest, version, wanted int64) error {
-	if err := n.Store.Refresh(ctx); err != nil {
-		return errors.Wrap(err, "read the pieces back")
-	}
-	for i, digest := range m.Chunks {
-		if !n.Store.Has(digest) {
-			return errors.Newf("piece %d has turned bad, it is fetched again", i)
+func (n *Installer) setFetching(w weights) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fetching = w
+}
+
+// setComplete notes the newest complete version and drops what is neither of it nor of the one before.
+func (n *Installer) setComplete(ctx context.Context, w weights) error {
+	n.mu.Lock()
+	kept := append(append([]string(nil), w.manifest.Chunks...), n.complete.manifest.Chunks...)
+	n.complete = w
+	n.mu.Unlock()
+	return n.Store.Keep(ctx, kept)
+}
+
+func (n *Installer) ready() weights {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.complete
+}
+
+// install loads the newest complete version once the engine's turn has come.
+func (n *Installer) install(ctx context.Context) error {
+	for ctx.Err() == nil {
+		w := n.ready()
+		state, err := n.state(ctx)
+		switch {
+		case err != nil:
+			return err
+		case w.version == 0 && state.Version == 0:
+			railtimer.Sleep(ctx, look)
+			continue
+		case w.version <= state.Version:
+			return nil
+		case state.Busy:
+			return errors.New("the engine is busy with an order")
+		}
+		if wait := n.Turn(state.Version, w.version); state.Version > 0 && wait > 0 {
+			railtimer.Sleep(ctx, min(wait, look))
+			continue
+		}
+		if err := n.load(ctx, w, state.Version); err != nil {
+			return err
 		}
 	}
-	if _, now := n.Wanted(); now != wanted {
-		return errSuperseded
+	return ctx.Err()
+}
+
+func (n *Installer) state(ctx context.Context) (State, error) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	s, err := n.Engine.State(ctx)
+	return s, errors.Wrap(err, "read the engine's state")
+}
+
+// load stages a version, orders the engine to load it and waits for its end.
+func (n *Installer) load(ctx context.Context, w weights, serving int64) error {
+	if err := n.stage(ctx, w); err != nil {
+		return err
 	}
+	n.Notify(0)
+	railtimer.Sleep(ctx, noticeLead)
 	bounded, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
-	if err := n.Engine.Start(bounded, n.model, version); err != nil {
+	began := time.Now()
+	if err := n.Engine.Start(bounded, w.model, w.version); err != nil {
+		n.Notify(serving)
 		return errors.Wrap(err, "order the load")
 	}
-	n.Log.Info("load ordered", "version", version)
-	return n.await(ctx, version)
+	n.Log.Info("load ordered", "version", w.version, "serving", serving)
+	if err := n.await(ctx, w.version); err != nil {
+		return err
+	}
+	n.Notify(w.version)
+	n.Log.Info("weights serve", "version", w.version, "took", time.Since(began))
+	return nil
+}
+
+// stage puts the pieces in place and reads them back.
+func (n *Installer) stage(ctx context.Context, w weights) error {
+	ctx, cancel := context.WithTimeout(ctx, stageLimit)
+	defer cancel()
+	put, err := n.Stage.Complete(ctx, w.model, w.manifest)
+	n.Log.Info("pieces staged", "version", w.version, "put", put, "err", err)
+	return err
 }
 
 func (n *Installer) await(ctx context.Context, version int64) error {
 	began := time.Now()
-	for time.Since(began) < loadLimit && railtimer.Sleep(ctx, loadLook) {
+	for time.Since(began) < loadLimit && railtimer.Sleep(ctx, look) {
 		state, err := n.state(ctx)
 		switch {
 		case err != nil:
 			return err
 		case state.Version == version:
-			n.Log.Info("weights serve", "version", version, "took", time.Since(began))
 			return nil
 		case !state.Busy:
 			return errors.New("the engine has not loaded what was ordered")
@@ -208,20 +270,3 @@
 	}
 	return errors.Newf("the load has not ended within %s", loadLimit)
 }
-
-// sleep waits unless another version is wanted meanwhile; it reports whether the same one is wanted still.
-func (n *Installer) sleep(ctx context.Context, d time.Duration, wanted int64) bool {
-	until := time.Now().Add(d)
-	for {
-		if _, now := n.Wanted(); now != wanted {
-			return false
-		}
-		left := time.Until(until)
-		if left <= 0 {
-			return true
-		}
-		if !railtimer.Sleep(ctx, min(left, loadLook)) {
-			return false
-		}
-	}
-}
--- a/internal/rollout/railstage/doc.go
+++ b/internal/rollout/railstage/doc.go
@@ -1,3 +1,2 @@
-// Package railstage hands the pieces of weights to the engine beside the process, which keeps them in order until it is told
-// to load them.
+// Package railstage hands the pieces of weights to the engine beside the process, which loads them as they lie there.
 package railstage
--- a/internal/rollout/railstage/stage.go
+++ b/internal/rollout/railstage/stage.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"sync"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -17,73 +17,71 @@
 	Held(ctx context.Context, model string) ([]int, error)
 }
 
-// Stage keeps the chunks of one manifest at the engine; its fields are set before its first use.
+// Stage hands pieces over; its fields are set before its first use.
 type Stage struct {
 	Engine Engine
-
-	mu       sync.Mutex
-	model    string
-	manifest railmanifest.Manifest
-}
-
-// SetManifest changes the manifest whose chunks are kept.
-func (s *Stage) SetManifest(model string, m railmanifest.Manifest) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.model, s.manifest = model, m
+	// Chunk returns a checked chunk by its digest.
+	Chunk func(ctx context.Context, digest string) ([]byte, error)
 }
 
-// Chunks returns the digests of the manifest's chunks that the engine has and that are sound.
-func (s *Stage) Chunks(ctx context.Context) ([]string, error) {
-	model, m := s.current()
+// Recover hands the engine's sound pieces of a manifest to take.
+func (s *Stage) Recover(ctx context.Context, model string, m railmanifest.Manifest, take func(digest string, data []byte) error) error {
 	places, err := s.Engine.Held(ctx, model)
 	if err != nil {
-		return nil, errors.Wrap(err, "list the staged pieces")
+		return errors.Wrap(err, "list the staged pieces")
 	}
-	var sound []string
 	for _, i := range places {
 		data, err := s.Engine.Piece(ctx, model, i)
 		if err != nil {
-			return nil, errors.Wrapf(err, "read piece %d back", i)
+			return errors.Wrapf(err, "read piece %d back", i)
 		}
 		if m.Verify(i, data) {
-			sound = append(sound, m.Chunks[i])
+			if err := take(m.Chunks[i], data); err != nil {
+				return err
+			}
 		}
 	}
-	return sound, nil
-}
-
-// PutChunk stages one checked chunk of the manifest.
-func (s *Stage) PutChunk(ctx context.Context, digest string, data []byte) error {
-	model, m := s.current()
-	i := m.Index(digest)
-	if i < 0 {
-		return errors.Newf("chunk %s is not of the version wanted now", digest)
-	}
-	return s.Engine.PutPiece(ctx, model, i, data)
+	return nil
 }
 
-// Chunk returns a sound chunk of the manifest that the engine has.
-func (s *Stage) Chunk(ctx context.Context, digest string) ([]byte, error) {
-	model, m := s.current()
-	i := m.Index(digest)
-	if i < 0 {
-		return nil, errors.Newf("chunk %s is not of the version wanted now", digest)
+// Complete puts every piece of a manifest in its place and reads all of them back, since what lies there may turn bad; it
+// returns the number of pieces that were put.
+func (s *Stage) Complete(ctx context.Context, model string, m railmanifest.Manifest) (int, error) {
+	held, err := s.Engine.Held(ctx, model)
+	if err != nil {
+		return 0, errors.Wrap(err, "list the staged pieces")
 	}
-	data, err := s.Engine.Piece(ctx, model, i)
-	if err == nil && !m.Verify(i, data) {
-		err = errors.Newf("piece %d has turned bad", i)
+	put := 0
+	for i := range m.Chunks {
+		sound := false
+		if slices.Contains(held, i) {
+			if sound, err = s.sound(ctx, model, m, i); err != nil {
+				return put, err
+			}
+		}
+		if sound {
+			continue
+		}
+		put++
+		if err := s.put(ctx, model, m, i); err != nil {
+			return put, err
+		}
 	}
-	return data, err
+	return put, nil
 }
 
-// Keep does nothing: a later version's pieces take the places of an earlier one's.
-func (s *Stage) Keep(context.Context, []string) error {
-	return nil
+func (s *Stage) put(ctx context.Context, model string, m railmanifest.Manifest, i int) error {
+	data, err := s.Chunk(ctx, m.Chunks[i])
+	if err != nil {
+		return errors.Wrapf(err, "take piece %d", i)
+	}
+	return errors.Wrapf(s.Engine.PutPiece(ctx, model, i, data), "stage piece %d", i)
 }
 
-func (s *Stage) current() (string, railmanifest.Manifest) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.model, s.manifest
+func (s *Stage) sound(ctx context.Context, model string, m railmanifest.Manifest, i int) (bool, error) {
+	data, err := s.Engine.Piece(ctx, model, i)
+	if err != nil {
+		return false, errors.Wrapf(err, "read piece %d back", i)
+	}
+	return m.Verify(i, data), nil
 }
--- /dev/null
+++ b/internal/rollout/railvault/doc.go
@@ -0,0 +1,2 @@
+// Package railvault keeps checked chunks of weights in memory, by their digests.
+package railvault
--- a/internal/wire/raildigest/exchange.go
+++ b/internal/wire/raildigest/exchange.go
@@ -29,6 +29,8 @@
 	Digest func() ([]*railproto.EndpointLoad, uint64)
 	// Absorb takes over what is in flight at another entry.
 	Absorb func(entry string, sequence uint64, loads []*railproto.EndpointLoad) bool
+	// Notice takes over what a carrier tells of the engine beside it.
+	Notice func(address string, version int64)
 	// Interval is the time between two digests.
 	Interval time.Duration
 	Log      *slog.Logger
@@ -52,14 +54,20 @@
 }
 
 func (x *Exchange) send(digest *railproto.LoadDigest) {
-	data, err := proto.Marshal(digest)
+	datagram := &railproto.Datagram{Content: &railproto.Datagram_Digest{Digest: digest}}
+	Send(x.Conn, x.Peers(), datagram, x.Log)
+}
+
+// Send sends a datagram to each of the addresses; one that is lost is replaced by the next.
+func Send(conn net.PacketConn, to []*net.UDPAddr, datagram *railproto.Datagram, log *slog.Logger) {
+	data, err := proto.Marshal(datagram)
 	if err != nil {
-		x.Log.Error("digest not encoded", "err", err)
+		log.Error("datagram not encoded", "err", err)
 		return
 	}
-	for _, peer := range x.Peers() {
-		if _, err := x.Conn.WriteTo(data, peer); err != nil {
-			x.Log.Debug("digest not sent, the next one replaces it", "peer", peer, "err", err)
+	for _, address := range to {
+		if _, err := conn.WriteTo(data, address); err != nil {
+			log.Debug("datagram not sent", "to", address, "err", err)
 		}
 	}
 }
@@ -72,11 +80,20 @@
 			railtimer.Sleep(ctx, x.Interval)
 			continue
 		}
-		var digest railproto.LoadDigest
-		if err := proto.Unmarshal(buffer[:n], &digest); err != nil {
-			x.Log.Debug("datagram is not a digest", "from", from, "err", err)
+		var datagram railproto.Datagram
+		if err := proto.Unmarshal(buffer[:n], &datagram); err != nil {
+			x.Log.Debug("datagram can't be read", "from", from, "err", err)
 			continue
 		}
+		x.take(&datagram)
+	}
+}
+
+func (x *Exchange) take(datagram *railproto.Datagram) {
+	if digest := datagram.GetDigest(); digest != nil {
 		x.Absorb(digest.GetEntry(), digest.GetSequence(), digest.GetLoads())
 	}
+	if notice := datagram.GetNotice(); notice != nil {
+		x.Notice(notice.GetAddress(), notice.GetVersion())
+	}
 }
