Pace weights below the link's rate, so that streams come on time while weights move

Cause: events of streams waited behind weights on the engines' links (7.3 Mbit/s both ways). Change: one upload and two downloads at once, paced at 0.88 of the link; a version of which most is there is fetched to its end.

--- a/internal/command/railcarriercmd/carrier.go
+++ b/internal/command/railcarriercmd/carrier.go
@@ -27,7 +27,8 @@
 	// listFor is the time for which a list of endpoints is used, which only says whom to ask for weights.
 	listFor = 1500 * time.Millisecond
 	// entriesFor is the time for which the entries' addresses are used before they are read again.
-	entriesFor = 10 * time.Second
+	entriesFor      = 10 * time.Second
+	bytesPerMegabit = 1e6 / 8
 	// noticeLimit bounds the time for which a change of weights waits for the entries' addresses.
 	noticeLimit = 200 * time.Millisecond
 )
@@ -62,6 +63,7 @@
 		Self: railmember.Member{Name: host, Role: railmember.RoleAgent, Address: site.Inner, Zone: site.Zone, Region: site.Region, Service: site.Service},
 		Key:  []byte(site.SharedKey), Inner: inner, Port: port, Dialer: dialer, Catalog: p.Current.Get, Named: p.Current.Named,
 		Engine:  &platform.Engine{HTTP: p.Store.HTTP, Address: site.Endpoint, Layers: func() int { return p.Layers(site.Service) }},
+		Link:    int(site.Link * bytesPerMegabit),
 		Weights: p.Site.Bounds.Weights, Regions: p.Site.Regions, Log: p.Log,
 		Instances: list.instances, Notify: notifier.notify,
 	}
--- a/internal/config/railsite/site.go
+++ b/internal/config/railsite/site.go
@@ -40,6 +40,7 @@
 	Admin     string        `key:"admin" help:"IP address and port for metrics; none when absent"`
 	Service   string        `key:"service" help:"the service of the endpoint beside the process; carriers only"`
 	Endpoint  string        `key:"endpoint" help:"IP address and port of that endpoint; carriers only"`
+	Link      float64       `key:"link" unit:"Mbit/s" default:"0" min:"0" max:"1000000" help:"rate of the VM's link, each way, below which weights are paced; 0 for no pace"`
 	Timeout   time.Duration `key:"timeout" unit:"duration" default:"1s" min:"10ms" max:"1m" help:"longest time for one call of the store or one connection"`
 	LogLevel  string        `key:"logLevel" default:"info" oneof:"debug info warn error" help:"least level of the lines that are logged"`
 }
--- a/internal/node/railcarrier/carrier.go
+++ b/internal/node/railcarrier/carrier.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/semaphore"
 	"storj.io/drpc/drpcmux"
 
 	"github.com/fulmarrail/fulmarrail/internal/config/railcatalog"
@@ -32,7 +33,13 @@
 )
 
 const (
-	uploadSlots = 4
+	// uploadSlots and downloadSlots bound the chunks on the VM's link at once, which live requests wait behind.
+	uploadSlots   = 1
+	downloadSlots = 2
+	// linkShare is the share of the link, each way, that weights may take.
+	linkShare = 0.88
+	// burst is the number of bytes of weights that may pass at once: a chunk.
+	burst = 32 << 10
 	// fetchWindow is the number of chunks that are asked for at once: an agent waits for most of them.
 	fetchWindow = 96
 	// importWindow is the number of chunks that are imported at once.
@@ -67,6 +74,8 @@
 	Named     func(model string) []railturn.Naming
 	// Notify tells the entries which version serves, or 0 while the engine takes nothing new.
 	Notify func(version int64)
+	// Link is the rate of the VM's link in bytes a second, or 0 where it is not known.
+	Link int
 	// Weights is the time in which new weights are to serve everywhere.
 	Weights time.Duration
 	// Regions holds the region of each zone.
@@ -96,10 +105,16 @@
 	vault := &railvault.Vault{}
 	stage := &railstage.Stage{Engine: c.Engine, Chunk: vault.Chunk}
 	c.store = &railchunks.Store{Endpoint: vault}
-	c.sharing = &railsharing.Server{Store: c.store, Uploads: &railuploads.Scheduler{Slots: uploadSlots}, Pacer: &railpacer.Pacer{}}
+	uploads, downloads := &railpacer.Pacer{Burst: burst}, &railpacer.Pacer{Burst: burst}
+	if c.Link > 0 {
+		uploads.SetPace(int(linkShare*float64(c.Link)), 0)
+		downloads.SetPace(int(linkShare*float64(c.Link)), 0)
+	}
+	c.sharing = &railsharing.Server{Store: c.store, Uploads: &railuploads.Scheduler{Slots: uploadSlots}, Pacer: uploads}
 	c.fetcher = &railfetcher.Fetcher{
 		Self: c.Self, Store: c.store, Members: c.members, Ask: c.ask, Origin: c.origin, OriginRegion: c.originRegion,
 		Takeover: takeover, Window: fetchWindow, Imports: importWindow, Log: raillog.Part(c.Log, "fetcher"),
+		Download: c.admitDownloads(downloads),
 	}
 	c.installer = &railinstaller.Installer{
 		Engine: c.Engine, Wanted: c.wanted, Manifest: c.manifest, Turn: c.turn, Notify: c.Notify, Stage: stage, Store: c.store, Fetcher: c.fetcher,
@@ -107,6 +122,30 @@
 	}
 }
 
+// admitDownloads lets a few chunks come at once, at the pace of the link.
+func (c *Carrier) admitDownloads(pacer *railpacer.Pacer) func(ctx context.Context) (func(), error) {
+	slots := semaphore.NewWeighted(downloadSlots)
+	return func(ctx context.Context) (func(), error) {
+		if err := slots.Acquire(ctx, 1); err != nil {
+			return nil, errors.Wrap(err, "wait for a download")
+		}
+		if err := pacer.Wait(ctx, c.chunkBytes()); err != nil {
+			slots.Release(1)
+			return nil, err
+		}
+		return func() { slots.Release(1) }, nil
+	}
+}
+
+func (c *Carrier) chunkBytes() int {
+	catalog, _ := c.Catalog()
+	backend, ok := catalog.Backend(c.Self.Service)
+	if !ok || backend.Engine == nil {
+		return 0
+	}
+	return backend.Engine.ChunkBytes
+}
+
 // wanted returns the model of the engine's service and the version of its weights that is wanted, or 0 when none was named.
 func (c *Carrier) wanted() (string, int64) {
 	catalog, _ := c.Catalog()
--- a/internal/rollout/railfetcher/fetcher.go
+++ b/internal/rollout/railfetcher/fetcher.go
@@ -58,7 +58,10 @@
 	Takeover time.Duration
 	// Window and Imports are the chunks that are asked for and imported at once.
 	Window, Imports int
-	Log             *slog.Logger
+	// Download is called before each chunk that is drawn in, waits until its data may come, and returns what is to be called
+	// once it has come; nil does not hold downloads back.
+	Download func(ctx context.Context) (done func(), err error)
+	Log      *slog.Logger
 
 	corrupt atomic.Int64
 	mu      sync.Mutex
@@ -97,6 +100,14 @@
 	return f.corrupt.Load()
 }
 
+// download waits until data may come.
+func (f *Fetcher) download(ctx context.Context) (func(), error) {
+	if f.Download == nil {
+		return func() {}, nil
+	}
+	return f.Download(ctx)
+}
+
 func (f *Fetcher) takeover() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/rollout/railfetcher/job.go
+++ b/internal/rollout/railfetcher/job.go
@@ -188,7 +188,12 @@
 			return j.ask(ctx, importers[0], h, longWait*f.takeover(), 0)
 		}
 	}
+	done, err := f.download(ctx)
+	if err != nil {
+		return nil, err
+	}
 	data, err := f.Origin(ctx, h.digest)
+	done()
 	if err != nil {
 		return nil, errors.Wrap(err, "draw from the origin")
 	}
@@ -221,7 +226,20 @@
 
 func (j *job) ask(ctx context.Context, source railmember.Member, h *hunt, wait time.Duration, level int) ([]byte, error) {
 	f := j.fetcher
+	if f.Download != nil && wait > 0 {
+		// The wait and the data are apart, so that only what is there takes part in the download.
+		reply, err := f.Ask(ctx, source, &railproto.ChunkRequest{Digest: h.digest, WaitMillis: wait.Milliseconds(), Probe: true})
+		if err == nil && !reply.GetHeld() {
+			return nil, errNotYet
+		}
+		wait = 0
+	}
+	done, err := f.download(ctx)
+	if err != nil {
+		return nil, err
+	}
 	reply, err := f.Ask(ctx, source, &railproto.ChunkRequest{Digest: h.digest, WaitMillis: wait.Milliseconds(), Level: int32(level)})
+	done()
 	if err != nil {
 		if ctx.Err() == nil {
 			f.penalize(source)
--- a/internal/rollout/railinstaller/installer.go
+++ b/internal/rollout/railinstaller/installer.go
@@ -24,6 +24,9 @@
 	loadLimit  = 12 * time.Second
 	callLimit  = time.Second
 	stageLimit = 5 * time.Second
+	// worthFinishing is the share of a version's chunks from which on it is fetched to its end though a newer one is wanted:
+	// the engines can change over to it while the newer one comes.
+	worthFinishing = 0.7
 	// noticeLead is the time by which the entries hear of a change before it is ordered.
 	noticeLead = 30 * time.Millisecond
 )
@@ -151,13 +154,13 @@
 	return n.Stage.Recover(ctx, w.model, w.manifest, func(digest string, data []byte) error { return n.Store.Put(ctx, digest, data) })
 }
 
-// bring fetches the missing chunks unless another version is wanted meanwhile.
+// bring fetches the missing chunks, unless another version is wanted before most of them are there.
 func (n *Installer) bring(ctx context.Context, m railmanifest.Manifest, wanted int64) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go func() {
 		for railtimer.Sleep(ctx, look) {
-			if _, now := n.Wanted(); now != wanted {
+			if _, now := n.Wanted(); now != wanted && n.held(m) < worthFinishing*float64(len(m.Chunks)) {
 				cancel(errSuperseded)
 			}
 		}
@@ -168,6 +171,17 @@
 	return nil
 }
 
+// held returns the number of a manifest's chunks that are there.
+func (n *Installer) held(m railmanifest.Manifest) float64 {
+	count := 0
+	for _, digest := range m.Chunks {
+		if n.Store.Has(digest) {
+			count++
+		}
+	}
+	return float64(count)
+}
+
 func (n *Installer) setFetching(w weights) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/rollout/railpacer/pacer.go
+++ b/internal/rollout/railpacer/pacer.go
@@ -9,13 +9,16 @@
 )
 
 const (
-	burstBytes = 4 << 20
+	defaultBurst = 4 << 20
 	// yieldShare is the share of the pace that a fully loaded endpoint takes away.
 	yieldShare = 0.5
 )
 
 // Pacer spreads bytes over time; the zero value does not hold them back.
 type Pacer struct {
+	// Burst is the number of bytes that may pass at once, or 0 for the default; it is set before the first use.
+	Burst int
+
 	once    sync.Once
 	limiter *rate.Limiter
 }
@@ -29,9 +32,14 @@
 // Wait waits until n bytes may pass, or returns an error when ctx is done first.
 func (p *Pacer) Wait(ctx context.Context, n int) error {
 	p.init()
-	return errors.Wrap(p.limiter.WaitN(ctx, min(n, burstBytes)), "wait for the pace of weights")
+	return errors.Wrap(p.limiter.WaitN(ctx, min(n, p.Burst)), "wait for the pace of weights")
 }
 
 func (p *Pacer) init() {
-	p.once.Do(func() { p.limiter = rate.NewLimiter(rate.Inf, burstBytes) })
+	p.once.Do(func() {
+		if p.Burst == 0 {
+			p.Burst = defaultBurst
+		}
+		p.limiter = rate.NewLimiter(rate.Inf, p.Burst)
+	})
 }
--- a/internal/rollout/railsharing/server.go
+++ b/internal/rollout/railsharing/server.go
@@ -20,10 +20,11 @@
 	Pacer   *railpacer.Pacer
 }
 
-// Chunk returns a chunk, or what is known of it while it is not held.
+// Chunk returns a chunk, or what is known of it while it is not held; a probe waits for the chunk but does not return it.
 func (s *Server) Chunk(ctx context.Context, req *railproto.ChunkRequest) (*railproto.ChunkReply, error) {
 	wait := min(time.Duration(req.GetWaitMillis())*time.Millisecond, longestWait)
 	if req.GetProbe() {
+		s.Store.Wait(ctx, req.GetDigest(), wait)
 		return s.Store.Probe(req.GetDigest()), nil
 	}
 	if !s.Store.Has(req.GetDigest()) && !s.Store.Wait(ctx, req.GetDigest(), wait) {
