Let imports go first: regions draw in a chain, several chunks at once

Cause (traced by debug lines of each chunk): imports queued behind the downloads of their own agent, a region's importers took one chunk at a time and waited for it, and the origin's region sent each chunk to two other regions. Change: the chain of regions begins with the origin's; imports skip the slots and the pace of downloads; six imports at once.

--- a/internal/node/railcarrier/carrier.go
+++ b/internal/node/railcarrier/carrier.go
@@ -35,15 +35,17 @@
 const (
 	// uploadSlots and downloadSlots bound the chunks on the VM's link at once, which live requests wait behind.
 	uploadSlots   = 1
-	downloadSlots = 2
+	downloadSlots = 6
 	// linkShare is the share of the link, each way, that weights may take.
-	linkShare = 0.88
+	linkShare = 0.92
 	// burst is the number of bytes of weights that may pass at once: a chunk.
 	burst = 32 << 10
 	// fetchWindow is the number of chunks that are asked for at once: an agent waits for most of them.
 	fetchWindow = 96
-	// importWindow is the number of chunks that are imported at once.
-	importWindow = 2
+	// importWindow and drawWindow are the numbers of chunks that are imported from another region and drawn from the origin at
+	// once; the origin's link is the narrowest, and a few draws fill it.
+	importWindow = 6
+	drawWindow   = 2
 	takeover     = 400 * time.Millisecond
 	askLimit     = 3 * time.Second
 )
@@ -113,7 +115,7 @@
 	c.sharing = &railsharing.Server{Store: c.store, Uploads: &railuploads.Scheduler{Slots: uploadSlots}, Pacer: uploads}
 	c.fetcher = &railfetcher.Fetcher{
 		Self: c.Self, Store: c.store, Members: c.members, Ask: c.ask, Origin: c.origin, OriginRegion: c.originRegion,
-		Takeover: takeover, Window: fetchWindow, Imports: importWindow, Log: raillog.Part(c.Log, "fetcher"),
+		Takeover: takeover, Window: fetchWindow, Imports: importWindow, Draws: drawWindow, Log: raillog.Part(c.Log, "fetcher"),
 		Download: c.admitDownloads(downloads),
 	}
 	c.installer = &railinstaller.Installer{
@@ -123,9 +125,13 @@
 }
 
 // admitDownloads lets a few chunks come at once, at the pace of the link.
-func (c *Carrier) admitDownloads(pacer *railpacer.Pacer) func(ctx context.Context) (func(), error) {
+func (c *Carrier) admitDownloads(pacer *railpacer.Pacer) func(ctx context.Context, imported bool) (func(), error) {
 	slots := semaphore.NewWeighted(downloadSlots)
-	return func(ctx context.Context) (func(), error) {
+	return func(ctx context.Context, imported bool) (func(), error) {
+		if imported {
+			pacer.Take(c.chunkBytes())
+			return func() {}, nil
+		}
 		if err := slots.Acquire(ctx, 1); err != nil {
 			return nil, errors.Wrap(err, "wait for a download")
 		}
--- a/internal/rollout/railfetcher/fetcher.go
+++ b/internal/rollout/railfetcher/fetcher.go
@@ -33,6 +33,8 @@
 	directAfter = 20
 	// firstProbes is the number of agents that an importer asks before its first import of a chunk.
 	firstProbes = 3
+	// outsideTries is the number of times that other regions are asked for a chunk before the origin is.
+	outsideTries = 3
 	// planFor is the time for which a plan is used before the list of agents is looked at again.
 	planFor = time.Second
 )
@@ -56,11 +58,11 @@
 	OriginRegion func() string
 	// Takeover is the time after which the next importer follows one that does not deliver.
 	Takeover time.Duration
-	// Window and Imports are the chunks that are asked for and imported at once.
-	Window, Imports int
+	// Window, Imports and Draws are the chunks that are asked for, imported from another region and drawn from the origin at once.
+	Window, Imports, Draws int
 	// Download is called before each chunk that is drawn in, waits until its data may come, and returns what is to be called
-	// once it has come; nil does not hold downloads back.
-	Download func(ctx context.Context) (done func(), err error)
+	// once it has come; nil does not hold downloads back. Others wait for a chunk that is imported, which goes first.
+	Download func(ctx context.Context, imported bool) (done func(), err error)
 	Log      *slog.Logger
 
 	corrupt atomic.Int64
@@ -83,7 +85,7 @@
 		}
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	job.work(ctx, group, imports, f.Imports)
+	job.work(ctx, group, imports, f.importsAtOnce())
 	job.work(ctx, group, downloads, f.Window)
 	return group.Wait()
 }
@@ -100,12 +102,20 @@
 	return f.corrupt.Load()
 }
 
+// importsAtOnce returns the number of chunks that this agent imports at once.
+func (f *Fetcher) importsAtOnce() int {
+	if f.Draws > 0 && f.OriginRegion() == f.Self.Region {
+		return f.Draws
+	}
+	return f.Imports
+}
+
 // download waits until data may come.
-func (f *Fetcher) download(ctx context.Context) (func(), error) {
+func (f *Fetcher) download(ctx context.Context, imported bool) (func(), error) {
 	if f.Download == nil {
 		return func() {}, nil
 	}
-	return f.Download(ctx)
+	return f.Download(ctx, imported)
 }
 
 func (f *Fetcher) takeover() time.Duration {
--- a/internal/rollout/railfetcher/job.go
+++ b/internal/rollout/railfetcher/job.go
@@ -36,6 +36,8 @@
 	began  time.Time
 	// failed is the number of importers that were found not to deliver.
 	failed int
+	// outside is the number of times that another region did not deliver.
+	outside int
 	// nextLook is the time of the next look after the importer.
 	nextLook time.Time
 }
@@ -176,19 +178,26 @@
 	return data, err
 }
 
-// fromOutside takes a chunk from the origin, or from the origin's region when that is another one.
+// fromOutside takes a chunk from the region before this one in the chain of regions, which begins with the origin's; when that
+// has failed, from the origin's region, and then from the origin.
 func (j *job) fromOutside(ctx context.Context, h *hunt) ([]byte, error) {
 	f := j.fetcher
-	if region := f.OriginRegion(); region != f.Self.Region {
-		if sources := j.plan(region); !sources.Empty() {
-			importers := f.willing(sources.Importers(h.chunk))
-			if len(importers) == 0 {
-				return nil, errors.New("no agent of the origin's region is willing")
-			}
-			return j.ask(ctx, importers[0], h, longWait*f.takeover(), 0)
+	for _, region := range j.regionsToAsk(h) {
+		sources := j.plan(region)
+		if sources.Empty() {
+			continue
+		}
+		importers := f.willing(sources.Importers(h.chunk))
+		if len(importers) == 0 {
+			continue
+		}
+		data, err := j.ask(ctx, importers[0], h, longWait*f.takeover(), 0)
+		if err != nil {
+			h.outside++
 		}
+		return data, err
 	}
-	done, err := f.download(ctx)
+	done, err := f.download(ctx, true)
 	if err != nil {
 		return nil, err
 	}
@@ -197,9 +206,39 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "draw from the origin")
 	}
+	f.Log.Debug("chunk came from the origin", "chunk", h.chunk, "since", time.Since(h.began))
 	return data, j.verify(h, data, railmember.Member{Name: "the origin"})
 }
 
+// regionsToAsk returns the regions from which a chunk may be drawn now, the preferred one first.
+func (j *job) regionsToAsk(h *hunt) []string {
+	chain := j.chain()
+	place := slices.Index(chain, j.fetcher.Self.Region)
+	switch {
+	case place <= 0 || h.outside > outsideTries:
+		return nil
+	case h.outside == 0:
+		return []string{chain[place-1], chain[0]}
+	}
+	return []string{chain[0]}
+}
+
+// chain returns the regions in the order in which each draws from the one before: that of the origin first.
+func (j *job) chain() []string {
+	origin := j.fetcher.OriginRegion()
+	chain := []string{}
+	for _, m := range j.members {
+		if m.Region != origin {
+			chain = append(chain, m.Region)
+		}
+	}
+	if own := j.fetcher.Self.Region; own != origin {
+		chain = append(chain, own)
+	}
+	slices.Sort(chain)
+	return slices.Insert(slices.Compact(chain), 0, origin)
+}
+
 // fromRegion probes the region's agents until one holds the chunk, and takes it from there. Before anything has failed
 // only the next importers are asked: after a change of the list the chunk's former importer is among them.
 func (j *job) fromRegion(ctx context.Context, plan railplan.Plan, h *hunt) ([]byte, error) {
@@ -226,6 +265,7 @@
 
 func (j *job) ask(ctx context.Context, source railmember.Member, h *hunt, wait time.Duration, level int) ([]byte, error) {
 	f := j.fetcher
+	began := time.Now()
 	if f.Download != nil && wait > 0 {
 		// The wait and the data are apart, so that only what is there takes part in the download.
 		reply, err := f.Ask(ctx, source, &railproto.ChunkRequest{Digest: h.digest, WaitMillis: wait.Milliseconds(), Probe: true})
@@ -234,10 +274,12 @@
 		}
 		wait = 0
 	}
-	done, err := f.download(ctx)
+	held := time.Since(began)
+	done, err := f.download(ctx, level == 0)
 	if err != nil {
 		return nil, err
 	}
+	admitted := time.Since(began)
 	reply, err := f.Ask(ctx, source, &railproto.ChunkRequest{Digest: h.digest, WaitMillis: wait.Milliseconds(), Level: int32(level)})
 	done()
 	if err != nil {
@@ -253,6 +295,7 @@
 		return nil, err
 	}
 	f.delivered(source)
+	f.Log.Debug("chunk came", "chunk", h.chunk, "from", source.Name, "level", level, "held", held, "admitted", admitted, "took", time.Since(began))
 	return reply.GetData(), nil
 }
 
@@ -279,7 +322,7 @@
 	}
 	plan, ok := j.plans[region]
 	if !ok {
-		plan = railplan.New(j.inRegion(region), j.manifest.Chunks, j.otherRegions(region))
+		plan = railplan.New(j.inRegion(region), j.manifest.Chunks, j.drawing(region))
 		if j.plans == nil {
 			j.plans = map[string]railplan.Plan{}
 		}
@@ -288,18 +331,13 @@
 	return plan
 }
 
-// otherRegions returns the number of regions that draw from the given one.
-func (j *job) otherRegions(region string) int {
-	if region != j.fetcher.OriginRegion() {
-		return 0
-	}
-	others := map[string]bool{}
-	for _, m := range j.members {
-		if m.Region != region {
-			others[m.Region] = true
-		}
+// drawing returns the number of regions that draw from the given one.
+func (j *job) drawing(region string) int {
+	chain := j.chain()
+	if place := slices.Index(chain, region); place >= 0 && place < len(chain)-1 {
+		return 1
 	}
-	return len(others)
+	return 0
 }
 
 func (j *job) inRegion(region string) []railmember.Member {
--- a/internal/rollout/railpacer/pacer.go
+++ b/internal/rollout/railpacer/pacer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
@@ -35,6 +36,12 @@
 	return errors.Wrap(p.limiter.WaitN(ctx, min(n, p.Burst)), "wait for the pace of weights")
 }
 
+// Take lets n bytes pass at once; those that wait pass so much later.
+func (p *Pacer) Take(n int) {
+	p.init()
+	p.limiter.ReserveN(time.Now(), min(n, p.Burst))
+}
+
 func (p *Pacer) init() {
 	p.once.Do(func() {
 		if p.Burst == 0 {
