Announce changes of weights ahead, and bound the reading at an engine by the pause on time

Cause: an engine that changes its weights stood half idle for 1.8 s while its longest answers ended; prompts read together paused the answers of an engine for longer than the route allows.

--- a/internal/command/railcarriercmd/carrier.go
+++ b/internal/command/railcarriercmd/carrier.go
@@ -78,8 +78,8 @@
 	entries []*net.UDPAddr
 }
 
-// notify tells every entry which version serves; only one goroutine calls it.
-func (n *notifier) notify(version int64) {
+// notify tells every entry which version serves, and when it is to change; only one goroutine calls it.
+func (n *notifier) notify(version int64, changesIn time.Duration) {
 	if time.Since(n.read) > entriesFor {
 		ctx, cancel := context.WithTimeout(context.Background(), noticeLimit)
 		defer cancel()
@@ -91,7 +91,7 @@
 			n.entries = n.Entries(page.Rows)
 		}
 	}
-	notice := &railproto.EndpointNotice{Address: n.Site.Process.Endpoint, Version: version}
+	notice := &railproto.EndpointNotice{Address: n.Site.Process.Endpoint, Version: version, ChangesInMillis: changesIn.Milliseconds()}
 	raildigest.Send(n.conn, n.entries, &railproto.Datagram{Content: &railproto.Datagram_Notice{Notice: notice}}, n.Log)
 }
 
--- a/internal/limit/railpass/load.go
+++ b/internal/limit/railpass/load.go
@@ -10,6 +10,9 @@
 // comes, on average half over, and the one that reads the request.
 const passesBefore = 1.5
 
+// readingShare is the time of a pass over that without reading, at an engine that is loaded as usual.
+const readingShare = 1.6
+
 // Load is the work of one engine.
 type Load struct {
 	// Running is the number of its requests, those that wait for a slot included.
@@ -28,6 +31,17 @@
 	return l.Unread + read + time.Duration(passesBefore*float64(l.steps(t)))
 }
 
+// Pause predicts the longest pause in the answers that are being written once one more prompt has to be read.
+func (l Load) Pause(t railbackend.Timing, read time.Duration) time.Duration {
+	return l.Unread + read + l.steps(t)
+}
+
+// Writing predicts the time from an answer's first token to its last.
+func (l Load) Writing(t railbackend.Timing, tokens int) time.Duration {
+	passes := float64(tokens) / float64(max(t.Stride, 1))
+	return time.Duration(passes * readingShare * float64(l.steps(t)))
+}
+
 // steps returns the time of a pass without what it reads.
 func (l Load) steps(t railbackend.Timing) time.Duration {
 	step := t.Step + time.Duration(l.Running)*t.PerSequence
--- a/internal/membership/railfleet/endpoint.go
+++ b/internal/membership/railfleet/endpoint.go
@@ -34,13 +34,17 @@
 	pace    float64
 	strikes int
 	// noticed is when the carrier beside the endpoint last told its version, which the list shows later.
-	noticed    time.Time
+	noticed time.Time
+	// changesAt is when its weights are to change, if that is known.
+	changesAt  time.Time
 	avoidUntil time.Time
 }
 
 func (e *endpoint) update(i railinstance.Instance) {
 	if time.Since(e.noticed) < noticeFor {
 		i.Version = e.Version
+	} else {
+		e.changesAt = time.Time{}
 	}
 	if e.Version != i.Version {
 		e.avoidUntil, e.strikes = time.Time{}, 0
@@ -55,6 +59,14 @@
 	}
 }
 
+// notice takes over what the endpoint's carrier tells.
+func (e *endpoint) notice(version int64, changesIn time.Duration, now time.Time) {
+	e.Version, e.noticed, e.changesAt = version, now, time.Time{}
+	if changesIn > 0 {
+		e.changesAt = now.Add(changesIn)
+	}
+}
+
 // settle takes over how a request ended.
 func (e *endpoint) settle(outcome Outcome, now time.Time) {
 	switch outcome {
--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -17,6 +17,10 @@
 	otherZoneCost   = 8 * time.Millisecond
 	// queueDepth is the number of requests that an endpoint may hold beyond its slots, so that none stands idle.
 	queueDepth = 1
+	// gapShare is the share of the longest pause on time that the reading of prompts may take up at an engine.
+	gapShare = 0.75
+	// drainTail is the time for which answers may go on at an endpoint that is about to change its weights.
+	drainTail = time.Second
 	// coldShare is the share of the bound on requests a second that the entries together use.
 	coldShare = 0.9
 )
@@ -42,8 +46,10 @@
 // Need is what a request needs of an endpoint.
 type Need struct {
 	Backend railbackend.Backend
-	// Prompt is the number of prompt tokens.
-	Prompt int
+	// Prompt is the number of prompt tokens, and Answer an estimate of the answer's.
+	Prompt, Answer int
+	// Gap is the longest pause between two events of an answer on time, or 0 for no bound.
+	Gap time.Duration
 	// Allows reports whether the request may go to a region, and ZoneOut whether a zone gets nothing.
 	Allows, ZoneOut func(string) bool
 	// Version is the oldest version of weights that may serve, or 0 for any complete one.
@@ -77,13 +83,14 @@
 	f.Changed()
 }
 
-// Notice takes over the version that an endpoint's carrier tells, before the list shows it; 0 says that it takes nothing new.
-func (f *Fleet) Notice(address string, version int64) {
+// Notice takes over the version that an endpoint's carrier tells, before the list shows it, and the time after which it is to
+// change, if that is not 0; version 0 says that the endpoint takes nothing new.
+func (f *Fleet) Notice(address string, version int64, changesIn time.Duration) {
 	f.mu.Lock()
 	for _, e := range f.endpoints {
 		if e.Address == address {
-			f.Log.Info("endpoint changes its weights", "endpoint", e.ID, "from", e.Version, "to", version)
-			e.Version, e.noticed = version, time.Now()
+			f.Log.Info("endpoint changes its weights", "endpoint", e.ID, "from", e.Version, "to", version, "in", changesIn)
+			e.notice(version, changesIn, time.Now())
 		}
 	}
 	f.mu.Unlock()
@@ -159,8 +166,17 @@
 		return time.Duration(float64(load.Running)*e.pace*float64(time.Millisecond)) + f.way(e), true
 	}
 	timing := need.Backend.Engine.Timing
-	begin := time.Duration(e.pace * float64(load.FirstToken(timing, timing.ReadTime(need.Prompt))))
-	return begin + f.way(e), begin <= need.Within
+	read := timing.ReadTime(need.Prompt)
+	begin := time.Duration(e.pace * float64(load.FirstToken(timing, read)))
+	switch {
+	case begin > need.Within:
+		return 0, false
+	case need.Gap > 0 && load.Unread > 0 && load.Pause(timing, read) > time.Duration(gapShare*float64(need.Gap)):
+		return 0, false
+	case !e.changesAt.IsZero() && time.Now().Add(begin+load.Writing(timing, need.Answer)).After(e.changesAt.Add(drainTail)):
+		return 0, false
+	}
+	return begin + f.way(e), true
 }
 
 // way returns the cost of the way to an endpoint.
--- a/internal/node/railcarrier/carrier.go
+++ b/internal/node/railcarrier/carrier.go
@@ -74,8 +74,9 @@
 	Catalog   func() (railcatalog.Catalog, bool)
 	Instances func() []railinstance.Instance
 	Named     func(model string) []railturn.Naming
-	// Notify tells the entries which version serves, or 0 while the engine takes nothing new.
-	Notify func(version int64)
+	// Notify tells the entries which version serves, or 0 while the engine takes nothing new, and the time after which it is to
+	// change, if that is not 0.
+	Notify func(version int64, changesIn time.Duration)
 	// Link is the rate of the VM's link in bytes a second, or 0 where it is not known.
 	Link int
 	// Weights is the time in which new weights are to serve everywhere.
--- a/internal/node/railgateway/forward.go
+++ b/internal/node/railgateway/forward.go
@@ -131,7 +131,7 @@
 		rank = *c.customer.Rank
 	}
 	need := railfleet.Need{
-		Backend: backend, Prompt: c.PromptTokens, Tried: tried, ZoneOut: catalog.ZoneOut,
+		Backend: backend, Prompt: c.PromptTokens, Answer: c.AnswerTokens, Gap: c.route.TargetGap, Tried: tried, ZoneOut: catalog.ZoneOut,
 		Allows: func(region string) bool { return c.route.Allows(region) && c.customer.Allows(region) },
 	}
 	if backend.Engine != nil {
--- a/internal/request/railenvelope/envelope.go
+++ b/internal/request/railenvelope/envelope.go
@@ -21,7 +21,7 @@
 	ID, Key string
 	// Wait is the time for which the caller waits, or 0 where it says none.
 	Wait time.Duration
-	// PromptTokens and AnswerTokens are the tokens of the prompt and the most of the answer, or 0 where they are not said.
+	// PromptTokens and AnswerTokens are the tokens of the prompt and, as an estimate, of the answer, or 0 where they are not said.
 	PromptTokens, AnswerTokens int
 	// LastEvent is the id of the event after which a stream goes on, or empty.
 	LastEvent string
--- a/internal/rollout/railinstaller/installer.go
+++ b/internal/rollout/railinstaller/installer.go
@@ -29,6 +29,9 @@
 	worthFinishing = 0.7
 	// finishLimit bounds the time for which that goes on.
 	finishLimit = 1200 * time.Millisecond
+	// announceAhead is the time for which a change is announced, about that of a long answer.
+	announceAhead = 2500 * time.Millisecond
+	announcePause = 500 * time.Millisecond
 	// noticeLead is the time by which the entries hear of a change before it is ordered.
 	noticeLead = 30 * time.Millisecond
 )
@@ -64,8 +67,9 @@
 	Manifest func(ctx context.Context, model string, version int64) (railmanifest.Manifest, int64, error)
 	// Turn returns the time until the engine's turn to load a version in place of the one that serves.
 	Turn func(serving, loading int64) time.Duration
-	// Notify tells the entries which version serves, or 0 while the engine takes nothing new.
-	Notify  func(version int64)
+	// Notify tells the entries which version serves, or 0 while the engine takes nothing new, and the time after which it is to
+	// change, if that is not 0.
+	Notify  func(version int64, changesIn time.Duration)
 	Stage   *railstage.Stage
 	Store   *railchunks.Store
 	Fetcher *railfetcher.Fetcher
@@ -75,6 +79,8 @@
 	// fetching and complete are the version that is fetched now and the newest one that is there whole.
 	fetching, complete weights
 	recovered          bool
+	// announced is when the entries were last told of a change that is to come.
+	announced time.Time
 }
 
 // weights is one version of a model's weights.
@@ -234,6 +240,7 @@
 			return errors.New("the engine is busy with an order")
 		}
 		if wait := n.Turn(state.Version, w.version); state.Version > 0 && wait > 0 {
+			n.announce(state.Version, wait)
 			railtimer.Sleep(ctx, min(wait, look))
 			continue
 		}
@@ -244,6 +251,15 @@
 	return ctx.Err()
 }
 
+// announce tells the entries some time ahead that the engine is to change over, so that it has little left to do by then.
+func (n *Installer) announce(serving int64, wait time.Duration) {
+	if wait > announceAhead || time.Since(n.announced) < announcePause {
+		return
+	}
+	n.announced = time.Now()
+	n.Notify(serving, wait)
+}
+
 func (n *Installer) state(ctx context.Context) (State, error) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
@@ -256,20 +272,20 @@
 	if err := n.stage(ctx, w); err != nil {
 		return err
 	}
-	n.Notify(0)
+	n.Notify(0, 0)
 	railtimer.Sleep(ctx, noticeLead)
 	bounded, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	began := time.Now()
 	if err := n.Engine.Start(bounded, w.model, w.version); err != nil {
-		n.Notify(serving)
+		n.Notify(serving, 0)
 		return errors.Wrap(err, "order the load")
 	}
 	n.Log.Info("load ordered", "version", w.version, "serving", serving)
 	if err := n.await(ctx, w.version); err != nil {
 		return err
 	}
-	n.Notify(w.version)
+	n.Notify(w.version, 0)
 	n.Log.Info("weights serve", "version", w.version, "took", time.Since(began))
 	return nil
 }
--- a/internal/wire/raildigest/exchange.go
+++ b/internal/wire/raildigest/exchange.go
@@ -30,7 +30,7 @@
 	// Absorb takes over what is in flight at another entry.
 	Absorb func(entry string, sequence uint64, loads []*railproto.EndpointLoad) bool
 	// Notice takes over what a carrier tells of the engine beside it.
-	Notice func(address string, version int64)
+	Notice func(address string, version int64, changesIn time.Duration)
 	// Interval is the time between two digests.
 	Interval time.Duration
 	Log      *slog.Logger
@@ -94,6 +94,6 @@
 		x.Absorb(digest.GetEntry(), digest.GetSequence(), digest.GetLoads())
 	}
 	if notice := datagram.GetNotice(); notice != nil {
-		x.Notice(notice.GetAddress(), notice.GetVersion())
+		x.Notice(notice.GetAddress(), notice.GetVersion(), time.Duration(notice.GetChangesInMillis())*time.Millisecond)
 	}
 }
