--- a/internal/command/railcarriercmd/carrier.go
+++ b/internal/command/railcarriercmd/carrier.go
@@ -24,8 +24,6 @@
 const (
 	// configWait is the time for which the store may hold a call for a change of the configuration.
 	configWait = 15 * time.Second
-	// listFor is the time for which a list of endpoints is used, which only says whom to ask for weights.
-	listFor = 1500 * time.Millisecond
 	// entriesFor is the time for which the entries' addresses are used before they are read again.
 	entriesFor      = 10 * time.Second
 	bytesPerMegabit = 1e6 / 8
@@ -104,11 +102,11 @@
 	last []railinstance.Instance
 }
 
-// instances returns the list as it was a moment ago, or the last one that could be read.
-func (l *lister) instances() []railinstance.Instance {
+// instances returns the list as it was a given time ago at the most, or the last one that could be read.
+func (l *lister) instances(oldest time.Duration) []railinstance.Instance {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if time.Since(l.read) < listFor {
+	if time.Since(l.read) < oldest {
 		return l.last
 	}
 	l.read = time.Now()
--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -16,7 +16,7 @@
 	otherRegionCost = 15 * time.Millisecond
 	otherZoneCost   = 8 * time.Millisecond
 	// queueDepth is the number of requests that an endpoint may hold beyond its slots, so that none stands idle.
-	queueDepth = 1
+	queueDepth = 2
 	// gapShare is the share of the longest pause on time that the reading of prompts may take up at an engine.
 	gapShare = 0.75
 	// drainTail is the time for which answers may go on at an endpoint that is about to change its weights.
--- a/internal/node/railcarrier/carrier.go
+++ b/internal/node/railcarrier/carrier.go
@@ -48,6 +48,10 @@
 	drawWindow   = 2
 	takeover     = 400 * time.Millisecond
 	askLimit     = 3 * time.Second
+	// fetchList and turnList are the ages that the list of endpoints may have while weights are fetched, when new agents are to
+	// be met soon, and for this engine's place among the others.
+	fetchList = 1500 * time.Millisecond
+	turnList  = 6 * time.Second
 )
 
 // Engine is the engine beside the process, and the origin.
@@ -69,10 +73,11 @@
 	Port   string
 	Engine Engine
 	Dialer *raildialer.Dialer
-	// Catalog returns the configuration in force, Instances the endpoints that are listed, and Named the versions of a model's
+	// Catalog returns the configuration in force, Instances the endpoints that are listed by a
+	// list that is not older than asked for, and Named the versions of a model's
 	// weights in the order in which they were named.
 	Catalog   func() (railcatalog.Catalog, bool)
-	Instances func() []railinstance.Instance
+	Instances func(oldest time.Duration) []railinstance.Instance
 	Named     func(model string) []railturn.Naming
 	// Notify tells the entries which version serves, or 0 while the engine takes nothing new, and the time after which it is to
 	// change, if that is not 0.
@@ -115,7 +120,7 @@
 	}
 	c.sharing = &railsharing.Server{Store: c.store, Uploads: &railuploads.Scheduler{Slots: uploadSlots}, Pacer: uploads}
 	c.fetcher = &railfetcher.Fetcher{
-		Self: c.Self, Store: c.store, Members: c.members, Ask: c.ask, Origin: c.origin, OriginRegion: c.originRegion,
+		Self: c.Self, Store: c.store, Members: func(string) []railmember.Member { return c.members(fetchList) }, Ask: c.ask, Origin: c.origin, OriginRegion: c.originRegion,
 		Takeover: takeover, Window: fetchWindow, Imports: importWindow, Draws: drawWindow, Log: raillog.Part(c.Log, "fetcher"),
 		Download: c.admitDownloads(downloads),
 	}
@@ -195,9 +200,9 @@
 }
 
 // members returns the agents beside the engines of the same service.
-func (c *Carrier) members(string) []railmember.Member {
+func (c *Carrier) members(oldest time.Duration) []railmember.Member {
 	list := []railmember.Member{c.Self}
-	for _, i := range c.Instances() {
+	for _, i := range c.Instances(oldest) {
 		host := i.Host()
 		if i.Service == c.Self.Service && host != "" && host != c.Self.Name {
 			list = append(list, railmember.Member{
@@ -221,7 +226,7 @@
 // turn returns the time until this engine's turn to change over: the engines follow each other, so that the others serve.
 func (c *Carrier) turn(serving, loading int64) time.Duration {
 	model, _ := c.wanted()
-	members := c.members("")
+	members := c.members(turnList)
 	place := slices.IndexFunc(members, func(m railmember.Member) bool { return m.Name == c.Self.Name })
 	schedule := railturn.Schedule{Weights: c.Weights, Named: c.Named(model)}
 	return schedule.Turn(serving, loading, place, len(members))
