Ask other agents by chance when the one above in the tree does not deliver

Change: after two waits some agents of the region are probed by chance; each call of the origin has a connection of its own.

--- a/internal/command/railcarriercmd/carrier.go
+++ b/internal/command/railcarriercmd/carrier.go
@@ -59,7 +59,10 @@
 	carrier := &railcarrier.Carrier{
 		Self: railmember.Member{Name: host, Role: railmember.RoleAgent, Address: site.Inner, Zone: site.Zone, Region: site.Region, Service: site.Service},
 		Key:  []byte(site.SharedKey), Inner: inner, Port: port, Dialer: dialer, Catalog: p.Current.Get, Named: p.Current.Namings,
-		Engine:  &platform.Engine{HTTP: p.Store.HTTP, Address: site.Endpoint, Layers: func() int { return p.Layers(site.Service) }},
+		Engine: &platform.Engine{
+			HTTP: p.Store.HTTP, Origin: &platform.Caller{Timeout: site.Timeout, Single: true}, Address: site.Endpoint,
+			Layers: func() int { return p.Layers(site.Service) },
+		},
 		Link:    int(site.Link * bytesPerMegabit),
 		Weights: p.Site.Bounds.Weights, Regions: p.Site.Regions, Log: p.Log,
 		Instances: list.instances, Notify: notifier.notify,
--- a/internal/rollout/railfetcher/fetcher.go
+++ b/internal/rollout/railfetcher/fetcher.go
@@ -35,6 +35,11 @@
 	firstProbes = 3
 	// outsideTries is the number of times that other regions are asked for a chunk before the origin is.
 	outsideTries = 3
+	// fruitlessWaits is the number of waits for the agent above in the tree after which others are asked by chance; most chunks
+	// of a version that all agents fetch come within them.
+	fruitlessWaits = 2
+	// randomProbes is the number of agents that are probed by chance when the one above in the tree did not deliver.
+	randomProbes = 4
 	// planFor is the time for which a plan is used before the list of agents is looked at again.
 	planFor = time.Second
 )
--- a/internal/rollout/railfetcher/job.go
+++ b/internal/rollout/railfetcher/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -36,6 +37,8 @@
 	began  time.Time
 	// failed is the number of importers that were found not to deliver.
 	failed int
+	// fruitless is the number of waits at whose end a source did not hold the chunk.
+	fruitless int
 	// outside is the number of times that another region did not deliver.
 	outside int
 	// nextLook is the time of the next look after the importer.
@@ -72,6 +75,9 @@
 		if err == nil {
 			err = f.Store.Put(ctx, h.digest, data)
 		}
+		if errors.Is(err, errNotYet) {
+			h.fruitless++
+		}
 		if err != nil && !errors.Is(err, errNotYet) {
 			f.Log.Debug("chunk not delivered", "chunk", i, "err", err)
 			railtimer.Sleep(ctx, retryPause)
@@ -98,6 +104,11 @@
 		}
 		h.nextLook = time.Now().Add(max(f.takeover(), time.Since(h.began)/4))
 	}
+	if h.fruitless >= fruitlessWaits {
+		if data, err := j.fromAnyone(ctx, plan, h); err == nil {
+			return data, nil
+		}
+	}
 	source, ok := j.source(plan, h)
 	if !ok {
 		return nil, errors.New("no agent to ask is willing")
@@ -263,6 +274,24 @@
 	return nil, errNotYet
 }
 
+// fromAnyone probes some agents of the region by chance, since the one above in the tree may be new and hold nothing itself.
+func (j *job) fromAnyone(ctx context.Context, plan railplan.Plan, h *hunt) ([]byte, error) {
+	f := j.fetcher
+	others := f.willing(slices.DeleteFunc(slices.Clone(plan.Importers(h.chunk)), f.isSelf))
+	rand.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
+	for _, m := range others[:min(randomProbes, len(others))] {
+		reply, err := f.Ask(ctx, m, &railproto.ChunkRequest{Digest: h.digest, Probe: true})
+		if err != nil {
+			f.penalize(m)
+			continue
+		}
+		if reply.GetHeld() {
+			return j.ask(ctx, m, h, 0, plan.Level(h.chunk, f.Self.Name))
+		}
+	}
+	return nil, errNotYet
+}
+
 func (j *job) ask(ctx context.Context, source railmember.Member, h *hunt, wait time.Duration, level int) ([]byte, error) {
 	f := j.fetcher
 	began := time.Now()
