Keep the product's own rollouts as they were: chains and asking by chance only where they help

Traced: the origin was drawn from by other regions after three failures; chances were taken while the tree still delivered. Change: only the origin's region draws from the origin; the chain is a field that carriers set; others are asked by chance only when no chunk at all has come for two takeover delays.

--- a/internal/node/railcarrier/carrier.go
+++ b/internal/node/railcarrier/carrier.go
@@ -120,7 +120,7 @@
 	}
 	c.sharing = &railsharing.Server{Store: c.store, Uploads: &railuploads.Scheduler{Slots: uploadSlots}, Pacer: uploads}
 	c.fetcher = &railfetcher.Fetcher{
-		Self: c.Self, Store: c.store, Members: func(string) []railmember.Member { return c.members(fetchList) }, Ask: c.ask, Origin: c.origin, OriginRegion: c.originRegion,
+		Self: c.Self, Store: c.store, Members: func(string) []railmember.Member { return c.members(fetchList) }, Ask: c.ask, Origin: c.origin, OriginRegion: c.originRegion, Chain: true,
 		Takeover: takeover, Window: fetchWindow, Imports: importWindow, Draws: drawWindow, Log: raillog.Part(c.Log, "fetcher"),
 		Download: c.admitDownloads(downloads),
 	}
--- a/internal/rollout/railfetcher/fetcher.go
+++ b/internal/rollout/railfetcher/fetcher.go
@@ -33,11 +33,8 @@
 	directAfter = 20
 	// firstProbes is the number of agents that an importer asks before its first import of a chunk.
 	firstProbes = 3
-	// outsideTries is the number of times that other regions are asked for a chunk before the origin is.
-	outsideTries = 3
-	// fruitlessWaits is the number of waits for the agent above in the tree after which others are asked by chance; most chunks
-	// of a version that all agents fetch come within them.
-	fruitlessWaits = 2
+	// stalledAfter is the number of takeover delays without any chunk after which others than those above in the tree are asked.
+	stalledAfter = 2
 	// randomProbes is the number of agents that are probed by chance when the one above in the tree did not deliver.
 	randomProbes = 4
 	// planFor is the time for which a plan is used before the list of agents is looked at again.
@@ -61,6 +58,9 @@
 	Origin func(ctx context.Context, digest string) ([]byte, error)
 	// OriginRegion is the region that draws from the origin.
 	OriginRegion func() string
+	// Chain lets each region draw from the one before it, which spares the links of the origin's region; else all draw from the
+	// origin's region, which is sooner where links are wide.
+	Chain bool
 	// Takeover is the time after which the next importer follows one that does not deliver.
 	Takeover time.Duration
 	// Window, Imports and Draws are the chunks that are asked for, imported from another region and drawn from the origin at once.
@@ -78,7 +78,7 @@
 
 // Fetch returns when the engine holds every chunk of the manifest, or an error when ctx is done first.
 func (f *Fetcher) Fetch(ctx context.Context, m railmanifest.Manifest) error {
-	job := &job{fetcher: f, manifest: m, digest: m.Digest()}
+	job := &job{fetcher: f, manifest: m, digest: m.Digest(), progress: time.Now()}
 	var imports, downloads []int
 	for i, digest := range m.Chunks {
 		switch own := job.plan(f.Self.Region); {
--- a/internal/rollout/railfetcher/job.go
+++ b/internal/rollout/railfetcher/job.go
@@ -28,6 +28,8 @@
 	members []railmember.Member
 	plans   map[string]railplan.Plan
 	planned time.Time
+	// progress is when a chunk came last.
+	progress time.Time
 }
 
 // hunt is the search for one chunk.
@@ -73,6 +75,7 @@
 		}
 		data, err := j.attempt(ctx, h)
 		if err == nil {
+			j.progressed()
 			err = f.Store.Put(ctx, h.digest, data)
 		}
 		if errors.Is(err, errNotYet) {
@@ -86,6 +89,19 @@
 	return ctx.Err()
 }
 
+func (j *job) progressed() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.progress = time.Now()
+}
+
+// stalled reports whether no chunk at all has come for some time.
+func (j *job) stalled() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return time.Since(j.progress) > stalledAfter*j.fetcher.takeover()
+}
+
 // attempt makes one step of a hunt: import when it is this agent's turn, look after the importer when this agent is
 // next in turn, and else ask the nearest willing agent above in the chunk's tree.
 func (j *job) attempt(ctx context.Context, h *hunt) ([]byte, error) {
@@ -104,7 +120,7 @@
 		}
 		h.nextLook = time.Now().Add(max(f.takeover(), time.Since(h.began)/4))
 	}
-	if h.fruitless >= fruitlessWaits {
+	if h.fruitless > 0 && j.stalled() {
 		if data, err := j.fromAnyone(ctx, plan, h); err == nil {
 			return data, nil
 		}
@@ -190,17 +206,14 @@
 }
 
 // fromOutside takes a chunk from the region before this one in the chain of regions, which begins with the origin's; when that
-// has failed, from the origin's region, and then from the origin.
+// has failed, from the origin's region. The origin itself is for the agents of its region, or for all where it has none.
 func (j *job) fromOutside(ctx context.Context, h *hunt) ([]byte, error) {
 	f := j.fetcher
-	for _, region := range j.regionsToAsk(h) {
-		sources := j.plan(region)
-		if sources.Empty() {
-			continue
-		}
-		importers := f.willing(sources.Importers(h.chunk))
+	if chain := j.chain(); chain[0] != f.Self.Region && !j.plan(chain[0]).Empty() {
+		importers := f.willing(j.plan(j.regionBefore(chain, h)).Importers(h.chunk))
 		if len(importers) == 0 {
-			continue
+			h.outside++
+			return nil, errors.New("no agent of the other region is willing")
 		}
 		data, err := j.ask(ctx, importers[0], h, longWait*f.takeover(), 0)
 		if err != nil {
@@ -221,17 +234,17 @@
 	return data, j.verify(h, data, railmember.Member{Name: "the origin"})
 }
 
-// regionsToAsk returns the regions from which a chunk may be drawn now, the preferred one first.
-func (j *job) regionsToAsk(h *hunt) []string {
-	chain := j.chain()
-	place := slices.Index(chain, j.fetcher.Self.Region)
-	switch {
-	case place <= 0 || h.outside > outsideTries:
-		return nil
-	case h.outside == 0:
-		return []string{chain[place-1], chain[0]}
+// regionBefore returns the region from which this one draws: the origin's, or the one before it where regions draw in a chain
+// and that has not failed.
+func (j *job) regionBefore(chain []string, h *hunt) string {
+	if !j.fetcher.Chain {
+		return chain[0]
 	}
-	return []string{chain[0]}
+	before := chain[slices.Index(chain, j.fetcher.Self.Region)-1]
+	if h.outside > 0 || j.plan(before).Empty() {
+		return chain[0]
+	}
+	return before
 }
 
 // chain returns the regions in the order in which each draws from the one before: that of the origin first.
@@ -363,8 +376,12 @@
 // drawing returns the number of regions that draw from the given one.
 func (j *job) drawing(region string) int {
 	chain := j.chain()
-	if place := slices.Index(chain, region); place >= 0 && place < len(chain)-1 {
+	place := slices.Index(chain, region)
+	switch {
+	case j.fetcher.Chain && place >= 0 && place < len(chain)-1:
 		return 1
+	case !j.fetcher.Chain && place == 0:
+		return len(chain) - 1
 	}
 	return 0
 }
