--- /dev/null
+++ b/internal/membership/railfleet/fleet_test.go
@@ -0,0 +1,181 @@
+package railfleet_test
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmarrail/fulmarrail/internal/config/railbackend"
+	"github.com/fulmarrail/fulmarrail/internal/lab/railvirtual"
+	"github.com/fulmarrail/fulmarrail/internal/membership/railfleet"
+	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
+	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
+)
+
+const (
+	zone  = "a"
+	other = "b"
+)
+
+// newFleet returns a fleet of engines, and a need that any of them meets.
+func newFleet(entries int, list ...railinstance.Instance) (*railfleet.Fleet, railfleet.Need) {
+	f := &railfleet.Fleet{
+		Zone: zone, Region: zone, ColdOvershoot: 1.5, ColdSlack: 5, Entries: func() int { return entries }, Changed: func() {},
+		Log: slog.New(slog.DiscardHandler),
+	}
+	f.SetInstances(list)
+	timing := railbackend.Timing{Step: 9 * time.Millisecond, Stride: 5, ReadPerSecond: 19_000, ReadChunk: 2048}
+	return f, railfleet.Need{
+		Backend: railbackend.Backend{Name: "engines", ColdPerSecond: 26, Engine: &railbackend.Engine{Slots: 16, Timing: timing}},
+		Prompt:  1000, Within: 400 * time.Millisecond,
+		Allows: func(string) bool { return true }, ZoneOut: func(string) bool { return false },
+	}
+}
+
+func engine(id string) railinstance.Instance {
+	return railinstance.Instance{ID: id, Service: "engines", Address: "10.0.0.1:" + id, Zone: zone, Region: zone, Slots: 16, Version: 1}
+}
+
+// taken reserves places until there is none and returns their number by endpoint.
+func taken(f *railfleet.Fleet, need railfleet.Need) map[string]int {
+	count := map[string]int{}
+	for {
+		l, ok := f.Reserve(need)
+		if !ok {
+			return count
+		}
+		count[l.Instance.ID]++
+	}
+}
+
+func TestOnlyUsableEndpointsAreChosen(t *testing.T) {
+	for name, change := range map[string]func(*railinstance.Instance, *railfleet.Need){
+		"draining":        func(i *railinstance.Instance, _ *railfleet.Need) { i.Draining = true },
+		"no weights":      func(i *railinstance.Instance, _ *railfleet.Need) { i.Version = 0 },
+		"old weights":     func(_ *railinstance.Instance, n *railfleet.Need) { n.Version = 2 },
+		"another service": func(i *railinstance.Instance, _ *railfleet.Need) { i.Service = "orders" },
+		"zone taken out": func(_ *railinstance.Instance, n *railfleet.Need) {
+			n.ZoneOut = func(z string) bool { return z == zone }
+		},
+		"region not allowed":  func(_ *railinstance.Instance, n *railfleet.Need) { n.Allows = func(r string) bool { return r != zone } },
+		"asked before":        func(_ *railinstance.Instance, n *railfleet.Need) { n.Tried = map[string]bool{"1": true} },
+		"answer not in time":  func(_ *railinstance.Instance, n *railfleet.Need) { n.Within = 100 * time.Millisecond },
+		"prompt far too long": func(_ *railinstance.Instance, n *railfleet.Need) { n.Prompt = 20_000 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := engine("1")
+			_, need := newFleet(1)
+			change(&i, &need)
+			f, _ := newFleet(1, i)
+			_, ok := f.Reserve(need)
+			qt.Check(t, ok, qt.IsFalse)
+		})
+	}
+}
+
+func TestALeavingEndpointGetsNothingOnceItsRowIsGone(t *testing.T) {
+	f, need := newFleet(1, engine("1"))
+	f.SetInstances(nil)
+	_, ok := f.Reserve(need)
+	qt.Check(t, ok, qt.IsFalse)
+}
+
+// Any endpoint may turn cold at any moment, in the middle of a burst too: all entries together stay below what it bears then.
+func TestABurstOverAllEntriesStaysBelowTheColdLimit(t *testing.T) {
+	railvirtual.Test(t, func(t *testing.T) {
+		const entries, bound = 6, 26*1.5 + 5
+		sum := 0
+		for range entries {
+			f, need := newFleet(entries, engine("1"))
+			need.Prompt = 1 // Reading does not bind.
+			for range 40 {
+				if l, ok := f.Reserve(need); ok {
+					sum++
+					l.Began()
+					l.Done(railfleet.Answered)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		}
+		qt.Check(t, sum > 0 && sum <= bound, qt.IsTrue, qt.Commentf("%d requests in 0.8 s, at most %v are borne", sum, bound))
+	})
+}
+
+func TestLoadOfOtherEntriesCounts(t *testing.T) {
+	a, need := newFleet(2, engine("1"), engine("2"))
+	b, _ := newFleet(2, engine("1"), engine("2"))
+	need.Tried = map[string]bool{"2": true}
+	for range 5 {
+		_, ok := a.Reserve(need)
+		qt.Assert(t, ok, qt.IsTrue)
+	}
+	loads, sequence := a.Digest()
+	qt.Assert(t, b.Absorb("a", sequence, loads), qt.IsTrue)
+	need.Tried = nil
+	l, ok := b.Reserve(need)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Check(t, l.Instance.ID, qt.Equals, "2")
+}
+
+func TestAnOvertakenDigestIsLeftOut(t *testing.T) {
+	f, _ := newFleet(2, engine("1"))
+	qt.Check(t, f.Absorb("b", 7, nil), qt.IsTrue)
+	qt.Check(t, f.Absorb("b", 6, []*railproto.EndpointLoad{{Endpoint: 1, Running: 9}}), qt.IsFalse)
+}
+
+// Prompts that are read together pause the answers of an engine.
+func TestReadingIsBoundedByThePauseOnTime(t *testing.T) {
+	f, need := newFleet(1, engine("1"))
+	need.Gap = 250 * time.Millisecond
+	n := taken(f, need)["1"]
+	pause := time.Duration(n)*need.Backend.Engine.Timing.ReadTime(need.Prompt) + 5*9*time.Millisecond
+	qt.Check(t, n > 0 && pause <= need.Gap, qt.IsTrue, qt.Commentf("%d prompts read together pause the others for %s", n, pause))
+}
+
+func TestOnlyShortAnswersGoToAnEngineThatIsAboutToChange(t *testing.T) {
+	railvirtual.Test(t, func(t *testing.T) {
+		f, need := newFleet(1, engine("1"))
+		f.Notice("10.0.0.1:1", 1, 500*time.Millisecond)
+		need.Answer = 260
+		_, ok := f.Reserve(need)
+		qt.Check(t, ok, qt.IsFalse, qt.Commentf("an answer of 260 tokens outlasts the change"))
+		need.Answer = 20
+		_, ok = f.Reserve(need)
+		qt.Check(t, ok, qt.IsTrue)
+		f.Notice("10.0.0.1:1", 0, 0)
+		_, ok = f.Reserve(need)
+		qt.Check(t, ok, qt.IsFalse, qt.Commentf("nothing goes to an engine that loads"))
+		f.SetInstances([]railinstance.Instance{engine("1")}) // The list is behind the notice.
+		_, ok = f.Reserve(need)
+		qt.Check(t, ok, qt.IsFalse)
+		f.Notice("10.0.0.1:1", 2, 0)
+		need.Version = 2
+		_, ok = f.Reserve(need)
+		qt.Check(t, ok, qt.IsTrue)
+	})
+}
+
+func TestAFailingEndpointIsLeftAndTriedAgain(t *testing.T) {
+	railvirtual.Test(t, func(t *testing.T) {
+		f, need := newFleet(1, engine("1"))
+		l, ok := f.Reserve(need)
+		qt.Assert(t, ok, qt.IsTrue)
+		l.Done(railfleet.Failed)
+		_, ok = f.Reserve(need)
+		qt.Check(t, ok, qt.IsFalse)
+		time.Sleep(time.Second)
+		_, ok = f.Reserve(need)
+		qt.Check(t, ok, qt.IsTrue)
+	})
+}
+
+func TestTheOwnZoneIsPreferredAmongEquals(t *testing.T) {
+	far := engine("2")
+	far.Zone, far.Region = other, other
+	f, need := newFleet(1, engine("1"), far)
+	l, ok := f.Reserve(need)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Check(t, l.Instance.ID, qt.Equals, "1")
+}
--- a/internal/node/railconn/conn.go
+++ b/internal/node/railconn/conn.go
@@ -41,9 +41,9 @@
 	}()
 	return func() {
 		close(stopped)
-		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // Ends the read; a closed connection has ended it already.
+		_ = c.SetReadDeadline(time.Unix(1, 0)) // Ends the read; a closed connection has ended it already.
 		<-done
-		_ = c.Conn.SetReadDeadline(time.Time{})
+		_ = c.SetReadDeadline(time.Time{})
 	}
 }
 
--- /dev/null
+++ b/internal/platform/railrows/follower_test.go
@@ -0,0 +1,112 @@
+package railrows_test
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmarrail/fulmarrail/internal/lab/railvirtual"
+	"github.com/fulmarrail/fulmarrail/internal/platform/railrows"
+)
+
+// source answers reads as its fields say.
+type source struct {
+	whole   railrows.Page
+	changes []railrows.Page
+	err     error
+	held    bool
+	// gone makes the next call for changes find that the history is gone.
+	gone bool
+}
+
+func (s *source) Table(context.Context, string) (railrows.Page, error) {
+	return s.whole, s.err
+}
+
+func (s *source) Changes(ctx context.Context, _ string, _ int64, wait time.Duration) (railrows.Page, error) {
+	if s.err != nil {
+		return railrows.Page{}, s.err
+	}
+	if s.gone {
+		s.gone = false
+		return railrows.Page{}, railrows.ErrHistoryGone
+	}
+	if len(s.changes) > 0 {
+		next := s.changes[0]
+		s.changes = s.changes[1:]
+		return next, nil
+	}
+	if s.held {
+		<-ctx.Done()
+		return railrows.Page{}, ctx.Err()
+	}
+	select {
+	case <-time.After(wait):
+		return railrows.Page{Version: 9}, nil
+	case <-ctx.Done():
+		return railrows.Page{}, ctx.Err()
+	}
+}
+
+func follow(t *testing.T, s *source, changed func(map[string]railrows.Row)) *railrows.Follower {
+	began := time.Now()
+	f := &railrows.Follower{
+		Source: s, Table: "t", Wait: time.Second, Timeout: time.Second, Now: func() time.Duration { return time.Since(began) },
+		Changed: changed, Log: slog.New(slog.DiscardHandler),
+	}
+	go f.Run(t.Context())
+	return f
+}
+
+func row(key string, version int64) railrows.Row {
+	return railrows.Row{Key: key, Value: []byte("v"), Version: version}
+}
+
+func TestACopyFollowsChangesAndRemovals(t *testing.T) {
+	railvirtual.Test(t, func(t *testing.T) {
+		s := &source{whole: railrows.Page{Rows: []railrows.Row{row("a", 1), row("b", 2)}, Version: 2}}
+		s.changes = []railrows.Page{{Rows: []railrows.Row{row("c", 3), {Key: "a", Version: 4, Removed: true}}, Version: 4}}
+		var last map[string]railrows.Row
+		f := follow(t, s, func(rows map[string]railrows.Row) { last = rows })
+		time.Sleep(10 * time.Millisecond)
+		qt.Check(t, len(last), qt.Equals, 2)
+		qt.Check(t, last["b"].Version, qt.Equals, int64(2))
+		qt.Check(t, last["c"].Version, qt.Equals, int64(3))
+		qt.Check(t, f.Version(), qt.Equals, int64(4))
+	})
+}
+
+func TestATableIsReadWholeWhenItsHistoryIsGone(t *testing.T) {
+	railvirtual.Test(t, func(t *testing.T) {
+		s := &source{whole: railrows.Page{Rows: []railrows.Row{row("a", 1)}, Version: 1}}
+		var last map[string]railrows.Row
+		follow(t, s, func(rows map[string]railrows.Row) { last = rows })
+		time.Sleep(1500 * time.Millisecond)
+		s.err = errors.New("away")
+		time.Sleep(time.Second)
+		qt.Check(t, len(last), qt.Equals, 1, qt.Commentf("the copy stays while the store does not answer"))
+		s.whole, s.err, s.gone = railrows.Page{Version: 20}, nil, true
+		time.Sleep(5 * time.Second)
+		qt.Check(t, len(last), qt.Equals, 0, qt.Commentf("rows that went with the history are gone"))
+	})
+}
+
+// The age decides whether keys may be trusted, so it grows while the store is silent.
+func TestTheAgeGrowsWhileTheStoreIsSilent(t *testing.T) {
+	railvirtual.Test(t, func(t *testing.T) {
+		s := &source{whole: railrows.Page{Version: 1}}
+		f := follow(t, s, func(map[string]railrows.Row) {})
+		time.Sleep(10500 * time.Millisecond)
+		age, known := f.Age()
+		qt.Check(t, known, qt.IsTrue)
+		qt.Check(t, age <= time.Second, qt.IsTrue, qt.Commentf("age %s", age))
+		s.held = true
+		time.Sleep(6 * time.Second)
+		age, _ = f.Age()
+		qt.Check(t, age >= 5*time.Second, qt.IsTrue, qt.Commentf("age %s", age))
+	})
+}
--- /dev/null
+++ b/internal/rollout/railinstaller/installer_test.go
@@ -0,0 +1,219 @@
+package railinstaller_test
+
+import (
+	"context"
+	"log/slog"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmarrail/fulmarrail/internal/lab/railvirtual"
+	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railchunks"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railfetcher"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railinstaller"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railmanifest"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railstage"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railvault"
+	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
+)
+
+const pieces = 8
+
+// engine is a stand-in that loads what is staged when it is told to, and notes mixed weights.
+type engine struct {
+	mu     sync.Mutex
+	staged map[int]string
+	state  railinstaller.State
+	loaded []int64
+	mixed  bool
+	drain  time.Duration
+}
+
+func (e *engine) PutPiece(_ context.Context, _ string, index int, data []byte) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.staged[index] = string(data)
+	return nil
+}
+
+func (e *engine) Piece(_ context.Context, _ string, index int) ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return []byte(e.staged[index]), nil
+}
+
+func (e *engine) Held(context.Context, string) ([]int, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var held []int
+	for i := range e.staged {
+		held = append(held, i)
+	}
+	return held, nil
+}
+
+func (e *engine) State(context.Context) (railinstaller.State, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state, nil
+}
+
+func (e *engine) Start(_ context.Context, _ string, version int64) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := range pieces {
+		e.mixed = e.mixed || e.staged[i] != piece(version, i)
+	}
+	e.state.Busy = true
+	time.AfterFunc(e.drain, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.state = railinstaller.State{Version: version}
+		e.loaded = append(e.loaded, version)
+	})
+	return nil
+}
+
+func piece(version int64, index int) string {
+	return "piece " + strconv.Itoa(index) + " of version " + strconv.FormatInt(version, 10)
+}
+
+func manifest(version int64) railmanifest.Manifest {
+	m := railmanifest.Manifest{Version: strconv.FormatInt(version, 10), ChunkSize: 24, Size: 24 * pieces}
+	for i := range pieces {
+		m.Chunks = append(m.Chunks, railmanifest.Sum([]byte(piece(version, i))))
+	}
+	return m
+}
+
+// world is an installer beside an engine, with an origin that takes a while for each piece.
+type world struct {
+	engine    *engine
+	mu        sync.Mutex
+	wanted    int64
+	turn      time.Duration
+	notices   []int64
+	perPiece  time.Duration
+	installer *railinstaller.Installer
+}
+
+// newWorld starts an installer beside an engine that serves a version; prepare changes what stands before the start.
+func newWorld(t *testing.T, serving int64, prepare func(*world)) *world {
+	w := &world{engine: &engine{staged: map[int]string{}, drain: time.Second}, wanted: 1, perPiece: 100 * time.Millisecond}
+	w.engine.state.Version = serving
+	vault := &railvault.Vault{}
+	store := &railchunks.Store{Endpoint: vault}
+	self := railmember.Member{Name: "self", Region: "r"}
+	log := slog.New(slog.DiscardHandler)
+	w.installer = &railinstaller.Installer{
+		Engine: w.engine, Store: store, Stage: &railstage.Stage{Engine: w.engine, Chunk: vault.Chunk}, Log: log,
+		Wanted: func() (string, int64) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return "m", w.wanted
+		},
+		Manifest: func(_ context.Context, _ string, version int64) (railmanifest.Manifest, int64, error) {
+			return manifest(version), version, nil
+		},
+		Turn: func(int64, int64) time.Duration { return time.Until(time.Unix(0, int64(w.turn))) },
+		Notify: func(version int64, changesIn time.Duration) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if changesIn == 0 {
+				w.notices = append(w.notices, version)
+			}
+		},
+		Fetcher: &railfetcher.Fetcher{
+			Self: self, Store: store, Members: func(string) []railmember.Member { return []railmember.Member{self} },
+			Ask: func(context.Context, railmember.Member, *railproto.ChunkRequest) (*railproto.ChunkReply, error) {
+				return nil, errors.New("nobody else is there")
+			},
+			Origin: w.origin, OriginRegion: func() string { return "r" }, Takeover: time.Second, Window: 1, Imports: 1, Log: log,
+		},
+	}
+	prepare(w)
+	go w.installer.Run(t.Context())
+	return w
+}
+
+func (w *world) origin(ctx context.Context, digest string) ([]byte, error) {
+	_, version, index := w.installer.Chunk(digest)
+	select {
+	case <-time.After(w.perPiece):
+		return []byte(piece(version, index)), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (w *world) want(version int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.wanted = version
+}
+
+func (w *world) loaded() ([]int64, bool) {
+	w.engine.mu.Lock()
+	defer w.engine.mu.Unlock()
+	return w.engine.loaded, w.engine.mixed
+}
+
+func TestAnEmptyEngineLoadsAtOnce(t *testing.T) {
+	railvirtual.Test(t, func(t *testing.T) {
+		w := newWorld(t, 0, func(w *world) { w.turn = time.Duration(time.Now().Add(time.Hour).UnixNano()) })
+		time.Sleep(3 * time.Second)
+		loaded, mixed := w.loaded()
+		qt.Check(t, loaded, qt.DeepEquals, []int64{1})
+		qt.Check(t, mixed, qt.IsFalse)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		qt.Check(t, w.notices, qt.DeepEquals, []int64{0, 1})
+	})
+}
+
+func TestAServingEngineWaitsForItsTurn(t *testing.T) {
+	railvirtual.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, func(w *world) {
+			w.turn = time.Duration(time.Now().Add(10 * time.Second).UnixNano())
+			w.wanted = 2
+		})
+		time.Sleep(9 * time.Second)
+		loaded, _ := w.loaded()
+		qt.Check(t, len(loaded), qt.Equals, 0)
+		time.Sleep(4 * time.Second)
+		loaded, mixed := w.loaded()
+		qt.Check(t, loaded, qt.DeepEquals, []int64{2})
+		qt.Check(t, mixed, qt.IsFalse)
+	})
+}
+
+func TestAVersionNamedInBetweenReplacesAnUnfinishedOne(t *testing.T) {
+	railvirtual.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, func(w *world) { w.wanted = 2 })
+		time.Sleep(300 * time.Millisecond)
+		w.want(3)
+		time.Sleep(6 * time.Second)
+		loaded, mixed := w.loaded()
+		qt.Check(t, loaded, qt.DeepEquals, []int64{3})
+		qt.Check(t, mixed, qt.IsFalse)
+	})
+}
+
+func TestSpoiltPiecesAreNeverLoaded(t *testing.T) {
+	railvirtual.Test(t, func(t *testing.T) {
+		w := newWorld(t, 0, func(w *world) {
+			for i := range pieces {
+				w.engine.staged[i] = "spoilt"
+			}
+		})
+		time.Sleep(8 * time.Second)
+		loaded, mixed := w.loaded()
+		qt.Check(t, loaded, qt.DeepEquals, []int64{1})
+		qt.Check(t, mixed, qt.IsFalse)
+	})
+}
