--- a/internal/command/railsiteprocess/process.go
+++ b/internal/command/railsiteprocess/process.go
@@ -20,6 +20,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/core/railadmin"
 	"github.com/fulmarrail/fulmarrail/internal/core/railclock"
 	"github.com/fulmarrail/fulmarrail/internal/core/raillog"
+	"github.com/fulmarrail/fulmarrail/internal/core/railsink"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/platform/railrows"
 	"github.com/fulmarrail/fulmarrail/platform"
@@ -71,8 +72,19 @@
 }
 
 func (p *Process) run(run func(context.Context, *Process) error) error {
+	sink := railsink.New(p.Factory.Out)
+	logs, endLogs := context.WithCancel(context.Background())
+	written := make(chan struct{})
+	go func() {
+		sink.Run(logs)
+		close(written)
+	}()
+	defer func() {
+		endLogs()
+		<-written
+	}()
 	p.level.Set(p.Site.Level())
-	p.Log = slog.New(slog.NewJSONHandler(p.Factory.Out, &slog.HandlerOptions{Level: &p.level})).With("role", p.Role, "name", p.Site.Process.Name)
+	p.Log = slog.New(slog.NewJSONHandler(sink, &slog.HandlerOptions{Level: &p.level})).With("role", p.Role, "name", p.Site.Process.Name)
 	ctx, cancel := p.Factory.Context()
 	defer cancel()
 	go p.reload(ctx)
--- a/internal/node/railgateway/forward.go
+++ b/internal/node/railgateway/forward.go
@@ -76,6 +76,7 @@
 	g.finish(c)
 	copyHeader(c.ctx, a.exchange)
 	c.ctx.SetBody(a.body)
+	count(c, a.exchange.Header.StatusCode())
 }
 
 // begin makes attempts until one has begun to answer: a stream with its first event, any other answer whole. After is the
--- a/internal/node/railgateway/gateway_test.go
+++ b/internal/node/railgateway/gateway_test.go
@@ -320,6 +320,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	_, err = io.Copy(io.Discard, first.Body)
 	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, first.Body.Close(), qt.IsNil)
 	answered := make(chan answer, 1)
 	go func() { answered <- d.call(t, "/unsafe/x", key) }()
 	<-began
--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
@@ -77,6 +79,7 @@
 
 // finish ends a call's bookkeeping; nothing of it runs any more.
 func (g *Gateway) finish(c *call) {
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`fulmarrail_gateway_request_seconds{service=%q}`, c.service)).UpdateDuration(c.began)
 	c.cancel()
 	c.unwatch()
 	g.running.Add(-1)
@@ -148,6 +151,7 @@
 	if g.stopping.Load() {
 		c.ctx.SetConnectionClose()
 	}
+	count(c, no.status)
 	g.Log.Info("request refused", "request", c.ID, "route", c.route.Name, "customer", c.customer.Name, "status", no.status,
 		"reason", no.reason, "after", time.Since(c.began))
 }
@@ -164,6 +168,11 @@
 	g.refuse(c, no)
 }
 
+// count counts a request that has ended with a status.
+func count(c *call, status int) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`fulmarrail_gateway_requests_total{service=%q,customer=%q,status="%d"}`, c.service, c.customer.Name, status)).Inc()
+}
+
 // retryAfter returns the time after which a refused caller is to come back.
 func retryAfter(c *call) time.Duration {
 	after := retryFirst + rand.N(retrySpread)
--- a/internal/node/railgateway/stream.go
+++ b/internal/node/railgateway/stream.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"strconv"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
 	"github.com/fulmarrail/fulmarrail/internal/endpoint/railexchange"
@@ -25,7 +27,12 @@
 	copyHeader(c.ctx, a.exchange)
 	c.ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer g.finish(c)
-		if err := g.pump(c, a, w); err != nil {
+		err := g.pump(c, a, w)
+		if err == nil {
+			count(c, a.exchange.Header.StatusCode())
+		}
+		if err != nil {
+			metrics.GetOrCreateCounter(fmt.Sprintf(`fulmarrail_gateway_broken_streams_total{service=%q}`, c.service)).Inc()
 			g.Log.Info("stream broken", "request", c.ID, "customer", c.customer.Name, "err", err, "after", time.Since(c.began))
 			if c.conn != nil {
 				c.conn.Abort()
