--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -22,8 +22,8 @@
 
 const (
 	// retryFirst and retrySpread bound the time after which a refused caller is told to come back.
-	retryFirst  = 300 * time.Millisecond
-	retrySpread = 600 * time.Millisecond
+	retryFirst  = 900 * time.Millisecond
+	retrySpread = 1100 * time.Millisecond
 	// retryPart is the part of the time that a caller has left of which it waits at the most.
 	retryPart = 3
 )
