--- a/internal/config/railbackend/backend.go
+++ b/internal/config/railbackend/backend.go
@@ -26,7 +26,9 @@
 	// Layers is the number of the model's layers, and Chunks that of the pieces that its weights consist of.
 	Layers, Chunks int
 	ChunkBytes     int
-	Timing         Timing
+	// UsualPrompt is the mean number of a prompt's tokens, or 0 where it is not known.
+	UsualPrompt int
+	Timing      Timing
 	// ReportLag is the age of an engine's report of its load.
 	ReportLag time.Duration
 }
--- a/internal/config/railcurrent/current.go
+++ b/internal/config/railcurrent/current.go
@@ -11,7 +11,7 @@
 
 const (
 	// switchMargin is the share of the time for new weights before whose end no answer begins on older ones.
-	switchMargin = 0.05
+	switchMargin = 0.1
 	// seenAtStart is the share of that time that is taken to have passed for a version that a process meets at its start.
 	seenAtStart = 0.5
 )
--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -168,10 +168,15 @@
 	timing := need.Backend.Engine.Timing
 	read := timing.ReadTime(need.Prompt)
 	begin := time.Duration(e.pace * float64(load.FirstToken(timing, read)))
+	// A long prompt must not be kept out by its own length for as long as shorter ones fill the engines.
+	long := time.Duration(0)
+	if usual := need.Backend.Engine.UsualPrompt; usual > 0 {
+		long = max(read-timing.ReadTime(usual), 0)
+	}
 	switch {
-	case begin > need.Within:
+	case begin-long > need.Within:
 		return 0, false
-	case need.Gap > 0 && load.Unread > 0 && load.Pause(timing, read) > time.Duration(gapShare*float64(need.Gap)):
+	case need.Gap > 0 && load.Unread > 0 && load.Pause(timing, read)-long > time.Duration(gapShare*float64(need.Gap)):
 		return 0, false
 	case !e.changesAt.IsZero() && time.Now().Add(begin+load.Writing(timing, need.Answer)).After(e.changesAt.Add(drainTail)):
 		return 0, false
--- a/internal/membership/railfleet/fleet_test.go
+++ b/internal/membership/railfleet/fleet_test.go
@@ -134,6 +134,18 @@
 	qt.Check(t, n > 0 && pause <= need.Gap, qt.IsTrue, qt.Commentf("%d prompts read together pause the others for %s", n, pause))
 }
 
+// Under a steady load of short prompts an engine's queue is as long as they allow, and a long one must get its turn too.
+func TestALongPromptIsNotKeptOutByItsLength(t *testing.T) {
+	f, need := newFleet(1, engine("1"))
+	need.Backend.Engine.UsualPrompt = 1000
+	need.Within, need.Gap = 300*time.Millisecond, 400*time.Millisecond
+	_, ok := f.Reserve(need)
+	qt.Assert(t, ok, qt.IsTrue)
+	need.Prompt = 5000
+	_, ok = f.Reserve(need)
+	qt.Check(t, ok, qt.IsTrue, qt.Commentf("it waits no longer than a usual one"))
+}
+
 func TestOnlyShortAnswersGoToAnEngineThatIsAboutToChange(t *testing.T) {
 	railvirtual.Test(t, func(t *testing.T) {
 		f, need := newFleet(1, engine("1"))
--- a/internal/routing/railadmitter/admitter.go
+++ b/internal/routing/railadmitter/admitter.go
@@ -66,19 +66,28 @@
 	return a.await(ctx, w)
 }
 
-// Wake grants places to waiting requests as far as there is room.
+// Wake grants places to waiting requests as far as there is room. One for which there is none holds up those behind it, so that
+// small requests do not keep large ones out, unless no endpoint may take it at all.
 func (a *Admitter) Wake() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
-	a.waiting = slices.DeleteFunc(a.waiting, func(w *waiter) bool {
+	left := a.waiting[:0]
+	for i, w := range a.waiting {
 		l, ok := a.reserve(w.need, w.latest, now)
-		if ok {
-			a.note(now)
-			w.granted <- l
+		if !ok {
+			left = append(left, w)
+			if a.Fleet.Serving(w.need) > 0 {
+				left = append(left, a.waiting[i+1:]...)
+				break
+			}
+			continue
 		}
-		return ok
-	})
+		a.note(now)
+		w.granted <- l
+	}
+	clear(a.waiting[len(left):])
+	a.waiting = left
 }
 
 // Waiting returns the number of waiting requests.
--- a/internal/routing/railadmitter/admitter_test.go
+++ b/internal/routing/railadmitter/admitter_test.go
@@ -72,6 +72,42 @@
 	})
 }
 
+// Small requests would take every place that becomes free while a large one waits for more room than that.
+func TestALargeRequestIsNotPassedBySmallOnes(t *testing.T) {
+	railvirtual.Test(t, func(t *testing.T) {
+		a, need := newAdmitter()
+		timing := railbackend.Timing{Step: 9 * time.Millisecond, Stride: 5, ReadPerSecond: 19_000, ReadChunk: 2048}
+		need.Backend.Engine = &railbackend.Engine{Slots: 16, Timing: timing}
+		a.Fleet.SetInstances([]railinstance.Instance{{ID: "1", Service: "orders", Address: "10.0.0.1:1", Slots: 16, Version: 1}})
+		need.Prompt, need.Within = 4000, 500*time.Millisecond
+		first, err := a.Acquire(t.Context(), need, 1, time.Now())
+		qt.Assert(t, err, qt.IsNil)
+		second, err := a.Acquire(t.Context(), need, 1, time.Now())
+		qt.Check(t, err, qt.IsNil)
+		order := make(chan string, 2)
+		for _, c := range []struct {
+			name   string
+			prompt int
+		}{{"large", 4000}, {"small", 10}} {
+			waiting := need
+			waiting.Prompt = c.prompt
+			waiting.Gap = 400 * time.Millisecond // Both prompts that are read now pause the answers longer than that.
+			go func() {
+				if _, err := a.Acquire(t.Context(), waiting, 1, time.Now().Add(time.Second)); err == nil {
+					order <- c.name
+				}
+			}()
+			time.Sleep(time.Millisecond)
+		}
+		first.Began() // There is room for the small one now.
+		time.Sleep(10 * time.Millisecond)
+		qt.Check(t, len(order), qt.Equals, 0)
+		second.Began()
+		time.Sleep(10 * time.Millisecond)
+		qt.Check(t, len(order), qt.Equals, 2)
+	})
+}
+
 func TestAPlaceGrantedToACallerThatLeftIsGivenBack(t *testing.T) {
 	railvirtual.Test(t, func(t *testing.T) {
 		a, need := newAdmitter()
