--- a/internal/node/railcarrier/carrier.go
+++ b/internal/node/railcarrier/carrier.go
@@ -199,16 +199,20 @@
 	return c.Regions[origin.Zone]
 }
 
-// members returns the agents beside the engines of the same service.
+// members returns the agents beside the engines of the same service that stay, each once: after a start the list may show an
+// engine's former entry beside its new one.
 func (c *Carrier) members(oldest time.Duration) []railmember.Member {
 	list := []railmember.Member{c.Self}
+	known := map[string]bool{c.Self.Name: true}
 	for _, i := range c.Instances(oldest) {
 		host := i.Host()
-		if i.Service == c.Self.Service && host != "" && host != c.Self.Name {
-			list = append(list, railmember.Member{
-				Name: host, Role: railmember.RoleAgent, Address: net.JoinHostPort(host, c.Port), Zone: i.Zone, Region: i.Region, Service: i.Service,
-			})
+		if i.Service != c.Self.Service || i.Draining || host == "" || known[host] {
+			continue
 		}
+		known[host] = true
+		list = append(list, railmember.Member{
+			Name: host, Role: railmember.RoleAgent, Address: net.JoinHostPort(host, c.Port), Zone: i.Zone, Region: i.Region, Service: i.Service,
+		})
 	}
 	byName := railhash.Ranking[railmember.Member]{Name: func(m railmember.Member) string { return m.Name }}
 	return byName.Top("", list, len(list))
