--- a/internal/config/railbackend/backend.go
+++ b/internal/config/railbackend/backend.go
@@ -5,8 +5,6 @@
 // Backend is one service; it is immutable.
 type Backend struct {
 	Name string
-	// Connections is the number of connections that one endpoint accepts from all callers together; 0 means no limit.
-	Connections int
 	// ColdPerSecond is the number of requests a second that an endpoint bears in cold start; 0 means no limit.
 	ColdPerSecond float64
 	// Engine describes the service's model engines; it is nil for a plain service.
@@ -29,8 +27,6 @@
 	// UsualPrompt is the mean number of a prompt's tokens, or 0 where it is not known.
 	UsualPrompt int
 	Timing      Timing
-	// ReportLag is the age of an engine's report of its load.
-	ReportLag time.Duration
 }
 
 // Timing holds what one pass of an engine takes.
@@ -41,8 +37,6 @@
 	Stride int
 	// ReadPerSecond is the number of prompt tokens that are read in a second.
 	ReadPerSecond float64
-	// ReadChunk is the number of prompt tokens that are read in one step at the most.
-	ReadChunk int
 	// PairsPerMillion is the time for a million pairs of a token and an earlier one.
 	PairsPerMillion time.Duration
 }
--- a/internal/config/railcatalog/catalog.go
+++ b/internal/config/railcatalog/catalog.go
@@ -4,7 +4,6 @@
 	"maps"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/fulmarrail/fulmarrail/internal/config/railbackend"
 	"github.com/fulmarrail/fulmarrail/internal/config/railcustomer"
@@ -25,10 +24,9 @@
 	wanted    map[string]int64
 }
 
-// Limits bound what callers may send and for how long they may stay idle.
+// Limits bound what callers may send; 0 means no bound.
 type Limits struct {
-	HeaderBytes, BodyBytes int
-	HeaderTimeout, Idle    time.Duration
+	BodyBytes int
 }
 
 // Match returns the route whose host is the given one and whose prefix is the longest that begins the path.
--- a/internal/membership/railfleet/fleet_test.go
+++ b/internal/membership/railfleet/fleet_test.go
@@ -26,7 +26,7 @@
 		Log: slog.New(slog.DiscardHandler),
 	}
 	f.SetInstances(list)
-	timing := railbackend.Timing{Step: 9 * time.Millisecond, Stride: 5, ReadPerSecond: 19_000, ReadChunk: 2048}
+	timing := railbackend.Timing{Step: 9 * time.Millisecond, Stride: 5, ReadPerSecond: 19_000}
 	return f, railfleet.Need{
 		Backend: railbackend.Backend{Name: "engines", ColdPerSecond: 26, Engine: &railbackend.Engine{Slots: 16, Timing: timing}},
 		Prompt:  1000, Within: 400 * time.Millisecond,
--- a/internal/node/railcarrier/carrier_test.go
+++ b/internal/node/railcarrier/carrier_test.go
@@ -21,7 +21,8 @@
 		Instances: func(time.Duration) []railinstance.Instance {
 			return []railinstance.Instance{
 				entry("old-1", "10.0.0.1", false), entry("new-1", "10.0.0.1", false), entry("old-2", "10.0.0.2", false),
-				entry("new-2", "10.0.0.2", false), entry("leaving", "10.0.0.3", true), {ID: "odd", Service: "engines", Address: "nowhere"},
+				entry("new-2", "10.0.0.2", false), entry("leaving", "10.0.0.3", true),
+				{ID: "odd", Service: "engines", Address: "nowhere"},
 			}
 		},
 	}
--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -95,6 +95,9 @@
 		return &refusal{fasthttp.StatusServiceUnavailable, "no configuration is known yet"}
 	}
 	path, _, _ := strings.Cut(string(c.ctx.Request.Header.RequestURI()), "?")
+	if most := catalog.Limits.BodyBytes; most > 0 && len(c.ctx.Request.Body()) > most {
+		return &refusal{fasthttp.StatusRequestEntityTooLarge, "the body is too long"}
+	}
 	route, ok := catalog.Match(string(c.ctx.Request.Header.Host()), path)
 	if !ok {
 		return &refusal{fasthttp.StatusNotFound, "no route matches"}
--- a/internal/routing/railadmitter/admitter.go
+++ b/internal/routing/railadmitter/admitter.go
@@ -97,13 +97,6 @@
 	return len(a.waiting)
 }
 
-// Wait predicts how long a new request would wait for its place.
-func (a *Admitter) Wait(rank int) time.Duration {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.wait(time.Now(), rank)
-}
-
 // reserve asks for a place at which the answer begins in the time that is left of need.Within.
 func (a *Admitter) reserve(need railfleet.Need, latest, now time.Time) (*railfleet.Lease, bool) {
 	need.Within += max(latest.Sub(now), 0)
--- a/internal/routing/railadmitter/admitter_test.go
+++ b/internal/routing/railadmitter/admitter_test.go
@@ -76,7 +76,7 @@
 func TestALargeRequestIsNotPassedBySmallOnes(t *testing.T) {
 	railvirtual.Test(t, func(t *testing.T) {
 		a, need := newAdmitter()
-		timing := railbackend.Timing{Step: 9 * time.Millisecond, Stride: 5, ReadPerSecond: 19_000, ReadChunk: 2048}
+		timing := railbackend.Timing{Step: 9 * time.Millisecond, Stride: 5, ReadPerSecond: 19_000}
 		need.Backend.Engine = &railbackend.Engine{Slots: 16, Timing: timing}
 		a.Fleet.SetInstances([]railinstance.Instance{{ID: "1", Service: "orders", Address: "10.0.0.1:1", Slots: 16, Version: 1}})
 		need.Prompt, need.Within = 4000, 500*time.Millisecond
