--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -70,7 +70,7 @@
 		return errors.Wrap(err, "listen on inner for datagrams")
 	}
 	front := &railgateway.Gateway{
-		Callers: callers, Ready: ready, Translator: platform.Translator{}, Catalog: p.Current.Get, Oldest: p.Current.Oldest, Due: p.Current.Due,
+		Callers: callers, Ready: ready, ReadyPath: platform.ReadyPath, Translator: platform.Translator{}, Catalog: p.Current.Get, Oldest: p.Current.Oldest, Due: p.Current.Due,
 		Age: g.age, KeyAge: trustedFor(site.Bounds.Revocation), RetryShare: site.Bounds.RepeatShare / 2,
 		Log: raillog.Part(p.Log, "front"),
 	}
--- a/internal/config/railsite/site.go
+++ b/internal/config/railsite/site.go
@@ -50,13 +50,11 @@
 	Drain         time.Duration `key:"drain" unit:"duration" default:"2s" min:"1ms" max:"10m" help:"time after which a leaving endpoint gets no request"`
 	Grace         time.Duration `key:"grace" unit:"duration" default:"8s" min:"1s" max:"1h" help:"time from the request to stop to the end of the process"`
 	Configuration time.Duration `key:"configuration" unit:"duration" default:"2s" min:"1ms" max:"10m" help:"time after which a configuration is in force everywhere"`
-	ZoneOut       time.Duration `key:"zoneOut" unit:"duration" default:"5s" min:"1ms" max:"10m" help:"time after which a zone that is taken out gets no request"`
 	Revocation    time.Duration `key:"revocation" unit:"duration" default:"0s" min:"0s" max:"10m" help:"time after which a key that was taken away is refused even by a process that is cut off; 0s for no such bound"`
 	Weights       time.Duration `key:"weights" unit:"duration" default:"8s" min:"1ms" max:"1h" help:"time after which no request begins on an older version of weights"`
 	ColdOvershoot float64       `key:"coldOvershoot" unit:"ratio" default:"1.5" min:"0" max:"100" help:"how far an endpoint's cold limit may be exceeded in one second"`
 	ColdSlack     float64       `key:"coldSlack" unit:"requests" default:"5" min:"0" max:"10000" help:"requests beyond that in one second"`
 	RepeatShare   float64       `key:"repeatShare" unit:"share" default:"0.2" min:"0" max:"10" help:"repeats of requests, over all entries, as a share of the requests"`
-	RepeatSlack   float64       `key:"repeatSlack" unit:"requests" default:"100" min:"0" max:"100000" help:"repeats beyond that in some seconds"`
 }
 
 // Load reads a settings file; an error names file, line and key.
--- a/internal/node/railgateway/gateway.go
+++ b/internal/node/railgateway/gateway.go
@@ -20,7 +20,6 @@
 )
 
 const (
-	readinessPath  = "/readiness"
 	concurrency    = 1 << 14
 	maxHeaderBytes = 32 << 10
 	maxBodyBytes   = 8 << 20
@@ -36,8 +35,10 @@
 type Gateway struct {
 	// Callers is the listener for callers, and Ready that of the balancer's readiness checks.
 	Callers, Ready net.Listener
-	Translator     railenvelope.Translator
-	Fleet          *railfleet.Fleet
+	// ReadyPath is the path that the balancer asks for.
+	ReadyPath  string
+	Translator railenvelope.Translator
+	Fleet      *railfleet.Fleet
 	// Catalog returns the configuration in force, or false when none is known.
 	Catalog func() (railcatalog.Catalog, bool)
 	// Age returns the time since the configuration was last known to be current.
@@ -118,7 +119,7 @@
 }
 
 func (g *Gateway) readiness(ctx *fasthttp.RequestCtx) {
-	if reason := g.unready(); string(ctx.Path()) != readinessPath || reason != "" {
+	if reason := g.unready(); string(ctx.Path()) != g.ReadyPath || reason != "" {
 		ctx.Error(reason, fasthttp.StatusServiceUnavailable)
 		return
 	}
