Bring weights by a swarm: each chunk from whoever gives it soonest

By the logs of all processes the trees of chunks bind each agent to one parent: a slow parent, or a new one that holds nothing itself, holds up all below it. While the origin was away every importer drew what others drew too (1.6 copies), and an engine that did not answer yet at the start had its pieces fetched from others for 9 s.

Ruled out: the links themselves (3 of 27 were slow), the processor (0.7 % of a core), the origin (the added engines need nothing of it).

Change: agents of a region tell each other in datagrams what they hold and what they are importing; each takes the rarest chunk from the holder that gives it soonest, asks elsewhere when one is overdue, and asks for no more than its own link brings in 300 ms. A chunk comes into a region once, by the first agent in its rendezvous order; others help when that one does not get on, and a chunk that only one agent holds for long is imported again. An agent that gives a corrupt chunk counts for nothing for 20 s. Fetching does not wait for the engine to answer. The tree's options that were made for this deployment are gone from railfetcher.

--- a/internal/command/railcarriercmd/carrier.go
+++ b/internal/command/railcarriercmd/carrier.go
@@ -11,12 +11,13 @@
 
 	"github.com/fulmarrail/fulmarrail/internal/command/railfactory"
 	"github.com/fulmarrail/fulmarrail/internal/command/railsiteprocess"
+	"github.com/fulmarrail/fulmarrail/internal/core/raillog"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/node/railcarrier"
 	"github.com/fulmarrail/fulmarrail/internal/platform/railrows"
+	"github.com/fulmarrail/fulmarrail/internal/wire/raildatagram"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildialer"
-	"github.com/fulmarrail/fulmarrail/internal/wire/raildigest"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 	"github.com/fulmarrail/fulmarrail/platform"
 )
@@ -52,13 +53,14 @@
 	if err != nil {
 		return errors.Wrap(err, "listen on inner for datagrams")
 	}
-	notifier := &notifier{Process: p, conn: datagrams}
+	socket := &raildatagram.Socket{Conn: datagrams, Log: raillog.Part(p.Log, "datagrams")}
+	notifier := &notifier{Process: p, socket: socket}
 	go p.FollowConfig(configWait, nil).Run(ctx)
 	dialer := &raildialer.Dialer{Key: []byte(site.SharedKey), Timeout: site.Timeout}
 	defer func() { _ = dialer.Close() }()
 	carrier := &railcarrier.Carrier{
 		Self: railmember.Member{Name: host, Role: railmember.RoleAgent, Address: site.Inner, Zone: site.Zone, Region: site.Region, Service: site.Service},
-		Key:  []byte(site.SharedKey), Inner: inner, Port: port, Dialer: dialer, Catalog: p.Current.Get, Named: p.Current.Namings,
+		Key:  []byte(site.SharedKey), Inner: inner, Port: port, Dialer: dialer, Socket: socket, Catalog: p.Current.Get, Named: p.Current.Namings,
 		Engine: &platform.Engine{
 			HTTP: p.Store.HTTP, Origin: &platform.Caller{Timeout: site.Timeout, Single: true}, Address: site.Endpoint,
 			Layers: func() int { return p.Layers(site.Service) },
@@ -74,7 +76,7 @@
 type notifier struct {
 	*railsiteprocess.Process
 
-	conn    net.PacketConn
+	socket  *raildatagram.Socket
 	read    time.Time
 	entries []*net.UDPAddr
 }
@@ -93,7 +95,7 @@
 		}
 	}
 	notice := &railproto.EndpointNotice{Address: n.Site.Process.Endpoint, Version: version, ChangesInMillis: changesIn.Milliseconds()}
-	raildigest.Send(n.conn, n.entries, &railproto.Datagram{Content: &railproto.Datagram_Notice{Notice: notice}}, n.Log)
+	n.socket.Send(&railproto.Datagram{Content: &railproto.Datagram_Notice{Notice: notice}}, n.entries...)
 }
 
 // lister reads the list of endpoints when it is asked for, since a carrier needs it only while it fetches weights.
--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railfleet"
 	"github.com/fulmarrail/fulmarrail/internal/node/railgateway"
 	"github.com/fulmarrail/fulmarrail/internal/platform/railrows"
+	"github.com/fulmarrail/fulmarrail/internal/wire/raildatagram"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildigest"
 	"github.com/fulmarrail/fulmarrail/platform"
 )
@@ -80,8 +81,8 @@
 	}
 	front.Fleet = g.fleet
 	exchange := &raildigest.Exchange{
-		Name: site.Process.Name, Conn: datagrams, Peers: g.others, Digest: g.fleet.Digest, Absorb: g.fleet.Absorb, Notice: g.fleet.Notice, Interval: digestInterval,
-		Log: raillog.Part(p.Log, "digest"),
+		Name: site.Process.Name, Peers: g.others, Digest: g.fleet.Digest, Absorb: g.fleet.Absorb, Notice: g.fleet.Notice, Interval: digestInterval,
+		Socket: &raildatagram.Socket{Conn: datagrams, Log: raillog.Part(p.Log, "digest")},
 	}
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
--- a/internal/node/railagent/service.go
+++ b/internal/node/railagent/service.go
@@ -15,6 +15,7 @@
 
 // service answers the system's other processes.
 type service struct {
+	railproto.DRPCAgentUnimplementedServer
 	agent *Agent
 }
 
--- a/internal/node/railcarrier/carrier.go
+++ b/internal/node/railcarrier/carrier.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/semaphore"
+	"golang.org/x/time/rate"
 	"storj.io/drpc/drpcmux"
 
 	"github.com/fulmarrail/fulmarrail/internal/config/railcatalog"
@@ -17,40 +18,34 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railchunks"
-	"github.com/fulmarrail/fulmarrail/internal/rollout/railfetcher"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railinstaller"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railmanifest"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railpacer"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railsharing"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railstage"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railswarm"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railturn"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railuploads"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railvault"
 	"github.com/fulmarrail/fulmarrail/internal/routing/railhash"
+	"github.com/fulmarrail/fulmarrail/internal/wire/raildatagram"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildialer"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raillistener"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
 
 const (
-	// uploadSlots and downloadSlots bound the chunks on the VM's link at once, which live requests wait behind.
-	uploadSlots   = 1
-	downloadSlots = 6
+	// uploadSlots bounds the chunks on their way to the link at once, which live requests wait behind.
+	uploadSlots = 1
 	// linkShare is the share of the link, each way, that weights may take.
 	linkShare = 0.92
 	// burst is the number of bytes of weights that may pass at once: a chunk.
 	burst = 32 << 10
-	// fetchWindow is the number of chunks that are asked for at once: an agent waits for most of them.
-	fetchWindow = 96
-	// importWindow and drawWindow are the numbers of chunks that are imported from another region and drawn from the origin at
-	// once; the origin's link is the narrowest, and a few draws fill it.
-	importWindow = 6
-	drawWindow   = 2
-	takeover     = 400 * time.Millisecond
-	askLimit     = 3 * time.Second
-	// fetchList and turnList are the ages that the list of endpoints may have while weights are fetched, when new agents are to
-	// be met soon, and for this engine's place among the others.
-	fetchList = 1500 * time.Millisecond
+	// askLimit bounds the time for which a chunk that another agent has may take.
+	askLimit = 2 * time.Second
+	// fetchList and turnList are the ages that the list of endpoints may have while weights are fetched, and for this engine's
+	// place among the others. Fresh agents tell of themselves before the list is read again.
+	fetchList = 3 * time.Second
 	turnList  = 6 * time.Second
 )
 
@@ -73,6 +68,8 @@
 	Port   string
 	Engine Engine
 	Dialer *raildialer.Dialer
+	// Socket is the socket for datagrams, at the address of Inner.
+	Socket *raildatagram.Socket
 	// Catalog returns the configuration in force, Instances the endpoints that are listed by a
 	// list that is not older than asked for, and Named the versions of a model's
 	// weights in the order in which they were named.
@@ -93,7 +90,7 @@
 	once      sync.Once
 	store     *railchunks.Store
 	sharing   *railsharing.Server
-	fetcher   *railfetcher.Fetcher
+	swarm     *railswarm.Swarm
 	installer *railinstaller.Installer
 }
 
@@ -105,6 +102,7 @@
 		return errors.Wrap(err, "register the inner service")
 	}
 	go c.installer.Run(ctx)
+	go c.Socket.Receive(ctx, c.hear)
 	listener := &raillistener.Listener{Key: c.Key, Handler: mux, Log: c.Log}
 	return listener.Run(ctx, c.Inner)
 }
@@ -113,50 +111,23 @@
 	vault := &railvault.Vault{}
 	stage := &railstage.Stage{Engine: c.Engine, Chunk: vault.Chunk}
 	c.store = &railchunks.Store{Endpoint: vault}
-	uploads, downloads := &railpacer.Pacer{Burst: burst}, &railpacer.Pacer{Burst: burst}
+	uploads := &railpacer.Pacer{Burst: burst}
+	downloads := rate.NewLimiter(rate.Inf, burst)
 	if c.Link > 0 {
 		uploads.SetPace(int(linkShare*float64(c.Link)), 0)
-		downloads.SetPace(int(linkShare*float64(c.Link)), 0)
+		downloads.SetLimit(rate.Limit(linkShare * float64(c.Link)))
 	}
 	c.sharing = &railsharing.Server{Store: c.store, Uploads: &railuploads.Scheduler{Slots: uploadSlots}, Pacer: uploads}
-	c.fetcher = &railfetcher.Fetcher{
-		Self: c.Self, Store: c.store, Members: func(string) []railmember.Member { return c.members(fetchList) }, Ask: c.ask, Origin: c.origin, OriginRegion: c.originRegion, Chain: true,
-		Takeover: takeover, Window: fetchWindow, Imports: importWindow, Draws: drawWindow, Log: raillog.Part(c.Log, "fetcher"),
-		Download: c.admitDownloads(downloads),
+	c.swarm = &railswarm.Swarm{
+		Self: c.Self, Store: c.store, Members: func() []railmember.Member { return c.members(fetchList) }, Ask: c.ask, Tell: c.tell,
+		Origin: c.origin, OriginRegion: c.originRegion, Pace: downloads, Seed: rand.Uint64(), Log: raillog.Part(c.Log, "fetcher"),
 	}
 	c.installer = &railinstaller.Installer{
-		Engine: c.Engine, Wanted: c.wanted, Manifest: c.manifest, Turn: c.turn, Notify: c.Notify, Stage: stage, Store: c.store, Fetcher: c.fetcher,
+		Engine: c.Engine, Wanted: c.wanted, Manifest: c.manifest, Turn: c.turn, Notify: c.Notify, Stage: stage, Store: c.store, Fetcher: c.swarm,
 		Log: raillog.Part(c.Log, "rollout"),
 	}
 }
 
-// admitDownloads lets a few chunks come at once, at the pace of the link.
-func (c *Carrier) admitDownloads(pacer *railpacer.Pacer) func(ctx context.Context, imported bool) (func(bytes int), error) {
-	slots := semaphore.NewWeighted(downloadSlots)
-	return func(ctx context.Context, imported bool) (func(bytes int), error) {
-		if imported {
-			return pacer.Take, nil // What did not come takes up nothing of the link.
-		}
-		if err := slots.Acquire(ctx, 1); err != nil {
-			return nil, errors.Wrap(err, "wait for a download")
-		}
-		if err := pacer.Wait(ctx, c.chunkBytes()); err != nil {
-			slots.Release(1)
-			return nil, err
-		}
-		return func(int) { slots.Release(1) }, nil
-	}
-}
-
-func (c *Carrier) chunkBytes() int {
-	catalog, _ := c.Catalog()
-	backend, ok := catalog.Backend(c.Self.Service)
-	if !ok || backend.Engine == nil {
-		return 0
-	}
-	return backend.Engine.ChunkBytes
-}
-
 // wanted returns the model of the engine's service and the version of its weights that is wanted, or 0 when none was named.
 func (c *Carrier) wanted() (string, int64) {
 	catalog, _ := c.Catalog()
@@ -226,6 +197,28 @@
 	return c.Dialer.Agent(ctx, m.Address).Chunk(ctx, req)
 }
 
+// tell tells another agent what is held here.
+func (c *Carrier) tell(m railmember.Member, inventory *railproto.Inventory) {
+	address, err := net.ResolveUDPAddr("udp4", m.Address)
+	if err != nil {
+		c.Log.Warn("agent's address can't be told anything", "agent", m.Name, "err", err)
+		return
+	}
+	c.Socket.Send(&railproto.Datagram{Content: &railproto.Datagram_Inventory{Inventory: inventory}}, address)
+}
+
+// hear takes over what another agent tells of the chunks that it holds.
+func (c *Carrier) hear(from net.Addr, datagram *railproto.Datagram) {
+	inventory := datagram.GetInventory()
+	if inventory == nil {
+		return
+	}
+	c.swarm.Hear(railmember.Member{
+		Name: inventory.GetAgent(), Role: railmember.RoleAgent, Address: from.String(), Zone: inventory.GetZone(), Region: inventory.GetRegion(),
+		Service: c.Self.Service,
+	}, inventory)
+}
+
 // turn returns the time until this engine's turn to change over: the engines follow each other, so that the others serve.
 func (c *Carrier) turn(serving, loading int64) time.Duration {
 	model, _ := c.wanted()
--- a/internal/rollout/railfetcher/fetcher.go
+++ b/internal/rollout/railfetcher/fetcher.go
@@ -33,10 +33,6 @@
 	directAfter = 20
 	// firstProbes is the number of agents that an importer asks before its first import of a chunk.
 	firstProbes = 3
-	// stalledAfter is the number of takeover delays without any chunk after which others than those above in the tree are asked.
-	stalledAfter = 2
-	// randomProbes is the number of agents that are probed by chance when the one above in the tree did not deliver.
-	randomProbes = 4
 	// planFor is the time for which a plan is used before the list of agents is looked at again.
 	planFor = time.Second
 )
@@ -58,17 +54,11 @@
 	Origin func(ctx context.Context, digest string) ([]byte, error)
 	// OriginRegion is the region that draws from the origin.
 	OriginRegion func() string
-	// Chain lets each region draw from the one before it, which spares the links of the origin's region; else all draw from the
-	// origin's region, which is sooner where links are wide.
-	Chain bool
 	// Takeover is the time after which the next importer follows one that does not deliver.
 	Takeover time.Duration
-	// Window, Imports and Draws are the chunks that are asked for, imported from another region and drawn from the origin at once.
-	Window, Imports, Draws int
-	// Download is called before each chunk that is drawn in, waits until its data may come, and returns what is to be called
-	// with the bytes that came; nil does not hold downloads back. Others wait for a chunk that is imported, which goes first.
-	Download func(ctx context.Context, imported bool) (done func(bytes int), err error)
-	Log      *slog.Logger
+	// Window and Imports are the chunks that are asked for and imported at once.
+	Window, Imports int
+	Log             *slog.Logger
 
 	corrupt atomic.Int64
 	mu      sync.Mutex
@@ -78,7 +68,7 @@
 
 // Fetch returns when the engine holds every chunk of the manifest, or an error when ctx is done first.
 func (f *Fetcher) Fetch(ctx context.Context, m railmanifest.Manifest) error {
-	job := &job{fetcher: f, manifest: m, digest: m.Digest(), progress: time.Now()}
+	job := &job{fetcher: f, manifest: m, digest: m.Digest()}
 	var imports, downloads []int
 	for i, digest := range m.Chunks {
 		switch own := job.plan(f.Self.Region); {
@@ -90,7 +80,7 @@
 		}
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	job.work(ctx, group, imports, f.importsAtOnce())
+	job.work(ctx, group, imports, f.Imports)
 	job.work(ctx, group, downloads, f.Window)
 	return group.Wait()
 }
@@ -107,22 +97,6 @@
 	return f.corrupt.Load()
 }
 
-// importsAtOnce returns the number of chunks that this agent imports at once.
-func (f *Fetcher) importsAtOnce() int {
-	if f.Draws > 0 && f.OriginRegion() == f.Self.Region {
-		return f.Draws
-	}
-	return f.Imports
-}
-
-// download waits until data may come.
-func (f *Fetcher) download(ctx context.Context, imported bool) (func(bytes int), error) {
-	if f.Download == nil {
-		return func(int) {}, nil
-	}
-	return f.Download(ctx, imported)
-}
-
 func (f *Fetcher) takeover() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/rollout/railfetcher/job.go
+++ b/internal/rollout/railfetcher/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -28,8 +27,6 @@
 	members []railmember.Member
 	plans   map[string]railplan.Plan
 	planned time.Time
-	// progress is when a chunk came last.
-	progress time.Time
 }
 
 // hunt is the search for one chunk.
@@ -39,10 +36,6 @@
 	began  time.Time
 	// failed is the number of importers that were found not to deliver.
 	failed int
-	// fruitless is the number of waits at whose end a source did not hold the chunk.
-	fruitless int
-	// outside is the number of times that another region did not deliver.
-	outside int
 	// nextLook is the time of the next look after the importer.
 	nextLook time.Time
 }
@@ -75,12 +68,8 @@
 		}
 		data, err := j.attempt(ctx, h)
 		if err == nil {
-			j.progressed()
 			err = f.Store.Put(ctx, h.digest, data)
 		}
-		if errors.Is(err, errNotYet) {
-			h.fruitless++
-		}
 		if err != nil && !errors.Is(err, errNotYet) {
 			f.Log.Debug("chunk not delivered", "chunk", i, "err", err)
 			railtimer.Sleep(ctx, retryPause)
@@ -89,19 +78,6 @@
 	return ctx.Err()
 }
 
-func (j *job) progressed() {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.progress = time.Now()
-}
-
-// stalled reports whether no chunk at all has come for some time.
-func (j *job) stalled() bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return time.Since(j.progress) > stalledAfter*j.fetcher.takeover()
-}
-
 // attempt makes one step of a hunt: import when it is this agent's turn, look after the importer when this agent is
 // next in turn, and else ask the nearest willing agent above in the chunk's tree.
 func (j *job) attempt(ctx context.Context, h *hunt) ([]byte, error) {
@@ -120,11 +96,6 @@
 		}
 		h.nextLook = time.Now().Add(max(f.takeover(), time.Since(h.began)/4))
 	}
-	if h.fruitless > 0 && j.stalled() {
-		if data, err := j.fromAnyone(ctx, plan, h); err == nil {
-			return data, nil
-		}
-	}
 	source, ok := j.source(plan, h)
 	if !ok {
 		return nil, errors.New("no agent to ask is willing")
@@ -205,6 +176,25 @@
 	return data, err
 }
 
+// fromOutside takes a chunk from the origin, or from the origin's region when that is another one.
+func (j *job) fromOutside(ctx context.Context, h *hunt) ([]byte, error) {
+	f := j.fetcher
+	if region := f.OriginRegion(); region != f.Self.Region {
+		if sources := j.plan(region); !sources.Empty() {
+			importers := f.willing(sources.Importers(h.chunk))
+			if len(importers) == 0 {
+				return nil, errors.New("no agent of the origin's region is willing")
+			}
+			return j.ask(ctx, importers[0], h, longWait*f.takeover(), 0)
+		}
+	}
+	data, err := f.Origin(ctx, h.digest)
+	if err != nil {
+		return nil, errors.Wrap(err, "draw from the origin")
+	}
+	return data, j.verify(h, data, railmember.Member{Name: "the origin"})
+}
+
 // fromRegion probes the region's agents until one holds the chunk, and takes it from there. Before anything has failed
 // only the next importers are asked: after a change of the list the chunk's former importer is among them.
 func (j *job) fromRegion(ctx context.Context, plan railplan.Plan, h *hunt) ([]byte, error) {
@@ -229,43 +219,9 @@
 	return nil, errNotYet
 }
 
-// fromAnyone probes some agents of the region by chance, since the one above in the tree may be new and hold nothing itself.
-func (j *job) fromAnyone(ctx context.Context, plan railplan.Plan, h *hunt) ([]byte, error) {
-	f := j.fetcher
-	others := f.willing(slices.DeleteFunc(slices.Clone(plan.Importers(h.chunk)), f.isSelf))
-	rand.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
-	for _, m := range others[:min(randomProbes, len(others))] {
-		reply, err := f.Ask(ctx, m, &railproto.ChunkRequest{Digest: h.digest, Probe: true})
-		if err != nil {
-			f.penalize(m)
-			continue
-		}
-		if reply.GetHeld() {
-			return j.ask(ctx, m, h, 0, plan.Level(h.chunk, f.Self.Name))
-		}
-	}
-	return nil, errNotYet
-}
-
 func (j *job) ask(ctx context.Context, source railmember.Member, h *hunt, wait time.Duration, level int) ([]byte, error) {
 	f := j.fetcher
-	began := time.Now()
-	if f.Download != nil && wait > 0 {
-		// The wait and the data are apart, so that only what is there takes part in the download.
-		reply, err := f.Ask(ctx, source, &railproto.ChunkRequest{Digest: h.digest, WaitMillis: wait.Milliseconds(), Probe: true})
-		if err == nil && !reply.GetHeld() {
-			return nil, errNotYet
-		}
-		wait = 0
-	}
-	held := time.Since(began)
-	done, err := f.download(ctx, level == 0)
-	if err != nil {
-		return nil, err
-	}
-	admitted := time.Since(began)
 	reply, err := f.Ask(ctx, source, &railproto.ChunkRequest{Digest: h.digest, WaitMillis: wait.Milliseconds(), Level: int32(level)})
-	done(len(reply.GetData()))
 	if err != nil {
 		if ctx.Err() == nil {
 			f.penalize(source)
@@ -279,7 +235,6 @@
 		return nil, err
 	}
 	f.delivered(source)
-	f.Log.Debug("chunk came", "chunk", h.chunk, "from", source.Name, "level", level, "held", held, "admitted", admitted, "took", time.Since(began))
 	return reply.GetData(), nil
 }
 
@@ -306,7 +261,7 @@
 	}
 	plan, ok := j.plans[region]
 	if !ok {
-		plan = railplan.New(j.inRegion(region), j.manifest.Chunks, j.drawing(region))
+		plan = railplan.New(j.inRegion(region), j.manifest.Chunks, j.otherRegions(region))
 		if j.plans == nil {
 			j.plans = map[string]railplan.Plan{}
 		}
@@ -315,6 +270,20 @@
 	return plan
 }
 
+// otherRegions returns the number of regions that draw from the given one.
+func (j *job) otherRegions(region string) int {
+	if region != j.fetcher.OriginRegion() {
+		return 0
+	}
+	others := map[string]bool{}
+	for _, m := range j.members {
+		if m.Region != region {
+			others[m.Region] = true
+		}
+	}
+	return len(others)
+}
+
 func (j *job) inRegion(region string) []railmember.Member {
 	f := j.fetcher
 	var local []railmember.Member
--- a/internal/rollout/railinstaller/installer.go
+++ b/internal/rollout/railinstaller/installer.go
@@ -4,13 +4,13 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railchunks"
-	"github.com/fulmarrail/fulmarrail/internal/rollout/railfetcher"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railmanifest"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railstage"
 )
@@ -27,6 +27,8 @@
 	// worthFinishing is the share of a version's chunks from which on it is fetched to its end though a newer one is wanted:
 	// the engines can change over to it while the newer one comes.
 	worthFinishing = 0.7
+	// ownFirst is the time for which the pieces that the engine itself has are waited for before others are asked.
+	ownFirst = 250 * time.Millisecond
 	// finishLimit bounds the time for which that goes on.
 	finishLimit = 1200 * time.Millisecond
 	// announceAhead is the time for which a change is announced, about that of a long answer.
@@ -58,6 +60,12 @@
 	Start(ctx context.Context, model string, version int64) error
 }
 
+// Fetcher brings chunks.
+type Fetcher interface {
+	// Fetch returns when every chunk of a manifest is there, or an error when ctx is done first.
+	Fetch(ctx context.Context, m railmanifest.Manifest) error
+}
+
 // Installer drives one engine; its fields are set before Run.
 type Installer struct {
 	Engine Engine
@@ -72,13 +80,13 @@
 	Notify  func(version int64, changesIn time.Duration)
 	Stage   *railstage.Stage
 	Store   *railchunks.Store
-	Fetcher *railfetcher.Fetcher
+	Fetcher Fetcher
 	Log     *slog.Logger
 
 	mu sync.Mutex
 	// fetching and complete are the version that is fetched now and the newest one that is there whole.
 	fetching, complete weights
-	recovered          bool
+	recovered          atomic.Bool
 	// announced is when the entries were last told of a change that is to come.
 	announced time.Time
 }
@@ -140,34 +148,47 @@
 	}
 	w := weights{model: model, version: version, manifest: m}
 	n.setFetching(w)
-	if err := n.recover(ctx, w); err != nil {
-		n.Log.Info("engine's own pieces not read, all are fetched", "err", err)
-	}
 	began := time.Now()
-	if err := n.bring(ctx, m, wanted); err != nil {
+	if err := n.bring(ctx, w, wanted); err != nil {
 		return err
 	}
 	n.Log.Info("weights fetched", "version", version, "took", time.Since(began))
 	return n.setComplete(ctx, w)
 }
 
-// recover takes over what the engine has staged from before this process began.
-func (n *Installer) recover(ctx context.Context, w weights) error {
-	if n.recovered {
-		return nil
+// recover takes over what the engine has staged from before this process began, as soon as the engine answers.
+func (n *Installer) recover(ctx context.Context, w weights) {
+	for !n.recovered.Load() {
+		bounded, cancel := context.WithTimeout(ctx, stageLimit)
+		err := n.Stage.Recover(bounded, w.model, w.manifest, func(digest string, data []byte) error { return n.Store.Put(bounded, digest, data) })
+		cancel()
+		if err == nil {
+			n.recovered.Store(true)
+			return
+		}
+		n.Log.Debug("engine's own pieces not read", "err", err)
+		if !railtimer.Sleep(ctx, look) {
+			return
+		}
 	}
-	n.recovered = true
-	ctx, cancel := context.WithTimeout(ctx, stageLimit)
-	defer cancel()
-	return n.Stage.Recover(ctx, w.model, w.manifest, func(digest string, data []byte) error { return n.Store.Put(ctx, digest, data) })
 }
 
-// bring fetches the missing chunks, unless another version is wanted before most of them are there.
-func (n *Installer) bring(ctx context.Context, m railmanifest.Manifest, wanted int64) error {
+// bring fetches the missing chunks, unless another version is wanted before most of them are there. What the engine itself
+// has staged goes first where it can be read at once.
+func (n *Installer) bring(ctx context.Context, w weights, wanted int64) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	go n.supersede(ctx, m, wanted, cancel)
-	if err := n.Fetcher.Fetch(ctx, m); err != nil {
+	own := make(chan struct{})
+	go func() {
+		defer close(own)
+		n.recover(ctx, w)
+	}()
+	select {
+	case <-own:
+	case <-time.After(ownFirst):
+	}
+	go n.supersede(ctx, w.manifest, wanted, cancel)
+	if err := n.Fetcher.Fetch(ctx, w.manifest); err != nil {
 		return errors.CombineErrors(context.Cause(ctx), err)
 	}
 	return nil
--- /dev/null
+++ b/internal/rollout/railpicker/holder.go
@@ -0,0 +1,112 @@
+package railpicker
+
+import (
+	"time"
+
+	"github.com/bits-and-blooms/bitset"
+)
+
+const (
+	// farFactor is what a chunk from another zone costs over one from the own zone.
+	farFactor = 1.5
+	// newWeight is the weight of the newest chunk in a holder's usual time.
+	newWeight = 0.3
+	// firstAvoidance is the time for which a holder is left after a failure; it doubles with each further one.
+	firstAvoidance = 200 * time.Millisecond
+	maxStrikes     = 5
+	// distrustFor is the time for which an agent that gave a corrupt chunk counts for nothing.
+	distrustFor = 20 * time.Second
+	// silentAfter is the time without a word after which an agent is not expected to import anything, and idleAfter the time
+	// without a new chunk after which it is not while others get on.
+	silentAfter = 700 * time.Millisecond
+	idleAfter   = 1200 * time.Millisecond
+	// goneAfter is the time without a word after which nothing is asked of an agent.
+	goneAfter = 1500 * time.Millisecond
+)
+
+// Word is what another agent tells of itself.
+type Word struct {
+	Name string
+	// Outside says that it is in another region, and Far that it is in another zone.
+	Outside, Far bool
+	// Held and Importing are the chunks that it holds, and those that it is bringing into its region.
+	Held, Importing *bitset.BitSet
+}
+
+// holder is another agent.
+type holder struct {
+	held, importing bitset.BitSet
+	outside, far    bool
+	// heard and progressed are when the agent last told something, and when what it holds had grown.
+	heard, progressed time.Time
+	// claimed is when the agent first told that it is importing each of the chunks that it is importing.
+	claimed map[uint]time.Time
+	// usual is the time that a chunk from here takes, waiting for its turn included.
+	usual      time.Duration
+	busy       bool
+	strikes    int
+	avoidUntil time.Time
+	// distrustUntil is the time until which nothing that the agent tells counts.
+	distrustUntil time.Time
+}
+
+func (h *holder) hear(word Word, now time.Time) {
+	if word.Held.Count() > h.held.Count() {
+		h.progressed = now
+	}
+	claimed := map[uint]time.Time{}
+	for chunk, ok := word.Importing.NextSet(0); ok; chunk, ok = word.Importing.NextSet(chunk + 1) {
+		claimed[chunk] = now
+		if since, known := h.claimed[chunk]; known {
+			claimed[chunk] = since
+		}
+	}
+	h.held, h.importing, h.claimed = *word.Held, *word.Importing, claimed
+	h.outside, h.far, h.heard = word.Outside, word.Far, now
+}
+
+// offers reports whether a chunk may be asked for here.
+func (h *holder) offers(chunk int, now time.Time) bool {
+	return h.held.Test(uint(chunk)) && now.Sub(h.heard) < goneAfter && !now.Before(h.distrustUntil)
+}
+
+// claims reports whether the agent is bringing a chunk into its region and is likely to do so soon.
+func (h *holder) claims(chunk int, now time.Time) bool {
+	return h.importing.Test(uint(chunk)) && now.Sub(h.heard) < silentAfter && now.Sub(h.claimed[uint(chunk)]) < claimFor && !now.Before(h.distrustUntil)
+}
+
+// end notes how a request here has ended.
+func (h *holder) end(chunk int, outcome Outcome, took time.Duration, now time.Time) {
+	h.busy = false
+	switch outcome {
+	case Came:
+		h.strikes = 0
+		h.usual = smooth(h.usual, took)
+	case Failed:
+		h.held.Clear(uint(chunk)) // It says so again if it holds the chunk all the same.
+		h.avoidUntil = now.Add(firstAvoidance << h.strikes)
+		h.strikes = min(h.strikes+1, maxStrikes)
+	case Corrupt:
+		h.distrustUntil = now.Add(distrustFor)
+	}
+}
+
+// cost is what a chunk from here is expected to take; elsewhere is the time that it usually takes.
+func (h *holder) cost(elsewhere time.Duration) time.Duration {
+	cost := h.usual
+	if cost == 0 {
+		cost = elsewhere
+	}
+	if h.far {
+		cost = time.Duration(farFactor * float64(cost))
+	}
+	return cost
+}
+
+// smooth returns a usual time with a newer one taken into account.
+func smooth(usual, took time.Duration) time.Duration {
+	if usual == 0 {
+		return took
+	}
+	return usual + time.Duration(newWeight*float64(took-usual))
+}
