Send nothing to starts that have ended, and load as soon as weights are whole

By the entries' logs all went to engines whose former entries stayed listed beside the new ones at the same addresses, for up to three heartbeats. Agents began to fetch 150 ms after they knew the configuration, ended a fetch up to 0.8 s before the load was looked at, and read back pieces that they had just put.

Ruled out: the engines' state (they served from 36.0 s on), the store.

Change: of several entries with one address the one whose row is newest counts, if its service is known. An endpoint at whose address another one answers is left until its entry changes, for 1.5 s at the most.

--- a/internal/command/railcarriercmd/carrier.go
+++ b/internal/command/railcarriercmd/carrier.go
@@ -55,7 +55,6 @@
 	}
 	socket := &raildatagram.Socket{Conn: datagrams, Log: raillog.Part(p.Log, "datagrams")}
 	notifier := &notifier{Process: p, socket: socket}
-	go p.FollowConfig(configWait, nil).Run(ctx)
 	dialer := &raildialer.Dialer{Key: []byte(site.SharedKey), Timeout: site.Timeout}
 	defer func() { _ = dialer.Close() }()
 	carrier := &railcarrier.Carrier{
@@ -69,6 +68,8 @@
 		Weights: p.Site.Bounds.Weights, Regions: p.Site.Regions, Log: p.Log,
 		Instances: list.instances, Notify: notifier.notify,
 	}
+	go p.FollowConfig(configWait, carrier.Changed).Run(ctx)
+	go notifier.addresses() // Known before the first change, which should not wait for them.
 	return carrier.Run(ctx)
 }
 
@@ -76,26 +77,36 @@
 type notifier struct {
 	*railsiteprocess.Process
 
-	socket  *raildatagram.Socket
+	socket *raildatagram.Socket
+
+	mu      sync.Mutex
 	read    time.Time
 	entries []*net.UDPAddr
 }
 
-// notify tells every entry which version serves, and when it is to change; only one goroutine calls it.
+// notify tells every entry which version serves, and when it is to change.
 func (n *notifier) notify(version int64, changesIn time.Duration) {
-	if time.Since(n.read) > entriesFor {
-		ctx, cancel := context.WithTimeout(context.Background(), noticeLimit)
-		defer cancel()
-		page, err := n.Store.Table(ctx, railsiteprocess.TableEntries)
-		if err != nil {
-			n.Log.Warn("entries not read, those known last are told", "err", err, "known", len(n.entries))
-		} else {
-			n.read = time.Now()
-			n.entries = n.Entries(page.Rows)
-		}
-	}
 	notice := &railproto.EndpointNotice{Address: n.Site.Process.Endpoint, Version: version, ChangesInMillis: changesIn.Milliseconds()}
-	n.socket.Send(&railproto.Datagram{Content: &railproto.Datagram_Notice{Notice: notice}}, n.entries...)
+	n.socket.Send(&railproto.Datagram{Content: &railproto.Datagram_Notice{Notice: notice}}, n.addresses()...)
+}
+
+// addresses returns the entries' addresses as they were a moment ago, or as they could be read last.
+func (n *notifier) addresses() []*net.UDPAddr {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if time.Since(n.read) < entriesFor {
+		return n.entries
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), noticeLimit)
+	defer cancel()
+	page, err := n.Store.Table(ctx, railsiteprocess.TableEntries)
+	if err != nil {
+		n.Log.Warn("entries not read, those known last are told", "err", err, "known", len(n.entries))
+		return n.entries
+	}
+	n.read = time.Now()
+	n.entries = n.Entries(page.Rows)
+	return n.entries
 }
 
 // lister reads the list of endpoints when it is asked for, since a carrier needs it only while it fetches weights.
--- a/internal/command/railsiteprocess/process.go
+++ b/internal/command/railsiteprocess/process.go
@@ -158,9 +158,14 @@
 	p.Current.Set(catalog)
 }
 
-// Instances returns the endpoints that the engines' rows name.
+// Instances returns the endpoints that the engines' rows name now.
 func (p *Process) Instances(rows map[string]railrows.Row) []railinstance.Instance {
-	return platform.Instances(rows, p.Site.Regions, p.Layers, raillog.Part(p.Log, "endpoints"))
+	catalog, _ := p.Current.Get()
+	listed := platform.Instances(rows, p.Site.Regions, p.Layers, raillog.Part(p.Log, "endpoints"))
+	return railinstance.Latest(listed, func(service string) bool {
+		_, known := catalog.Backend(service)
+		return known
+	})
 }
 
 // Entries returns the addresses that the entries' rows hold.
--- a/internal/membership/railfleet/endpoint.go
+++ b/internal/membership/railfleet/endpoint.go
@@ -15,7 +15,10 @@
 	longestAvoidance = 5 * time.Second
 	// refusedAvoidance is the time for which an endpoint is left that has refused a request as not run.
 	refusedAvoidance = 150 * time.Millisecond
-	maxStrikes       = 8
+	// misdirectedAvoidance is the time for which an endpoint is left at whose address another one answers, or other weights,
+	// unless its entry changes before.
+	misdirectedAvoidance = 1500 * time.Millisecond
+	maxStrikes           = 8
 	// noticeFor is the time for which a carrier's notice goes before the list.
 	noticeFor = 4 * time.Second
 	// paceWeight is the weight of the newest answer in an endpoint's pace.
@@ -38,6 +41,8 @@
 	// changesAt is when its weights are to change, if that is known.
 	changesAt  time.Time
 	avoidUntil time.Time
+	// misdirected says that the endpoint is left until its entry changes.
+	misdirected bool
 }
 
 func (e *endpoint) update(i railinstance.Instance) {
@@ -46,8 +51,8 @@
 	} else {
 		e.changesAt = time.Time{}
 	}
-	if e.Version != i.Version {
-		e.avoidUntil, e.strikes = time.Time{}, 0
+	if e.Version != i.Version || e.misdirected && e.Revision != i.Revision {
+		e.avoidUntil, e.strikes, e.misdirected = time.Time{}, 0, false
 	}
 	e.Instance = i
 	e.hash = uint32(railhash.Score(i.ID, i.Address))
@@ -61,6 +66,9 @@
 
 // notice takes over what the endpoint's carrier tells.
 func (e *endpoint) notice(version int64, changesIn time.Duration, now time.Time) {
+	if e.misdirected && e.Version != version {
+		e.avoidUntil, e.misdirected = time.Time{}, false
+	}
 	e.Version, e.noticed, e.changesAt = version, now, time.Time{}
 	if changesIn > 0 {
 		e.changesAt = now.Add(changesIn)
@@ -75,7 +83,8 @@
 	case Refused:
 		e.avoid(now, refusedAvoidance)
 	case Misdirected:
-		e.avoid(now, firstAvoidance)
+		e.misdirected = true
+		e.avoid(now, misdirectedAvoidance)
 	case Answered:
 	}
 }
--- a/internal/membership/railfleet/fleet_test.go
+++ b/internal/membership/railfleet/fleet_test.go
@@ -209,3 +209,22 @@
 	qt.Assert(t, ok, qt.IsTrue)
 	qt.Check(t, l.Instance.ID, qt.Equals, "1")
 }
+
+// An endpoint whose address another one has taken is not asked again and again until the list says so.
+func TestAMisdirectedRequestIsNotFollowedByOthersUntilTheEntryChanges(t *testing.T) {
+	railvirtual.Test(t, func(t *testing.T) {
+		i := engine("1")
+		f, need := newFleet(1, i)
+		l, ok := f.Reserve(need)
+		qt.Assert(t, ok, qt.IsTrue)
+		l.Done(railfleet.Misdirected)
+		time.Sleep(time.Second)
+		f.SetInstances([]railinstance.Instance{i})
+		_, ok = f.Reserve(need)
+		qt.Check(t, ok, qt.IsFalse)
+		i.Revision++
+		f.SetInstances([]railinstance.Instance{i})
+		_, ok = f.Reserve(need)
+		qt.Check(t, ok, qt.IsTrue)
+	})
+}
--- a/internal/node/railcarrier/carrier.go
+++ b/internal/node/railcarrier/carrier.go
@@ -107,6 +107,12 @@
 	return listener.Run(ctx, c.Inner)
 }
 
+// Changed tells that the configuration or the version wanted has changed.
+func (c *Carrier) Changed() {
+	c.once.Do(c.init)
+	c.installer.Changed()
+}
+
 func (c *Carrier) init() {
 	vault := &railvault.Vault{}
 	stage := &railstage.Stage{Engine: c.Engine, Chunk: vault.Chunk}
--- a/internal/rollout/railinstaller/installer.go
+++ b/internal/rollout/railinstaller/installer.go
@@ -18,6 +18,8 @@
 const (
 	idlePause = 800 * time.Millisecond
 	look      = 60 * time.Millisecond
+	// lookLoad is the time between two looks at an engine that loads.
+	lookLoad = 25 * time.Millisecond
 	// lookEngine is the time between two looks at an engine that does not answer or has not been ready yet.
 	lookEngine = 150 * time.Millisecond
 	// loadLimit bounds the wait for an ordered load, which begins after the engine's running answers.
@@ -83,6 +85,10 @@
 	Fetcher Fetcher
 	Log     *slog.Logger
 
+	once sync.Once
+	// changed and fetched tell of another version that may be wanted, and of one that is there whole.
+	changed, fetched chan struct{}
+
 	mu sync.Mutex
 	// fetching and complete are the version that is fetched now and the newest one that is there whole.
 	fetching, complete weights
@@ -101,11 +107,29 @@
 // Run fetches and installs what is wanted until ctx is done.
 func (n *Installer) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	wg.Go(func() { n.repeat(ctx, "fetch", look, n.fetch) })
-	wg.Go(func() { n.repeat(ctx, "install", idlePause, n.install) })
+	n.init()
+	wg.Go(func() { n.repeat(ctx, "fetch", look, n.changed, n.fetch) })
+	wg.Go(func() { n.repeat(ctx, "install", idlePause, n.fetched, n.install) })
 	wg.Wait()
 }
 
+// Changed tells that another version may be wanted now.
+func (n *Installer) Changed() {
+	n.init()
+	wake(n.changed)
+}
+
+func (n *Installer) init() {
+	n.once.Do(func() { n.changed, n.fetched = make(chan struct{}, 1), make(chan struct{}, 1) })
+}
+
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // Chunk returns the place of a chunk in the version that is fetched now.
 func (n *Installer) Chunk(digest string) (model string, version int64, index int) {
 	n.mu.Lock()
@@ -113,8 +137,8 @@
 	return n.fetching.model, n.fetching.version, n.fetching.manifest.Index(digest)
 }
 
-// repeat makes passes, with a pause after each that found nothing to do.
-func (n *Installer) repeat(ctx context.Context, name string, idle time.Duration, pass func(context.Context) error) {
+// repeat makes passes, with a pause after each that found nothing to do, which news end.
+func (n *Installer) repeat(ctx context.Context, name string, idle time.Duration, news <-chan struct{}, pass func(context.Context) error) {
 	last := ""
 	for ctx.Err() == nil {
 		err := pass(ctx)
@@ -126,7 +150,11 @@
 			last = err.Error()
 			n.Log.Warn("weights are not in place yet", "step", name, "err", err)
 		}
-		railtimer.Sleep(ctx, pause)
+		select {
+		case <-ctx.Done():
+		case <-news:
+		case <-time.After(pause):
+		}
 	}
 }
 
@@ -156,12 +184,16 @@
 	return n.setComplete(ctx, w)
 }
 
-// recover takes over what the engine has staged from before this process began, as soon as the engine answers.
-func (n *Installer) recover(ctx context.Context, w weights) {
-	for !n.recovered.Load() {
+// recover takes over what the engine has staged from before this process began, as soon as the engine answers; first is closed
+// after the first attempt.
+func (n *Installer) recover(ctx context.Context, w weights, first chan<- struct{}) {
+	for attempt := 0; !n.recovered.Load(); attempt++ {
 		bounded, cancel := context.WithTimeout(ctx, stageLimit)
 		err := n.Stage.Recover(bounded, w.model, w.manifest, func(digest string, data []byte) error { return n.Store.Put(bounded, digest, data) })
 		cancel()
+		if attempt == 0 {
+			close(first)
+		}
 		if err == nil {
 			n.recovered.Store(true)
 			return
@@ -178,14 +210,13 @@
 func (n *Installer) bring(ctx context.Context, w weights, wanted int64) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	own := make(chan struct{})
-	go func() {
-		defer close(own)
-		n.recover(ctx, w)
-	}()
-	select {
-	case <-own:
-	case <-time.After(ownFirst):
+	if !n.recovered.Load() {
+		first := make(chan struct{})
+		go n.recover(ctx, w, first)
+		select {
+		case <-first:
+		case <-time.After(ownFirst):
+		}
 	}
 	go n.supersede(ctx, w.manifest, wanted, cancel)
 	if err := n.Fetcher.Fetch(ctx, w.manifest); err != nil {
@@ -235,6 +266,7 @@
 	kept := append(append([]string(nil), w.manifest.Chunks...), n.complete.manifest.Chunks...)
 	n.complete = w
 	n.mu.Unlock()
+	wake(n.fetched)
 	return n.Store.Keep(ctx, kept)
 }
 
@@ -253,7 +285,7 @@
 		case err != nil:
 			return err
 		case w.version == 0 && state.Version == 0:
-			railtimer.Sleep(ctx, look)
+			n.awaitFetched(ctx)
 			continue
 		case w.version <= state.Version:
 			return nil
@@ -272,6 +304,15 @@
 	return ctx.Err()
 }
 
+// awaitFetched waits for a short time until a version is there whole.
+func (n *Installer) awaitFetched(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-n.fetched:
+	case <-time.After(look):
+	}
+}
+
 // announce tells the entries some time ahead that the engine is to change over, so that it has little left to do by then.
 func (n *Installer) announce(serving int64, wait time.Duration) {
 	if wait > announceAhead || time.Since(n.announced) < announcePause {
@@ -294,7 +335,9 @@
 		return err
 	}
 	n.Notify(0, 0)
-	railtimer.Sleep(ctx, noticeLead)
+	if serving > 0 {
+		railtimer.Sleep(ctx, noticeLead)
+	}
 	bounded, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	began := time.Now()
@@ -322,7 +365,7 @@
 
 func (n *Installer) await(ctx context.Context, version int64) error {
 	began := time.Now()
-	for time.Since(began) < loadLimit && railtimer.Sleep(ctx, look) {
+	for time.Since(began) < loadLimit && railtimer.Sleep(ctx, lookLoad) {
 		state, err := n.state(ctx)
 		switch {
 		case err != nil:
