Read the manifest of a version from the origin once, and twice to be sure

An agent started beside a fresh engine could not begin while the origin was away, though all others knew the manifest. A manifest spoilt on its way would never have been noticed: no chunk would have fitted it.

Change: one agent in rendezvous order reads it from the origin, until two answers are the same; the others have it from that one, or from the first of their region. The second one stands in; any agent asks the origin when others fail.

--- a/internal/node/railcarrier/carrier.go
+++ b/internal/node/railcarrier/carrier.go
@@ -18,6 +18,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railchunks"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railfinder"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railinstaller"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railmanifest"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railpacer"
@@ -91,6 +92,7 @@
 	store     *railchunks.Store
 	sharing   *railsharing.Server
 	swarm     *railswarm.Swarm
+	finder    *railfinder.Finder
 	installer *railinstaller.Installer
 }
 
@@ -128,8 +130,11 @@
 		Self: c.Self, Store: c.store, Members: func() []railmember.Member { return c.members(fetchList) }, Ask: c.ask, Tell: c.tell,
 		Origin: c.origin, OriginRegion: c.originRegion, Pace: downloads, Seed: rand.Uint64(), Log: raillog.Part(c.Log, "fetcher"),
 	}
+	c.finder = &railfinder.Finder{
+		Self: c.Self, Members: func() []railmember.Member { return c.members(fetchList) }, Ask: c.askManifest, Origin: c.manifest, OriginRegion: c.originRegion,
+	}
 	c.installer = &railinstaller.Installer{
-		Engine: c.Engine, Wanted: c.wanted, Manifest: c.manifest, Turn: c.turn, Notify: c.Notify, Stage: stage, Store: c.store, Fetcher: c.swarm,
+		Engine: c.Engine, Wanted: c.wanted, Manifest: c.finder.Find, Turn: c.turn, Notify: c.Notify, Stage: stage, Store: c.store, Fetcher: c.swarm,
 		Log: raillog.Part(c.Log, "rollout"),
 	}
 }
@@ -145,6 +150,7 @@
 	return backend.Engine.Model, version
 }
 
+// manifest reads a manifest from the origin.
 func (c *Carrier) manifest(ctx context.Context, model string, version int64) (railmanifest.Manifest, int64, error) {
 	catalog, _ := c.Catalog()
 	origin, ok := catalog.Origin()
@@ -203,6 +209,10 @@
 	return c.Dialer.Agent(ctx, m.Address).Chunk(ctx, req)
 }
 
+func (c *Carrier) askManifest(ctx context.Context, m railmember.Member, req *railproto.ManifestRequest) (*railproto.ManifestReply, error) {
+	return c.Dialer.Agent(ctx, m.Address).Manifest(ctx, req)
+}
+
 // tell tells another agent what is held here.
 func (c *Carrier) tell(m railmember.Member, inventory *railproto.Inventory) {
 	address, err := net.ResolveUDPAddr("udp4", m.Address)
@@ -243,3 +253,7 @@
 func (s *service) Chunk(ctx context.Context, req *railproto.ChunkRequest) (*railproto.ChunkReply, error) {
 	return s.carrier.sharing.Chunk(ctx, req)
 }
+
+func (s *service) Manifest(ctx context.Context, req *railproto.ManifestRequest) (*railproto.ManifestReply, error) {
+	return s.carrier.finder.Answer(ctx, req)
+}
