Take back what has not begun on old weights shortly before their time ends

An entry sends to old weights when one and a half times the predicted time and 200 ms fit; that time was 2.6 times the predicted.

Ruled out: a version met late (all entries met it within 25 ms), the time recorded for it, engines that had other weights than told.

Change: an attempt on weights whose time is about to end has a moment by which its answer must have begun, 150 ms before that (about a pass of an engine); what has not begun by then is taken back and tried on newer weights, without blame for the endpoint. Longer margins for sending were not taken: they would leave engines idle that answer in time, and bound nothing.

Tests: the moment in virtual time; a gateway before an engine that never begins, seen failing before the change (504 in place of 200).

--- a/internal/membership/railfleet/fleet_test.go
+++ b/internal/membership/railfleet/fleet_test.go
@@ -177,14 +177,16 @@
 func checkDueWeights(t *testing.T) {
 	f, need := newFleet(1, engine("1"))
 	need.DueVersion, need.DueAt = 2, time.Now().Add(time.Second)
-	_, ok := f.Reserve(need)
-	qt.Check(t, ok, qt.IsTrue)
+	l, ok := f.Reserve(need)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Check(t, time.Until(l.BeginBy) > 0 && l.BeginBy.Before(need.DueAt), qt.IsTrue, qt.Commentf("%s", time.Until(l.BeginBy)))
 	need.Prompt, need.DueAt = 4000, time.Now().Add(500*time.Millisecond) // It begins after 0.33 s as predicted, or later.
 	_, ok = f.Reserve(need)
 	qt.Check(t, ok, qt.IsFalse)
 	need.DueVersion = 1
-	_, ok = f.Reserve(need)
-	qt.Check(t, ok, qt.IsTrue)
+	l, ok = f.Reserve(need)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Check(t, l.BeginBy.IsZero(), qt.IsTrue)
 }
 
 func TestAFailingEndpointIsLeftAndTriedAgain(t *testing.T) {
--- a/internal/membership/railfleet/lease.go
+++ b/internal/membership/railfleet/lease.go
@@ -26,6 +26,8 @@
 	Instance railinstance.Instance
 	// Predicted is the time in which the answer was predicted to begin.
 	Predicted time.Duration
+	// BeginBy is the time by which the answer has to begin, or zero for no such time: then that of the endpoint's weights is over.
+	BeginBy time.Time
 	// Load is what was in flight at the endpoint, from all entries, when the place was given.
 	Load railpass.Load
 
@@ -39,6 +41,9 @@
 
 func (f *Fleet) lease(e *endpoint, need Need, predicted time.Duration, now time.Time) *Lease {
 	l := &Lease{Instance: e.Instance, Predicted: predicted, fleet: f, at: e, part: railpass.Load{Running: 1}, granted: now, Load: e.load.With(f.elsewhere(e.hash))}
+	if e.Version < need.DueVersion {
+		l.BeginBy = need.DueAt.Add(-beginMargin)
+	}
 	if need.Backend.Engine != nil {
 		l.part.Unread = need.Backend.Engine.Timing.ReadTime(need.Prompt)
 	}
--- a/internal/node/railgateway/forward.go
+++ b/internal/node/railgateway/forward.go
@@ -31,6 +31,7 @@
 	errRefused = errors.New("the endpoint has refused the request as not run")
 	errGarbled = errors.New("the answer is not one to this request")
 	errSilent  = errors.New("the endpoint is silent")
+	errDue     = errors.New("the time for the endpoint's weights is over")
 	errOwn     = errors.New("the endpoint failed")
 	errRevoked = errors.New("the key is not valid any more")
 	errSpent   = errors.New("no repeat is left")
@@ -153,9 +154,13 @@
 
 // try makes one attempt; its verdict is for this attempt alone.
 func (g *Gateway) try(c *call, lease *railfleet.Lease, after *progress) (*attempt, railverdict.Verdict, error) {
-	ctx, cancel := context.WithCancel(c.work)
-	a := &attempt{lease: lease, cancel: cancel}
-	silence := time.AfterFunc(g.patience(c), cancel)
+	ctx, cancel := context.WithCancelCause(c.work)
+	a := &attempt{lease: lease, cancel: func() { cancel(nil) }}
+	patience, reason := g.patience(c), errSilent
+	if left := time.Until(lease.BeginBy); !lease.BeginBy.IsZero() && left < patience {
+		patience, reason = left, errDue
+	}
+	silence := time.AfterFunc(patience, func() { cancel(reason) })
 	defer silence.Stop()
 	req := g.request(c, lease, after)
 	exchange, verdict, err := railexchange.Start(ctx, lease.Instance.Address, req)
@@ -169,7 +174,7 @@
 		return a, verdict, nil
 	}
 	if ctx.Err() != nil && c.work.Err() == nil {
-		err = errors.Mark(err, errSilent)
+		err = errors.Mark(err, context.Cause(ctx))
 	}
 	a.close(blame(c, err))
 	return nil, verdict, err
@@ -250,7 +255,7 @@
 		return railfleet.Misdirected
 	case errors.Is(err, errRefused):
 		return railfleet.Refused
-	case errors.Is(err, errOwn), c.work.Err() != nil && errors.Is(c.work.Err(), context.Canceled):
+	case errors.Is(err, errOwn), errors.Is(err, errDue), c.work.Err() != nil && errors.Is(c.work.Err(), context.Canceled):
 		return railfleet.Answered
 	}
 	return railfleet.Failed
--- a/internal/node/railgateway/gateway_test.go
+++ b/internal/node/railgateway/gateway_test.go
@@ -101,6 +101,8 @@
 	url     string
 	gateway *railgateway.Gateway
 	age     time.Duration
+	// dueAt is the time from which on no answer may begin on weights older than version 2, or zero.
+	dueAt   time.Time
 	catalog railcatalog.Catalog
 	mu      sync.Mutex
 	stop    func()
@@ -114,7 +116,7 @@
 	d.url = "http://" + callers.Addr().String()
 	d.gateway = &railgateway.Gateway{
 		Callers: callers, Ready: ready, Translator: platform.Translator{}, KeyAge: 4 * time.Second, RetryShare: 0.1,
-		Oldest: func(string) int64 { return 0 }, Log: slog.New(slog.DiscardHandler),
+		Oldest: func(string) int64 { return 0 }, Due: d.due, Log: slog.New(slog.DiscardHandler),
 		Catalog: func() (railcatalog.Catalog, bool) {
 			d.mu.Lock()
 			defer d.mu.Unlock()
@@ -135,6 +137,15 @@
 	return d
 }
 
+func (d *deployment) due(string) (int64, time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.dueAt.IsZero() {
+		return 0, 0
+	}
+	return 2, time.Until(d.dueAt)
+}
+
 // serve starts the endpoints; the first is the one that is asked first.
 func serve(t *testing.T, endpoints []*endpoint) []railinstance.Instance {
 	var list []railinstance.Instance
@@ -148,7 +159,7 @@
 			far = "far"
 		}
 		list = append(list, railinstance.Instance{
-			ID: e.name, Service: "desk", Address: lis.Addr().String(), Slots: 6, Zone: far, Region: far, Version: 1,
+			ID: e.name, Service: "desk", Address: lis.Addr().String(), Slots: 6, Zone: far, Region: far, Version: int64(1 + i),
 		})
 	}
 	return list
@@ -274,6 +285,30 @@
 	}
 }
 
+// An engine may take far longer to begin than predicted; what has not begun on old weights shortly before their time is over is
+// taken back from there.
+func TestAnAnswerThatHasNotBegunOnOldWeightsInTimeIsTakenElsewhere(t *testing.T) {
+	gone := make(chan struct{})
+	near := &endpoint{name: "near", scripts: script(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // Only then does the stand-in notice that the connection ends.
+		<-r.Context().Done()
+		close(gone)
+	})}
+	far := &endpoint{name: "far", scripts: script(events(1, 2, true))}
+	d := newDeployment(t, near, far)
+	d.mu.Lock()
+	engine := &railbackend.Engine{Model: "m", Slots: 6, Timing: railbackend.Timing{Step: time.Millisecond, Stride: 5, ReadPerSecond: 1e6}}
+	d.catalog = d.catalog.WithBackends([]railbackend.Backend{{Name: "desk", Engine: engine}})
+	d.dueAt = time.Now().Add(time.Second)
+	d.mu.Unlock()
+	got := d.call(t, "/stream/x", key)
+	<-gone
+	qt.Check(t, got.err, qt.IsNil)
+	qt.Check(t, got.status, qt.Equals, http.StatusOK)
+	qt.Check(t, len(near.requests()), qt.Equals, 1)
+	qt.Check(t, len(far.requests()), qt.Equals, 1)
+}
+
 func TestKeysAreRefusedWhileTheirRevocationCannotBeKnown(t *testing.T) {
 	e := &endpoint{name: "near", scripts: script(good)}
 	d := newDeployment(t, e)
