Take chunks from a dozen neighbours, so that many agents take little longer

Each agent asked all 32 others of its region: a source's first chunks were asked for by all at once and given many times before they went on from others, and words about chunks came every 170 ms.

Ruled out: the number of agents that draw from the origin at once (six leaders in place of all: 8.2 s), the order of uploads.

Change: agents stand on a ring by their hash; those at powers of two are neighbours (all where there are twelve or fewer). Chunks are taken from neighbours, from others when those have had nothing for 250 ms; neighbours hear of each change, all of the region every 400 ms.

--- a/internal/rollout/railpicker/holder.go
+++ b/internal/rollout/railpicker/holder.go
@@ -27,8 +27,9 @@
 // Word is what another agent tells of itself.
 type Word struct {
 	Name string
-	// Outside says that it is in another region, and Far that it is in another zone.
-	Outside, Far bool
+	// Outside says that it is in another region, Far that it is in another zone, and Neighbour that chunks are to be taken from it
+	// rather than from others of the region.
+	Outside, Far, Neighbour bool
 	// Held and Importing are the chunks that it holds, and those that it is bringing into its region.
 	Held, Importing *bitset.BitSet
 }
@@ -37,6 +38,7 @@
 type holder struct {
 	held, importing bitset.BitSet
 	outside, far    bool
+	neighbour       bool
 	// heard and progressed are when the agent last told something, and when what it holds had grown.
 	heard, progressed time.Time
 	// claimed is when the agent first told that it is importing each of the chunks that it is importing.
@@ -62,7 +64,18 @@
 		}
 	}
 	h.held, h.importing, h.claimed = *word.Held, *word.Importing, claimed
-	h.outside, h.far, h.heard = word.Outside, word.Far, now
+	h.outside, h.far, h.neighbour, h.heard = word.Outside, word.Far, word.Neighbour, now
+}
+
+// in reports whether the agent belongs to a part of the others.
+func (h *holder) in(c circle) bool {
+	switch c {
+	case neighbours:
+		return !h.outside && h.neighbour
+	case region:
+		return !h.outside
+	}
+	return h.outside
 }
 
 // offers reports whether a chunk may be asked for here.
--- a/internal/rollout/railpicker/imports.go
+++ b/internal/rollout/railpicker/imports.go
@@ -15,7 +15,7 @@
 	manyAgents    = 4
 	// helpAfter is the time for which a chunk may be had outside the region before the second agent in its order imports it, and
 	// helpStep what each further one waits longer.
-	helpAfter = 300 * time.Millisecond
+	helpAfter = 400 * time.Millisecond
 	helpStep  = 50 * time.Millisecond
 	// lonelyAfter is the time for which a single agent of the region holds a chunk before it is imported again: that agent's
 	// link may be so slow that the chunk does not get on.
@@ -62,7 +62,7 @@
 	}
 	from, count := Origin, 1
 	if !p.Draws {
-		from, count = p.offers(chunk, true, now)
+		from, count = p.offers(chunk, outside, now)
 	}
 	if p.offered == nil {
 		p.offered = map[int]time.Time{}
--- a/internal/rollout/railpicker/picker.go
+++ b/internal/rollout/railpicker/picker.go
@@ -23,6 +23,8 @@
 	// left to ask for: after that time and that many times the usual one.
 	repeatAfter  = 150 * time.Millisecond
 	repeatFactor = 3
+	// aloneAfter is the time without any chunk after which others than the neighbours are asked.
+	aloneAfter = 250 * time.Millisecond
 	// repeatsAtOnce is the number of holders that one chunk is asked for at the same time.
 	repeatsAtOnce = 2
 )
@@ -79,6 +81,15 @@
 	Corrupt
 )
 
+// circle is a part of the other agents.
+type circle uint8
+
+const (
+	neighbours circle = iota
+	region
+	outside
+)
+
 type flight struct {
 	from     string
 	began    time.Time
@@ -169,9 +180,12 @@
 	pick, ok := p.nextImport(now)
 	imported := ok
 	if !ok && p.waiting(now) < p.depth(now) {
-		if pick, ok = p.rarest(now); !ok {
+		if pick, ok = p.rarest(now, neighbours); !ok {
 			pick, ok = p.overdue(now)
 		}
+		if !ok && p.alone(now) {
+			pick, ok = p.rarest(now, region)
+		}
 	}
 	if !ok {
 		return Pick{}, false
@@ -218,15 +232,20 @@
 	return f, now.Sub(f.began)
 }
 
-// rarest returns a chunk that the fewest agents of the region hold and that a free one can give.
-func (p *Picker) rarest(now time.Time) (Pick, bool) {
+// alone reports whether the neighbours have had nothing to give for a while.
+func (p *Picker) alone(now time.Time) bool {
+	return now.Sub(p.Latest()) > aloneAfter
+}
+
+// rarest returns a chunk that the fewest of the agents asked hold and that a free one can give.
+func (p *Picker) rarest(now time.Time, asked circle) (Pick, bool) {
 	var best Pick
 	fewest, ties := 0, 0
 	for chunk := range p.Chunks {
 		if p.Has(chunk) || len(p.flights[chunk]) > 0 {
 			continue
 		}
-		from, count := p.offers(chunk, false, now)
+		from, count := p.offers(chunk, asked, now)
 		switch {
 		case from == "" || ties > 0 && count > fewest:
 			continue
@@ -242,13 +261,13 @@
 	return best, ties > 0
 }
 
-// offers returns the free holder in or outside the region from which a chunk comes soonest, or an empty name, and the number
-// of all its holders there.
-func (p *Picker) offers(chunk int, outside bool, now time.Time) (from string, count int) {
+// offers returns the free holder among those asked from which a chunk comes soonest, or an empty name, and the number of all its
+// holders there.
+func (p *Picker) offers(chunk int, asked circle, now time.Time) (from string, count int) {
 	var least time.Duration
 	for _, name := range p.names {
 		h := p.holders[name]
-		if h.outside != outside || !h.offers(chunk, now) {
+		if !h.in(asked) || !h.offers(chunk, now) {
 			continue
 		}
 		count++
@@ -275,9 +294,9 @@
 		if now.Sub(f.began) < max(repeatAfter, repeatFactor*p.usual) || !oldest.IsZero() && !f.began.Before(oldest) {
 			continue
 		}
-		from, _ := p.offers(chunk, false, now)
+		from, _ := p.offers(chunk, region, now)
 		if from == "" && f.imported {
-			from, _ = p.offers(chunk, true, now)
+			from, _ = p.offers(chunk, outside, now)
 		}
 		if from != "" {
 			best, oldest = Pick{Chunk: chunk, From: from}, f.began
--- a/internal/rollout/railswarm/job.go
+++ b/internal/rollout/railswarm/job.go
@@ -53,6 +53,8 @@
 	members []railmember.Member
 	// ranks holds for each chunk this agent's place in the order in which the region's agents import it.
 	ranks map[int]int
+	// neighbours holds for each agent of the region whether it is a neighbour.
+	neighbours map[string]bool
 	// reported is when the log was last told how far the fetching is.
 	reported time.Time
 }
@@ -216,6 +218,7 @@
 	defer j.mu.Unlock()
 	if !slices.Equal(members, j.members) {
 		j.members, j.ranks = members, map[int]int{}
+		j.neighbours = j.neighbourhood()
 	}
 }
 
@@ -223,13 +226,18 @@
 func (j *job) rank(chunk int) int {
 	rank, ok := j.ranks[chunk]
 	if !ok {
-		order := byName.Top(j.manifest.Chunks[chunk], inRegion(j.members, j.swarm.Self.Region), len(j.members))
+		order := j.order(chunk, j.swarm.Self.Region)
 		rank = slices.IndexFunc(order, func(m railmember.Member) bool { return m.Name == j.swarm.Self.Name })
 		j.ranks[chunk] = rank
 	}
 	return rank
 }
 
+// order returns a region's agents in the order in which they import a chunk.
+func (j *job) order(chunk int, region string) []railmember.Member {
+	return byName.Top(j.manifest.Chunks[chunk], inRegion(j.members, region), len(j.members))
+}
+
 // chain returns the regions in the order in which each imports from the one before: that of the origin first, if any agent is
 // there. That spares the links of the first region's agents.
 func (j *job) chain() []string {
--- a/internal/rollout/railswarm/swarm_test.go
+++ b/internal/rollout/railswarm/swarm_test.go
@@ -249,6 +249,17 @@
 	})
 }
 
+// Where all agents of a large region asked all others, each source's first chunks were asked for by all at once, and 99 agents took
+// three times as long.
+func TestManyAgentsTakeLittleLonger(t *testing.T) {
+	railvirtual.Test(t, func(t *testing.T) {
+		w := newSwarm(t)
+		took := longest(w.fetch(w.addMany(0, 99, linkRate, false)...))
+		qt.Check(t, took < 2*copyTime, qt.IsTrue, qt.Commentf("%s, one copy takes %s", took, copyTime))
+		qt.Check(t, w.drawn.Load() <= chunks*5/4, qt.IsTrue, qt.Commentf("%d chunks drawn", w.drawn.Load()))
+	})
+}
+
 func TestAddedAgentsAreHeldUpByNoSlowLink(t *testing.T) {
 	railvirtual.Test(t, func(t *testing.T) {
 		w := newSwarm(t)
--- a/internal/rollout/railswarm/talk.go
+++ b/internal/rollout/railswarm/talk.go
@@ -17,6 +17,10 @@
 	tellPause         = 40 * time.Millisecond
 	tellPausePerAgent = 4 * time.Millisecond
 	tellAgain         = 200 * time.Millisecond
+	// tellAll is the time between two tellings to all agents of the region, and allNeighbours the number of a region's agents up
+	// to which each is a neighbour of all others.
+	tellAll       = 400 * time.Millisecond
+	allNeighbours = 12
 	// askOutsidePause is the time between two questions to the region before in the chain, and askOutside the number of its
 	// agents that are asked each time.
 	askOutsidePause = 200 * time.Millisecond
@@ -33,8 +37,8 @@
 type talk struct {
 	// told is when each agent was last told what is held here.
 	told map[string]time.Time
-	// regionTold and outsideAsked are when the region was last told and other regions were last asked.
-	regionTold, outsideAsked time.Time
+	// regionTold, allTold and outsideAsked are when the neighbours and all of the region were last told, and other regions asked.
+	regionTold, outsideAsked, allTold time.Time
 	// heldThen and importingThen are what the region was told last.
 	heldThen, importingThen *bitset.BitSet
 	// heard holds the agents that told something, which the list may not show yet.
@@ -56,7 +60,8 @@
 	j.talk.heard[from.Name] = from
 	j.talk.outsideHeard[from.Region] = now
 	j.picker.Hear(railpicker.Word{
-		Name: from.Name, Outside: outside, Far: from.Zone != j.swarm.Self.Zone, Held: held, Importing: decode(inventory.GetImporting()),
+		Name: from.Name, Outside: outside, Far: from.Zone != j.swarm.Self.Zone, Neighbour: !outside && j.isNeighbour(from.Name),
+		Held: held, Importing: decode(inventory.GetImporting()),
 	}, now)
 	pause := answerPause
 	if outside {
@@ -81,7 +86,7 @@
 	j.mu.Lock()
 	var to []railmember.Member
 	if j.tellsRegion(now) {
-		to = j.others(inRegion(j.members, j.swarm.Self.Region))
+		to = j.told(now)
 	}
 	if j.picker.Missing() > 0 && !j.picker.Draws && now.Sub(j.talk.outsideAsked) >= askOutsidePause {
 		j.talk.outsideAsked = now
@@ -103,7 +108,7 @@
 	held, importing := j.picker.Held(), j.picker.Importing()
 	changed := t.heldThen == nil || !held.Equal(t.heldThen) || !importing.Equal(t.importingThen)
 	since := now.Sub(t.regionTold)
-	pause := tellPause + time.Duration(j.picker.Others)*tellPausePerAgent
+	pause := tellPause + time.Duration(min(j.picker.Others, allNeighbours))*tellPausePerAgent
 	if j.picker.Missing() > 0 && (since < pause || !changed && since < tellAgain) {
 		return false
 	}
@@ -133,12 +138,44 @@
 		j.mu.Unlock()
 		return
 	}
-	first := byName.Top(j.manifest.Chunks[chunk], inRegion(j.members, chain[next]), 1)
+	first := j.order(chunk, chain[next])[0]
 	inventory := j.inventory()
 	j.mu.Unlock()
-	for _, m := range first {
-		j.swarm.Tell(m, inventory)
-	}
+	j.swarm.Tell(first, inventory)
+}
+
+// told returns the agents of the region that are to be told what is here: the neighbours each time, and all from time to time.
+func (j *job) told(now time.Time) []railmember.Member {
+	all := j.others(inRegion(j.members, j.swarm.Self.Region))
+	if now.Sub(j.talk.allTold) >= tellAll || j.picker.Missing() == 0 {
+		j.talk.allTold = now
+		return all
+	}
+	return slices.DeleteFunc(all, func(m railmember.Member) bool { return !j.isNeighbour(m.Name) })
+}
+
+// isNeighbour reports whether an agent of the region is a neighbour; those that the list does not show yet are.
+func (j *job) isNeighbour(name string) bool {
+	neighbour, listed := j.neighbours[name]
+	return neighbour || !listed
+}
+
+// neighbourhood returns for each other agent of the region whether it is a neighbour of this one: those that stand at powers of
+// two before or after it on a ring, so that a chunk comes from any agent to any other in a few steps.
+func (j *job) neighbourhood() map[string]bool {
+	ring := byName.Top(j.digest, inRegion(j.members, j.swarm.Self.Region), len(j.members))
+	self := slices.IndexFunc(ring, func(m railmember.Member) bool { return m.Name == j.swarm.Self.Name })
+	neighbours := map[string]bool{}
+	for at, m := range ring {
+		distance := (at - self + len(ring)) % len(ring)
+		near := isPowerOfTwo(distance) || isPowerOfTwo(len(ring)-distance)
+		neighbours[m.Name] = len(ring) <= allNeighbours || near
+	}
+	return neighbours
+}
+
+func isPowerOfTwo(n int) bool {
+	return n > 0 && n&(n-1) == 0
 }
 
 // others returns agents without this one.
