Let neither a hang-up nor a second SIGTERM end a process that stops

An entry got SIGTERM at 6.700 s and was gone at 6.771 s, with 62 answers on their way, without a line: a SIGHUP came in the middle of its stop, and the process no longer took hang-ups then, so that the signal's default ended it. The same could happen in the first moments of a process.

Change: hang-ups are taken from the first line of the command to the end of the process. Only a second interrupt, as from a terminal, cuts work off.

--- a/internal/command/railagentcmd/agent.go
+++ b/internal/command/railagentcmd/agent.go
@@ -25,7 +25,7 @@
 	cmd := &cobra.Command{
 		Use:   "agent",
 		Short: "Guard one endpoint and bring weights to it",
-		Long:  "Guard the endpoint beside this process: admit what it bears, run each order at most once, and bring weights to it.\n\nThe first interrupt stops the process as planned: it takes no new work, and running calls end. A second one ends it at once.",
+		Long:  "Guard the endpoint beside this process: admit what it bears, run each order at most once, and bring weights to it.\n\nThe first interrupt or SIGTERM stops the process as planned: it takes no new work, and running calls end. A second interrupt ends it at once; further SIGTERMs change nothing.",
 		Example: `  # Start the agent beside an engine
   $ fulmarrail agent --settings assistant-7.ini`,
 	}
--- a/internal/command/railentrycmd/entry.go
+++ b/internal/command/railentrycmd/entry.go
@@ -27,7 +27,7 @@
 	cmd := &cobra.Command{
 		Use:   "entry",
 		Short: "Take callers' requests to endpoints",
-		Long:  "Take callers' requests to endpoints, and publish the operators' folder.\n\nThe first interrupt stops the process as planned: it is no longer ready, and running answers end. A second one ends it at once.",
+		Long:  "Take callers' requests to endpoints, and publish the operators' folder.\n\nThe first interrupt or SIGTERM stops the process as planned: it is no longer ready, and running answers end. A second interrupt ends it at once; further SIGTERMs change nothing.",
 		Example: `  # Start an entry from its settings file
   $ fulmarrail entry --settings entry-1.ini
 
--- a/internal/command/railfactory/factory.go
+++ b/internal/command/railfactory/factory.go
@@ -20,6 +20,9 @@
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildialer"
 )
 
+// signalsKept is the number of signals that wait while one is obeyed.
+const signalsKept = 4
+
 // Factory holds what commands share; tests swap its fields.
 type Factory struct {
 	In       io.Reader
@@ -48,21 +51,30 @@
 	return slog.New(slog.NewTextHandler(f.Err, &slog.HandlerOptions{Level: level})).With("role", role)
 }
 
-// Context returns a context that is done at the first interrupt; the second one ends the process at once.
+// Context returns a context that is done at the first interrupt or request to terminate. A second interrupt, as from a terminal,
+// ends the process at once; further requests to terminate change nothing, since supervisors repeat them.
 func (f *Factory) Context() (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.Background())
-	signals := make(chan os.Signal, 2)
+	signals := make(chan os.Signal, signalsKept)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	go func() {
-		<-signals
-		cancel()
-		<-signals
-		_, _ = io.WriteString(f.Err, "second signal: running work is cut off\n")
-		os.Exit(int(railexit.Cut))
-	}()
+	go f.obey(signals, cancel, os.Exit)
 	return ctx, cancel
 }
 
+// obey stops at the first signal and exits at a later interrupt.
+func (f *Factory) obey(signals <-chan os.Signal, stop func(), exit func(code int)) {
+	<-signals
+	stop()
+	for s := range signals {
+		if s != os.Interrupt {
+			continue
+		}
+		_, _ = io.WriteString(f.Err, "second interrupt: running work is cut off\n")
+		exit(int(railexit.Cut))
+		return
+	}
+}
+
 // Ask surveys the listed processes that match, or returns an error when the list shows none.
 func (f *Factory) Ask(ctx context.Context, settings railsettings.Settings, match func(railmember.Member) bool) (railsurvey.Survey, error) {
 	list, err := f.Members(ctx, settings)
--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -47,7 +47,7 @@
 // NewCmdGateway returns the command.
 func NewCmdGateway(f *railfactory.Factory) *cobra.Command {
 	return railsiteprocess.Command(f, "gateway", "Take callers' requests to endpoints directly",
-		"Take callers' requests to endpoints that have no agent beside them.\n\nThe first interrupt stops the process as planned: it takes no new work, and running answers end. A second one ends it at once.",
+		"Take callers' requests to endpoints that have no agent beside them.\n\nThe first interrupt or SIGTERM stops the process as planned: it takes no new work, and running answers end. A second interrupt ends it at once; further SIGTERMs change nothing.",
 		run)
 }
 
--- a/internal/command/railsiteprocess/process.go
+++ b/internal/command/railsiteprocess/process.go
@@ -64,6 +64,7 @@
 	cmd.Example = "  # Start the process with the settings of its VM\n  $ fulmarrail " + role + " --settings /etc/fulmarrail/settings.ini"
 	path := cmd.Flags().String(settingsFlag, "", "INI file with the process's settings (default: the file that "+settingsVariable+" names)")
 	cmd.RunE = func(*cobra.Command, []string) error {
+		hangups := hangups()
 		if *path == "" {
 			*path = os.Getenv(settingsVariable)
 		}
@@ -72,12 +73,12 @@
 			return railexit.With(err, railexit.Usage)
 		}
 		p := &Process{Factory: f, Role: role, Site: site, path: *path}
-		return p.run(run)
+		return p.run(run, hangups)
 	}
 	return cmd
 }
 
-func (p *Process) run(run func(context.Context, *Process) error) error {
+func (p *Process) run(run func(context.Context, *Process) error, hangups <-chan os.Signal) error {
 	sink := railsink.New(p.Factory.Out)
 	logs, endLogs := context.WithCancel(context.Background())
 	written := make(chan struct{})
@@ -93,7 +94,7 @@
 	p.Log = slog.New(slog.NewJSONHandler(sink, &slog.HandlerOptions{Level: &p.level})).With("role", p.Role, "name", p.Site.Process.Name)
 	ctx, cancel := p.Factory.Context()
 	defer cancel()
-	go p.reload(ctx)
+	go p.reload(hangups)
 	p.Clock = railclock.New()
 	p.Store = &platform.Store{HTTP: &platform.Caller{Timeout: p.Site.Process.Timeout}, Address: p.Site.Process.Store}
 	p.Current = &railcurrent.Current{Weights: p.Site.Bounds.Weights, Recorded: p.recorded.Load, Log: raillog.Part(p.Log, "config")}
@@ -110,17 +111,9 @@
 }
 
 // reload reads the settings again on each hang-up signal. The level of the logs changes at once; for all else that is
-// different the line says that it takes a new start.
-func (p *Process) reload(ctx context.Context) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-signals:
-		}
+// different the line says that it takes a new start. It goes on while the process stops: a hang-up that nobody takes ends it.
+func (p *Process) reload(hangups <-chan os.Signal) {
+	for range hangups {
 		site, err := railsite.Load(p.path)
 		if err != nil {
 			p.Log.Error("settings can't be read, the last ones stay in force", "err", err)
@@ -131,6 +124,13 @@
 	}
 }
 
+// hangups returns the hang-up signals that come from now on, to the end of the process.
+func hangups() <-chan os.Signal {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	return signals
+}
+
 // Follow keeps a copy of a table; changed gets all rows after each change.
 func (p *Process) Follow(table string, wait, pause time.Duration, changed func(map[string]railrows.Row)) *railrows.Follower {
 	return &railrows.Follower{
