Count the wait for a slot into the prediction of the first token

By the new lines for answers most of them went to engines whose 16 slots were taken: the model knew the reading and the passes, not the wait until one of the running answers ends.

Change: once the slots are taken, the prediction adds the time that the usual answer takes, divided by the slots, for each request over them. The mean answer is read from the configuration.

Also: deadlines stand in the lines of answers and refusals.

--- a/internal/config/railbackend/backend.go
+++ b/internal/config/railbackend/backend.go
@@ -24,8 +24,8 @@
 	// Layers is the number of the model's layers, and Chunks that of the pieces that its weights consist of.
 	Layers, Chunks int
 	ChunkBytes     int
-	// UsualPrompt is the mean number of a prompt's tokens, or 0 where it is not known.
-	UsualPrompt int
+	// UsualPrompt and UsualAnswer are the mean numbers of a prompt's and an answer's tokens, or 0 where they are not known.
+	UsualPrompt, UsualAnswer int
 	Timing      Timing
 }
 
--- a/internal/limit/railpass/load.go
+++ b/internal/limit/railpass/load.go
@@ -36,6 +36,15 @@
 	return l.Unread + read + l.steps(t)
 }
 
+// SlotWait predicts the time until one more request has one of a number of slots, each of which an answer of a number of tokens
+// takes up.
+func (l Load) SlotWait(t railbackend.Timing, slots, tokens int) time.Duration {
+	if slots <= 0 || l.Running < slots {
+		return 0
+	}
+	return l.Writing(t, tokens) * time.Duration(l.Running-slots+1) / time.Duration(slots)
+}
+
 // Writing predicts the time from an answer's first token to its last.
 func (l Load) Writing(t railbackend.Timing, tokens int) time.Duration {
 	passes := float64(tokens) / float64(max(t.Stride, 1))
--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -176,7 +176,7 @@
 	}
 	timing := need.Backend.Engine.Timing
 	read := timing.ReadTime(need.Prompt)
-	begin := time.Duration(e.pace * float64(load.FirstToken(timing, read)))
+	begin := time.Duration(e.pace * float64(load.FirstToken(timing, read)+load.SlotWait(timing, e.Slots, need.Backend.Engine.UsualAnswer)))
 	// A long prompt must not be kept out by its own length for as long as shorter ones fill the engines.
 	long := time.Duration(0)
 	if usual := need.Backend.Engine.UsualPrompt; usual > 0 {
--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -160,7 +160,7 @@
 	}
 	count(c, no.status)
 	g.Log.Info("request refused", "request", c.ID, "route", c.route.Name, "customer", c.customer.Name, "status", no.status,
-		"reason", no.reason, "after", time.Since(c.began))
+		"reason", no.reason, "deadline", c.Wait, "after", time.Since(c.began))
 }
 
 // fail answers a request by what is known of whether it has run.
@@ -187,7 +187,7 @@
 	lease := a.lease
 	g.Log.Log(context.Background(), level, "request answered", "request", c.ID, "route", c.route.Name, "customer", c.customer.Name,
 		"endpoint", lease.Instance.ID, "zone", lease.Instance.Zone, "row", lease.Instance.Revision, "held", c.held, "predicted", lease.Predicted,
-		"first", c.first, "gap", c.gap, "running", lease.Load.Running, "unread", lease.Load.Unread, "prompt", c.PromptTokens, "after", time.Since(c.began))
+		"first", c.first, "gap", c.gap, "running", lease.Load.Running, "unread", lease.Load.Unread, "prompt", c.PromptTokens, "deadline", c.Wait, "after", time.Since(c.began))
 }
 
 // count counts a request that has ended with a status.
