--- a/internal/config/railbackend/backend.go
+++ b/internal/config/railbackend/backend.go
@@ -26,7 +26,7 @@
 	ChunkBytes     int
 	// UsualPrompt and UsualAnswer are the mean numbers of a prompt's and an answer's tokens, or 0 where they are not known.
 	UsualPrompt, UsualAnswer int
-	Timing      Timing
+	Timing                   Timing
 }
 
 // Timing holds what one pass of an engine takes.
--- a/internal/config/raillearner/learner_test.go
+++ b/internal/config/raillearner/learner_test.go
@@ -59,8 +59,10 @@
 			Current: e.current, Age: func() time.Duration { return w.ageOf(e) }, Entries: w.members,
 			Instances: func() []railinstance.Instance {
 				return []railinstance.Instance{
-					{Service: service, Address: "10.0.0.1:80", Zone: "near"}, {Service: service, Address: "10.0.0.2:80", Zone: "far", Draining: true},
-					{Service: "orders", Address: "10.0.0.3:80", Zone: "far"}, {Service: service, Address: "10.0.0.4:80", Zone: "far"},
+					{Service: service, Address: "10.0.0.1:80", Zone: "near"},
+					{Service: service, Address: "10.0.0.2:80", Zone: "far", Draining: true},
+					{Service: "orders", Address: "10.0.0.3:80", Zone: "far"},
+					{Service: service, Address: "10.0.0.4:80", Zone: "far"},
 				}
 			},
 		}
