Divide the cold limit among the entries that are known, and send nothing before they are

The store was away until 37.0 s, all VMs lost power at 34.1 s. Each entry reads the configuration, the engines and the other entries by calls of their own, each with pauses of up to a second between tries; an entry that had the first two and not the third took itself for the only one, and used the whole limit (39 a second) instead of a seventeenth.

Ruled out: rows of entries that are gone (they make the part smaller).

Change: membership/railentries divides the limit; an entry that does not know the others has no part and is not ready; an entry that is heard of by datagrams counts before the table shows it. When one table can be read again, the others are tried at once. The log says "does not answer yet" without an age where no copy was ever read.

--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/config/railbriefer"
 	"github.com/fulmarrail/fulmarrail/internal/core/raillog"
 	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
+	"github.com/fulmarrail/fulmarrail/internal/membership/railentries"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railfleet"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
@@ -59,9 +60,9 @@
 	fleet  *railfleet.Fleet
 
 	briefer *railbriefer.Briefer
+	entries *railentries.Entries
 
 	mu        sync.Mutex
-	members   []railmember.Member
 	peers     []*net.UDPAddr
 	rows      map[string]railrows.Row
 	instances []railinstance.Instance
@@ -86,19 +87,20 @@
 	if err != nil {
 		return errors.Wrap(err, "listen on inner")
 	}
-	g.briefer = &railbriefer.Briefer{Current: p.Current, Age: g.age, Instances: g.listed, Entries: g.entries}
+	g.entries = &railentries.Entries{Self: site.Process.Name, Log: raillog.Part(p.Log, "entries")}
+	g.briefer = &railbriefer.Briefer{Current: p.Current, Age: g.age, Instances: g.listed, Entries: g.members}
 	front := &railgateway.Gateway{
 		Callers: callers, Ready: ready, ReadyPath: platform.ReadyPath, Translator: platform.Translator{}, Catalog: p.Current.Get, Oldest: p.Current.Oldest, Due: p.Current.Due,
-		Age: g.age, KeyAge: trustedFor(site.Bounds.Revocation), RetryShare: site.Bounds.RepeatShare / 2,
+		Placed: g.placed, Age: g.age, KeyAge: trustedFor(site.Bounds.Revocation), RetryShare: site.Bounds.RepeatShare / 2,
 		Log: raillog.Part(p.Log, "front"),
 	}
 	g.fleet = &railfleet.Fleet{
 		Zone: site.Process.Zone, Region: site.Process.Region, ColdOvershoot: site.Bounds.ColdOvershoot, ColdSlack: site.Bounds.ColdSlack,
-		Entries: g.count, Changed: front.Wake, Log: raillog.Part(p.Log, "fleet"),
+		Share: g.entries.Share, Changed: front.Wake, Log: raillog.Part(p.Log, "fleet"),
 	}
 	front.Fleet = g.fleet
 	exchange := &raildigest.Exchange{
-		Name: site.Process.Name, Peers: g.others, Digest: g.fleet.Digest, Absorb: g.fleet.Absorb, Notice: g.fleet.Notice, Interval: digestInterval,
+		Name: site.Process.Name, Peers: g.others, Digest: g.fleet.Digest, Absorb: g.absorb, Notice: g.fleet.Notice, Interval: digestInterval,
 		Socket: &raildatagram.Socket{Conn: datagrams, Log: raillog.Part(p.Log, "digest")},
 	}
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -175,9 +177,9 @@
 	members := g.Entries(slices.Collect(maps.Values(rows)))
 	slices.SortFunc(members, func(a, b railmember.Member) int { return cmp.Compare(a.Name, b.Name) })
 	others := slices.DeleteFunc(slices.Clone(members), func(m railmember.Member) bool { return m.Name == g.Site.Process.Name })
-	peers := raildatagram.Addresses(others)
+	g.entries.Set(members)
 	g.mu.Lock()
-	g.members, g.peers = members, peers
+	g.peers = raildatagram.Addresses(others)
 	g.mu.Unlock()
 	g.briefer.Changed()
 }
@@ -188,15 +190,21 @@
 	return g.peers
 }
 
-func (g *gateway) entries() []railmember.Member {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.members
+func (g *gateway) members() []railmember.Member {
+	members, _ := g.entries.Members()
+	return members
+}
+
+// placed reports whether the other entries are known.
+func (g *gateway) placed() bool {
+	_, known := g.entries.Members()
+	return known
 }
 
-// count returns the number of entries that may send requests, this one included.
-func (g *gateway) count() int {
-	return max(len(g.entries()), 1)
+// absorb takes over what another entry has in flight.
+func (g *gateway) absorb(entry string, sequence uint64, loads []*railproto.EndpointLoad) bool {
+	g.entries.Hear(entry)
+	return g.fleet.Absorb(entry, sequence, loads)
 }
 
 // announce writes this entry's row until that has worked.
--- a/internal/command/railsiteprocess/process.go
+++ b/internal/command/railsiteprocess/process.go
@@ -23,6 +23,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/core/railadmin"
 	"github.com/fulmarrail/fulmarrail/internal/core/railclock"
 	"github.com/fulmarrail/fulmarrail/internal/core/raillog"
+	"github.com/fulmarrail/fulmarrail/internal/core/railsignal"
 	"github.com/fulmarrail/fulmarrail/internal/core/railsink"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
@@ -54,6 +55,8 @@
 	path   string
 	level  slog.LevelVar
 	config *railrows.Follower
+	// answers is notified when the store answers again.
+	answers railsignal.Signal
 	// recorded says that the times at which versions of weights were named have been read.
 	recorded atomic.Bool
 }
@@ -135,7 +138,7 @@
 func (p *Process) Follow(table string, wait, pause time.Duration, changed func(map[string]railrows.Row)) *railrows.Follower {
 	return &railrows.Follower{
 		Source: p.Store, Table: table, Wait: wait, Pause: pause, Timeout: p.Site.Process.Timeout, Now: p.Clock.Now,
-		Changed: changed, Log: raillog.Part(p.Log, "store"),
+		Answers: &p.answers, Changed: changed, Log: raillog.Part(p.Log, "store"),
 	}
 }
 
--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -37,8 +37,8 @@
 	Zone, Region string
 	// ColdOvershoot and ColdSlack say how much more than its cold limit an endpoint bears in one second.
 	ColdOvershoot, ColdSlack float64
-	// Entries returns the number of entries that may send requests.
-	Entries func() int
+	// Share returns the part that this entry may use of a number of requests a second that an endpoint bears from all entries.
+	Share func(endpoint string, total int) int
 	// Changed is called after each change that may give room to a waiting request.
 	Changed func()
 	Log     *slog.Logger
@@ -158,13 +158,13 @@
 	case need.Backend.IsEngine() && (e.Version == 0 || e.Version < need.Version):
 		return false
 	}
-	return true
+	return f.bears(e, need.Backend, 0)
 }
 
 // predict returns the time until an answer begins, with the cost of the way there, and whether that is soon enough and
 // within what the endpoint bears.
 func (f *Fleet) predict(e *endpoint, need Need) (time.Duration, bool) {
-	if limit := f.perSecond(need.Backend); limit > 0 && e.window.Count(time.Now()) >= limit {
+	if !f.bears(e, need.Backend, e.window.Count(time.Now())) {
 		return 0, false
 	}
 	load := e.load.With(f.elsewhere(e.hash))
@@ -206,12 +206,12 @@
 	return 0
 }
 
-// perSecond returns the number of requests that this entry may send to one endpoint in any second, or 0 for no bound: an
+// bears reports whether this entry may send one more request to an endpoint after a number of them in the last second: an
 // endpoint may turn cold at any moment.
-func (f *Fleet) perSecond(b railbackend.Backend) int {
+func (f *Fleet) bears(e *endpoint, b railbackend.Backend, sent int) bool {
 	if b.ColdPerSecond <= 0 {
-		return 0
+		return true
 	}
 	borne := coldShare * (b.ColdPerSecond*f.ColdOvershoot + f.ColdSlack)
-	return max(int(borne)/max(f.Entries(), 1), 1)
+	return sent < f.Share(e.ID, int(borne))
 }
--- a/internal/membership/railfleet/fleet_test.go
+++ b/internal/membership/railfleet/fleet_test.go
@@ -22,7 +22,7 @@
 // newFleet returns a fleet of engines, and a need that any of them meets.
 func newFleet(entries int, list ...railinstance.Instance) (*railfleet.Fleet, railfleet.Need) {
 	f := &railfleet.Fleet{
-		Zone: zone, Region: zone, ColdOvershoot: 1.5, ColdSlack: 5, Entries: func() int { return entries }, Changed: func() {},
+		Zone: zone, Region: zone, ColdOvershoot: 1.5, ColdSlack: 5, Share: func(_ string, total int) int { return total / entries }, Changed: func() {},
 		Log: slog.New(slog.DiscardHandler),
 	}
 	f.SetInstances(list)
@@ -125,6 +125,18 @@
 	qt.Check(t, f.Absorb("b", 6, []*railproto.EndpointLoad{{Endpoint: 1, Running: 9}}), qt.IsFalse)
 }
 
+// An entry without a part of what an engine bears in cold start must not send to it, even if nothing else is in flight there.
+func TestAnEntryWithoutAPartSendsNothingToEnginesThatMayBeCold(t *testing.T) {
+	f, need := newFleet(1, engine("1"))
+	f.Share = func(string, int) int { return 0 }
+	qt.Check(t, f.Serving(need), qt.Equals, 0)
+	_, ok := f.Reserve(need)
+	qt.Check(t, ok, qt.IsFalse)
+	need.Backend.ColdPerSecond = 0
+	_, ok = f.Reserve(need)
+	qt.Check(t, ok, qt.IsTrue, qt.Commentf("an endpoint without a cold limit"))
+}
+
 // Prompts that are read together pause the answers of an engine.
 func TestReadingIsBoundedByThePauseOnTime(t *testing.T) {
 	f, need := newFleet(1, engine("1"))
--- a/internal/node/railgateway/gateway.go
+++ b/internal/node/railgateway/gateway.go
@@ -41,6 +41,9 @@
 	Fleet      *railfleet.Fleet
 	// Catalog returns the configuration in force, or false when none is known.
 	Catalog func() (railcatalog.Catalog, bool)
+	// Placed reports whether this entry knows which other entries there are, without which it can't tell its part of what
+	// endpoints bear.
+	Placed func() bool
 	// Age returns the time since the configuration was last known to be current.
 	Age func() time.Duration
 	// KeyAge is the age of the configuration from which on customers' keys can't be trusted any more.
@@ -134,6 +137,8 @@
 		return "the entry is about to stop"
 	case !known:
 		return "no configuration is known yet"
+	case !g.Placed():
+		return "the other entries are not known yet"
 	case catalog.NeedsKeys() && g.Age() > g.KeyAge:
 		return "the store is out of reach"
 	}
--- a/internal/platform/railrows/follower.go
+++ b/internal/platform/railrows/follower.go
@@ -9,6 +9,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 
+	"github.com/fulmarrail/fulmarrail/internal/core/railsignal"
 	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
 )
 
@@ -65,6 +66,8 @@
 	Timeout time.Duration
 	// Now returns the time since the machine's start, that of suspension included.
 	Now func() time.Duration
+	// Answers is notified when the store answers again, so that the followers that share it try again at once; nil is allowed.
+	Answers *railsignal.Signal
 	// Changed is called with all rows after each change, and once the table was read for the first time.
 	Changed func(rows map[string]Row)
 	Log     *slog.Logger
@@ -84,15 +87,32 @@
 	retry := &backoff.ExponentialBackOff{InitialInterval: firstRetry, RandomizationFactor: 0.5, Multiplier: 2, MaxInterval: longestWait}
 	retry.Reset()
 	for ctx.Err() == nil {
-		pause := f.Pause
+		again := f.again()
 		if err := f.step(ctx); err != nil {
-			pause = retry.NextBackOff()
 			f.noteLoss(ctx, err)
-		} else {
-			retry.Reset()
-			f.noteReturn()
+			f.await(ctx, again, retry.NextBackOff())
+			continue
 		}
-		railtimer.Sleep(ctx, pause)
+		retry.Reset()
+		f.noteReturn()
+		railtimer.Sleep(ctx, f.Pause)
+	}
+}
+
+// again returns a channel that is closed when another follower finds that the store answers again.
+func (f *Follower) again() <-chan struct{} {
+	if f.Answers == nil {
+		return nil
+	}
+	return f.Answers.Changed()
+}
+
+// await waits until the next try, which comes at once when the store answers another follower again.
+func (f *Follower) await(ctx context.Context, again <-chan struct{}, pause time.Duration) {
+	select {
+	case <-again:
+	case <-time.After(pause):
+	case <-ctx.Done():
 	}
 }
 
@@ -194,13 +214,19 @@
 		return
 	}
 	f.lost = true
-	age, known := f.Age()
-	f.Log.Warn("store lost", "table", f.Table, "err", err, "age", age, "known", known)
+	if age, known := f.Age(); known {
+		f.Log.Warn("store lost", "table", f.Table, "err", err, "age", age)
+		return
+	}
+	f.Log.Warn("store does not answer yet", "table", f.Table, "err", err)
 }
 
 func (f *Follower) noteReturn() {
 	if f.lost {
 		f.lost = false
 		f.Log.Info("store regained", "table", f.Table, "version", f.Version())
+		if f.Answers != nil {
+			f.Answers.Notify()
+		}
 	}
 }
--- a/internal/platform/railrows/follower_test.go
+++ b/internal/platform/railrows/follower_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 
+	"github.com/fulmarrail/fulmarrail/internal/core/railsignal"
 	"github.com/fulmarrail/fulmarrail/internal/lab/railvirtual"
 	"github.com/fulmarrail/fulmarrail/internal/platform/railrows"
 )
@@ -89,11 +90,11 @@
 	return v.rows
 }
 
-func follow(t *testing.T, s *source, changed func(map[string]railrows.Row)) *railrows.Follower {
+func follow(t *testing.T, s *source, changed func(map[string]railrows.Row), answers *railsignal.Signal) *railrows.Follower {
 	began := time.Now()
 	f := &railrows.Follower{
 		Source: s, Table: "t", Wait: time.Second, Timeout: time.Second, Now: func() time.Duration { return time.Since(began) },
-		Changed: changed, Log: slog.New(slog.DiscardHandler),
+		Answers: answers, Changed: changed, Log: slog.New(slog.DiscardHandler),
 	}
 	go f.Run(t.Context())
 	return f
@@ -108,7 +109,7 @@
 		s := &source{whole: railrows.Page{Rows: []railrows.Row{row("a", 1), row("b", 2)}, Version: 2}}
 		s.changes = []railrows.Page{{Rows: []railrows.Row{row("c", 3), {Key: "a", Version: 4, Removed: true}}, Version: 4}}
 		var v view
-		f := follow(t, s, v.take)
+		f := follow(t, s, v.take, nil)
 		time.Sleep(10 * time.Millisecond)
 		last := v.last()
 		qt.Check(t, len(last), qt.Equals, 2)
@@ -122,7 +123,7 @@
 	railvirtual.Test(t, func(t *testing.T) {
 		s := &source{whole: railrows.Page{Rows: []railrows.Row{row("a", 1)}, Version: 1}}
 		var v view
-		follow(t, s, v.take)
+		follow(t, s, v.take, nil)
 		time.Sleep(1500 * time.Millisecond)
 		s.set(func(s *source) { s.err = errors.New("away") })
 		time.Sleep(time.Second)
@@ -137,7 +138,7 @@
 func TestTheAgeGrowsWhileTheStoreIsSilent(t *testing.T) {
 	railvirtual.Test(t, func(t *testing.T) {
 		s := &source{whole: railrows.Page{Version: 1}}
-		f := follow(t, s, func(map[string]railrows.Row) {})
+		f := follow(t, s, func(map[string]railrows.Row) {}, nil)
 		time.Sleep(10500 * time.Millisecond)
 		age, known := f.Age()
 		qt.Check(t, known, qt.IsTrue)
@@ -148,3 +149,18 @@
 		qt.Check(t, age >= 5*time.Second, qt.IsTrue, qt.Commentf("age %s", age))
 	})
 }
+
+// After a loss of power of all VMs while the store was away the table of entries came up to a second after the configuration.
+func TestATableIsTriedAgainAsSoonAsTheStoreAnswersAnother(t *testing.T) {
+	railvirtual.Test(t, func(t *testing.T) {
+		var answers railsignal.Signal
+		s := &source{err: errors.New("away")}
+		f := follow(t, s, func(map[string]railrows.Row) {}, &answers)
+		time.Sleep(20 * time.Second) // The pause between two tries is at its longest.
+		s.set(func(s *source) { s.whole, s.err = railrows.Page{Version: 1}, nil })
+		answers.Notify()
+		time.Sleep(time.Millisecond)
+		_, known := f.Age()
+		qt.Check(t, known, qt.IsTrue)
+	})
+}
--- a/internal/routing/railadmitter/admitter_test.go
+++ b/internal/routing/railadmitter/admitter_test.go
@@ -17,7 +17,7 @@
 
 // newAdmitter returns an admitter of one plain endpoint that takes few requests at once.
 func newAdmitter() (*railadmitter.Admitter, railfleet.Need) {
-	f := &railfleet.Fleet{Entries: func() int { return 1 }, Changed: func() {}, Log: slog.New(slog.DiscardHandler)}
+	f := &railfleet.Fleet{Share: func(_ string, total int) int { return total }, Changed: func() {}, Log: slog.New(slog.DiscardHandler)}
 	f.SetInstances([]railinstance.Instance{{ID: "1", Service: "orders", Address: "10.0.0.1:1", Slots: 1}})
 	a := &railadmitter.Admitter{Fleet: f}
 	f.Changed = a.Wake
