Speak to the platform by one client, also in a deployment of its own

Cause: the product had two clients of a platform (internal/platform/railclient with a protocol made for the stand-in, and platform/ for the users' store), two sets of calls and two kinds of errors.

Change: the stand-in answers the users' store's calls (platform.Server before any Go store), railclient is gone, and platform.Deployment gives the rows, objects and VM list of a deployment of its own. Rows have versions from one counter there too, and a history. The list of VMs is read by its changes instead of whole. The weights of such a deployment are objects by digest (store/railweights). internal/platform is now internal/store, with the interface railstore.Store.

Found on the way, each with a test: rows hold 64 KiB on the platform, and an answer just below that left its key claimed for good (seen failing first: 64 KiB answer not recorded); slots recognized their own write by version + 1, which holds for one row's counter only; an error of a call says now whether it left the process.

Ruled out: keeping the stand-in's own protocol behind an interface (two clients); a table of its own for each region's view of the list in the store (the stand-in shows each region its view instead).

--- a/internal/command/railcarriercmd/carrier.go
+++ b/internal/command/railcarriercmd/carrier.go
@@ -15,7 +15,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/node/railcarrier"
-	"github.com/fulmarrail/fulmarrail/internal/platform/railrows"
+	"github.com/fulmarrail/fulmarrail/internal/store/railrows"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildatagram"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildialer"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
--- a/internal/command/railfactory/factory.go
+++ b/internal/command/railfactory/factory.go
@@ -15,9 +15,10 @@
 	"github.com/fulmarrail/fulmarrail/internal/command/railexit"
 	"github.com/fulmarrail/fulmarrail/internal/config/railsettings"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
-	"github.com/fulmarrail/fulmarrail/internal/platform/railclient"
 	"github.com/fulmarrail/fulmarrail/internal/report/railsurvey"
+	"github.com/fulmarrail/fulmarrail/internal/store/railstore"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildialer"
+	"github.com/fulmarrail/fulmarrail/platform"
 )
 
 // signalsKept is the number of signals that wait while one is obeyed.
@@ -29,6 +30,8 @@
 	Out, Err io.Writer
 	// Terminal says that Out is a terminal.
 	Terminal bool
+	// Platform returns the platform as the settings name it.
+	Platform func(settings railsettings.Settings, log *slog.Logger) railstore.Store
 	// Members reads the platform's list of VMs.
 	Members func(ctx context.Context, settings railsettings.Settings) ([]railmember.Member, error)
 	// Survey asks processes for their reports.
@@ -41,6 +44,7 @@
 	return &Factory{
 		In: os.Stdin, Out: os.Stdout, Err: os.Stderr,
 		Terminal: err == nil && info.Mode()&os.ModeCharDevice != 0,
+		Platform: openPlatform,
 		Members:  members,
 		Survey:   survey,
 	}
@@ -96,9 +100,13 @@
 	return errors.Wrap(encoder.Encode(v), "write JSON")
 }
 
+func openPlatform(s railsettings.Settings, log *slog.Logger) railstore.Store {
+	store := &platform.Store{HTTP: &platform.Caller{Timeout: s.Timeout}, Address: s.Platform}
+	return &platform.Deployment{Store: store, Log: log}
+}
+
 func members(ctx context.Context, s railsettings.Settings) ([]railmember.Member, error) {
-	client := &railclient.Client{Address: s.Platform, Timeout: s.Timeout}
-	list, err := client.Members(ctx, s.Region)
+	list, err := openPlatform(s, slog.New(slog.DiscardHandler)).Members(ctx, s.Region)
 	return list, errors.Wrap(err, "read the VM list; is the platform up, and is the settings' platform address right?")
 }
 
--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -24,7 +24,8 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/node/railgateway"
-	"github.com/fulmarrail/fulmarrail/internal/platform/railrows"
+	"github.com/fulmarrail/fulmarrail/internal/store/railrows"
+	"github.com/fulmarrail/fulmarrail/internal/store/railtable"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildatagram"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildigest"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raillistener"
@@ -216,7 +217,7 @@
 	}
 	for {
 		bounded, cancel := context.WithTimeout(ctx, g.Site.Process.Timeout)
-		err := g.Store.Put(bounded, railsiteprocess.TableEntries, g.Site.Process.Name, row)
+		_, err := g.Store.Change(bounded, railtable.Put(railsiteprocess.TableEntries, g.Site.Process.Name, row))
 		cancel()
 		if err == nil {
 			return
--- a/internal/command/railprocess/process.go
+++ b/internal/command/railprocess/process.go
@@ -15,7 +15,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/config/railsettings"
 	"github.com/fulmarrail/fulmarrail/internal/core/railadmin"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
-	"github.com/fulmarrail/fulmarrail/internal/platform/railclient"
+	"github.com/fulmarrail/fulmarrail/internal/store/railstore"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildialer"
 )
 
@@ -30,7 +30,7 @@
 	// Self to Log are set while the role runs.
 	Self     railmember.Member
 	Inner    net.Listener
-	Platform *railclient.Client
+	Platform railstore.Store
 	Dialer   *raildialer.Dialer
 	Log      *slog.Logger
 }
@@ -93,7 +93,7 @@
 		return err
 	}
 	p.Self, p.Inner = p.Settings.Member(p.Role), inner
-	p.Platform = &railclient.Client{Address: p.Settings.Platform, Timeout: p.Settings.Timeout}
+	p.Platform = p.Factory.Platform(p.Settings, p.Log)
 	p.Dialer = &raildialer.Dialer{Key: []byte(p.Settings.SharedKey), Timeout: p.Settings.Timeout}
 	defer func() { _ = p.Dialer.Close() }()
 	err = run(ctx)
--- a/internal/command/railsiteprocess/namings.go
+++ b/internal/command/railsiteprocess/namings.go
@@ -9,7 +9,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
-	"github.com/fulmarrail/fulmarrail/internal/platform/railrows"
+	"github.com/fulmarrail/fulmarrail/internal/store/railrows"
+	"github.com/fulmarrail/fulmarrail/internal/store/railtable"
 )
 
 const (
@@ -36,9 +37,9 @@
 	key := model + "/" + strconv.FormatInt(version, 10)
 	for range namingTries {
 		bounded, cancel := context.WithTimeout(ctx, p.Site.Process.Timeout)
-		err := p.Store.Create(bounded, tableNamings, key, []byte(at))
+		_, err := p.Store.Change(bounded, railtable.Put(tableNamings, key, []byte(at)).WithVersion(0))
 		cancel()
-		if err == nil {
+		if err == nil || errors.Is(err, railtable.ErrConflict) {
 			return
 		}
 		p.Log.Warn("time of new weights not recorded", "row", tableNamings+"/"+key, "err", err)
--- a/internal/command/railsiteprocess/process.go
+++ b/internal/command/railsiteprocess/process.go
@@ -27,7 +27,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/core/railsink"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
-	"github.com/fulmarrail/fulmarrail/internal/platform/railrows"
+	"github.com/fulmarrail/fulmarrail/internal/store/railrows"
 	"github.com/fulmarrail/fulmarrail/platform"
 )
 
--- a/internal/config/railpublisher/publisher.go
+++ b/internal/config/railpublisher/publisher.go
@@ -10,8 +10,8 @@
 	"github.com/fulmarrail/fulmarrail/internal/config/railfolder"
 	"github.com/fulmarrail/fulmarrail/internal/config/railkeeper"
 	"github.com/fulmarrail/fulmarrail/internal/config/railrevision"
-	"github.com/fulmarrail/fulmarrail/internal/platform/railobjects"
-	"github.com/fulmarrail/fulmarrail/internal/platform/railtable"
+	"github.com/fulmarrail/fulmarrail/internal/store/railobjects"
+	"github.com/fulmarrail/fulmarrail/internal/store/railtable"
 )
 
 const (
--- a/internal/config/railpublisher/publisher_test.go
+++ b/internal/config/railpublisher/publisher_test.go
@@ -11,8 +11,9 @@
 	"github.com/fulmarrail/fulmarrail/internal/config/railfolder"
 	"github.com/fulmarrail/fulmarrail/internal/config/railkeeper"
 	"github.com/fulmarrail/fulmarrail/internal/config/railpublisher"
-	"github.com/fulmarrail/fulmarrail/internal/platform/railtable"
 	"github.com/fulmarrail/fulmarrail/internal/standin/railplatform"
+	"github.com/fulmarrail/fulmarrail/internal/store/railtable"
+	"github.com/fulmarrail/fulmarrail/internal/store/railweights"
 )
 
 // pausedTable runs a function before each write, as when the writer is frozen at that moment.
@@ -36,7 +37,7 @@
 
 func publisher(platform *railplatform.Platform, table railtable.Table, view *railfolder.Folder) *railpublisher.Publisher {
 	return &railpublisher.Publisher{
-		Table: table, Objects: platform, Keeper: &railkeeper.Keeper{}, ResolveVersion: platform.ResolveVersion,
+		Table: table, Objects: platform, Keeper: &railkeeper.Keeper{}, ResolveVersion: railweights.Origin{Objects: platform}.ResolveVersion,
 		ReadFolder: func() (railfolder.Folder, error) { return *view, nil }, Log: slog.New(slog.DiscardHandler),
 	}
 }
--- a/internal/lab/raildeployment/deployment.go
+++ b/internal/lab/raildeployment/deployment.go
@@ -20,11 +20,12 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/node/railagent"
 	"github.com/fulmarrail/fulmarrail/internal/node/railentry"
-	"github.com/fulmarrail/fulmarrail/internal/platform/railclient"
 	"github.com/fulmarrail/fulmarrail/internal/standin/raildesk"
 	"github.com/fulmarrail/fulmarrail/internal/standin/railengine"
 	"github.com/fulmarrail/fulmarrail/internal/standin/railplatform"
+	"github.com/fulmarrail/fulmarrail/internal/store/railstore"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildialer"
+	"github.com/fulmarrail/fulmarrail/platform"
 )
 
 const (
@@ -275,8 +276,9 @@
 	return lis.Addr().String(), nil
 }
 
-func (d *Deployment) client() *railclient.Client {
-	return &railclient.Client{Address: d.platform, Timeout: platformTimeout}
+func (d *Deployment) client() railstore.Store {
+	store := &platform.Store{HTTP: &platform.Caller{Timeout: platformTimeout}, Address: d.platform}
+	return &platform.Deployment{Store: store, Log: d.Log}
 }
 
 func (d *Deployment) dialer() *raildialer.Dialer {
--- a/internal/lab/railstandins/standins.go
+++ b/internal/lab/railstandins/standins.go
@@ -64,7 +64,14 @@
 			_ = server.Shutdown()
 		}
 	}()
-	s.platform = &railplatform.Platform{WriteRate: writeRate, ReadRate: readRate, OriginRate: float64(s.Layout.OriginBPS), ListLag: listLag}
+	// Each region is told the addresses under which it reaches the others.
+	view := func(region string, m railmember.Member) railmember.Member {
+		m.Address = s.Layout.Address(region, m)
+		return m
+	}
+	s.platform = &railplatform.Platform{
+		WriteRate: writeRate, ReadRate: readRate, OriginRate: float64(s.Layout.OriginBPS), ListLag: listLag, View: view,
+	}
 	for version, weights := range s.Weights {
 		m := s.platform.AddWeights(version, weights, s.ChunkSize)
 		s.Log.Info("version in the origin", "version", version, "bytes", m.Size, "digest", m.Digest())
@@ -72,7 +79,7 @@
 	for _, p := range s.Layout.Processes {
 		s.platform.SetMember(p.Member)
 	}
-	if err := s.serve(s.Layout.Platform, s.handlePlatform); err != nil {
+	if err := s.serve(s.Layout.Platform, s.platform.Handle); err != nil {
 		return err
 	}
 	for _, p := range s.Layout.Processes {
@@ -112,19 +119,6 @@
 	return nil
 }
 
-// handlePlatform serves the platform; each region is told the addresses under which it reaches the others.
-func (s *Standins) handlePlatform(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) != "/vms" {
-		s.platform.Handle(ctx)
-		return
-	}
-	region := string(ctx.QueryArgs().Peek("from"))
-	s.platform.HandleMembers(ctx, func(m railmember.Member) railmember.Member {
-		m.Address = s.Layout.Address(region, m)
-		return m
-	})
-}
-
 func (s *Standins) serve(address string, handler fasthttp.RequestHandler) error {
 	lis, err := net.Listen("tcp", address)
 	if err != nil {
--- a/internal/node/railagent/agent.go
+++ b/internal/node/railagent/agent.go
@@ -22,7 +22,6 @@
 	"github.com/fulmarrail/fulmarrail/internal/limit/raillimiter"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railroster"
-	"github.com/fulmarrail/fulmarrail/internal/platform/railapi"
 	"github.com/fulmarrail/fulmarrail/internal/request/railcall"
 	"github.com/fulmarrail/fulmarrail/internal/request/railclaim"
 	"github.com/fulmarrail/fulmarrail/internal/request/railexecutor"
@@ -34,6 +33,8 @@
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railsharing"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railslots"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railuploads"
+	"github.com/fulmarrail/fulmarrail/internal/store/railstore"
+	"github.com/fulmarrail/fulmarrail/internal/store/railweights"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildialer"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raillistener"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
@@ -66,7 +67,7 @@
 	Key  []byte
 	// Inner is the listener for the system's other processes; nobody else can listen there while the agent lives.
 	Inner    net.Listener
-	Platform railapi.Platform
+	Platform railstore.Store
 	Endpoint railendpoint.Endpoint
 	Dialer   *raildialer.Dialer
 	Log      *slog.Logger
@@ -156,12 +157,13 @@
 }
 
 func (a *Agent) initRollout() {
+	origin := railweights.Origin{Objects: a.Platform}
 	a.pacer = &railpacer.Pacer{}
 	a.uploads = &railuploads.Scheduler{Slots: uploadSlots}
 	a.store = &railchunks.Store{Endpoint: a.Endpoint, WindowBytes: windowBytes}
 	a.sharing = &railsharing.Server{Store: a.store, Uploads: a.uploads, Pacer: a.pacer}
 	a.fetcher = &railfetcher.Fetcher{
-		Self: a.Self, Store: a.store, Members: a.holders, Ask: a.askChunk, Origin: a.Platform.Chunk,
+		Self: a.Self, Store: a.store, Members: a.holders, Ask: a.askChunk, Origin: origin.Chunk,
 		OriginRegion: a.originRegion, Takeover: defaultTake, Window: fetchWindow, Imports: importWindow,
 		Log: raillog.Part(a.Log, "fetcher"),
 	}
@@ -169,7 +171,7 @@
 		Service: a.Self.Service, Zone: a.Self.Zone, Name: a.Self.Name,
 		Keeper: a.keeper, Gate: a.gate, Endpoint: a.Endpoint, Store: a.store, Fetcher: a.fetcher, Timer: a.timer,
 		Slots:    &railslots.Slots{Table: a.Platform, Holder: a.Self.Name + "/" + a.gate.Incarnation, Lease: slotLease},
-		Manifest: a.Platform.Manifest, BeforeFetch: a.roster.Refresh, Alone: a.alone,
+		Manifest: origin.Manifest, BeforeFetch: a.roster.Refresh, Alone: a.alone,
 		Running: func() int { return int(a.gate.Limiter.Load().GetRunning()) },
 		Log:     raillog.Part(a.Log, "rollout"),
 	}
--- a/internal/node/railentry/entry.go
+++ b/internal/node/railentry/entry.go
@@ -16,7 +16,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/node/railfront"
 	"github.com/fulmarrail/fulmarrail/internal/node/railrouter"
-	"github.com/fulmarrail/fulmarrail/internal/platform/railapi"
+	"github.com/fulmarrail/fulmarrail/internal/store/railstore"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildialer"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raillistener"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
@@ -38,7 +38,7 @@
 	Key  []byte
 	// Callers and Inner are the listeners for callers and for the system's other processes.
 	Callers, Inner net.Listener
-	Platform       railapi.Platform
+	Platform       railstore.Store
 	// Folder is the directory of the operators' files, or empty for an entry that follows only.
 	Folder string
 	Dialer *raildialer.Dialer
--- a/internal/node/railrouter/router.go
+++ b/internal/node/railrouter/router.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/fulmarrail/fulmarrail/internal/core/raillog"
 
 	"github.com/fulmarrail/fulmarrail/internal/burn/railburn"
@@ -22,7 +23,6 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railroster"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railwatcher"
-	"github.com/fulmarrail/fulmarrail/internal/platform/railapi"
 	"github.com/fulmarrail/fulmarrail/internal/request/railrequest"
 	"github.com/fulmarrail/fulmarrail/internal/request/railverdict"
 	"github.com/fulmarrail/fulmarrail/internal/retry/railbudget"
@@ -31,6 +31,8 @@
 	"github.com/fulmarrail/fulmarrail/internal/routing/railchooser"
 	"github.com/fulmarrail/fulmarrail/internal/routing/raildispatcher"
 	"github.com/fulmarrail/fulmarrail/internal/routing/railhash"
+	"github.com/fulmarrail/fulmarrail/internal/store/railstore"
+	"github.com/fulmarrail/fulmarrail/internal/store/railweights"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildialer"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
@@ -51,7 +53,7 @@
 type Router struct {
 	// Self is the entry as the platform lists it.
 	Self     railmember.Member
-	Platform railapi.Platform
+	Platform railstore.Store
 	// ReadFolder returns a view of the operators' folder, or is nil for an entry that follows only.
 	ReadFolder func() (railfolder.Folder, error)
 	Dialer     *raildialer.Dialer
@@ -129,7 +131,7 @@
 		r.keeper = &railkeeper.Keeper{}
 		r.burn = &railburn.Recorder{}
 		r.publisher = &railpublisher.Publisher{
-			Table: r.Platform, Objects: r.Platform, Keeper: r.keeper, ResolveVersion: r.Platform.ResolveVersion,
+			Table: r.Platform, Objects: r.Platform, Keeper: r.keeper, ResolveVersion: railweights.Origin{Objects: r.Platform}.ResolveVersion,
 			ReadFolder: r.ReadFolder, Log: raillog.Part(r.Log, "config"),
 		}
 		r.roster = &railroster.Roster{
--- a/internal/platform/railapi/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package railapi is all that the system uses of the platform.
-package railapi
--- a/internal/request/railclaim/claimer.go
+++ b/internal/request/railclaim/claimer.go
@@ -13,7 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
-	"github.com/fulmarrail/fulmarrail/internal/platform/railtable"
+	"github.com/fulmarrail/fulmarrail/internal/store/railtable"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
 
@@ -23,7 +23,8 @@
 	firstPause     = 20 * time.Millisecond
 	longestPause   = 2 * time.Second
 	outcomeTimeout = 10 * time.Minute
-	maxAnswer      = 64 << 10
+	// maxAnswer is the longest answer that is kept; with what stands beside it, it fits the platform's row of 64 KiB.
+	maxAnswer = 60 << 10
 )
 
 var (
--- a/internal/request/railclaim/claimer_test.go
+++ b/internal/request/railclaim/claimer_test.go
@@ -91,3 +91,22 @@
 		})
 	}
 }
+
+// The platform takes rows of 64 KiB; a larger outcome would leave its key claimed for good.
+func TestALongAnswerIsLeftOutOfItsOutcome(t *testing.T) {
+	railvirtual.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		platform := &railplatform.Platform{}
+		a := claimer(platform, "a")
+		for i, length := range []int{10, 63 << 10, 64 << 10, 1 << 20} {
+			row := fmt.Sprint("row-", i)
+			version, _, err := a.Claim(t.Context(), row, "r1", "body", 0)
+			c.Assert(err, qt.IsNil)
+			a.Finish(row, version, "r1", "body", 200, "text/plain", make([]byte, length))
+			a.Wait()
+			_, standing, err := claimer(platform, "b").Claim(t.Context(), row, "r2", "body", 0)
+			c.Check(err, qt.ErrorIs, railclaim.ErrHeld)
+			c.Check(standing.GetDone(), qt.IsTrue, qt.Commentf("an answer of %d bytes", length))
+		}
+	})
+}
--- a/internal/rollout/railslots/slots.go
+++ b/internal/rollout/railslots/slots.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/fulmarrail/fulmarrail/internal/platform/railtable"
+	"github.com/fulmarrail/fulmarrail/internal/store/railtable"
 )
 
 const free = ""
@@ -137,7 +137,7 @@
 		return next, err
 	}
 	now, at, readErr := s.Table.Get(ctx, row)
-	if readErr == nil && at == version+1 && string(now) == value {
+	if readErr == nil && at > version && string(now) == value { // Nobody else writes this holder's name.
 		return at, nil
 	}
 	return 0, err
--- a/internal/standin/railplatform/platform.go
+++ b/internal/standin/railplatform/platform.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"maps"
+	"encoding/json"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -13,15 +14,14 @@
 
 	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
-	"github.com/fulmarrail/fulmarrail/internal/platform/railtable"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railmanifest"
+	"github.com/fulmarrail/fulmarrail/internal/standin/railtables"
+	"github.com/fulmarrail/fulmarrail/internal/store/railrows"
+	"github.com/fulmarrail/fulmarrail/internal/store/railtable"
+	"github.com/fulmarrail/fulmarrail/internal/store/railweights"
+	"github.com/fulmarrail/fulmarrail/platform"
 )
 
-type row struct {
-	value   []byte
-	version int64
-}
-
 // Platform is an in-memory platform; its fields are set before its first use and its knobs change it later.
 type Platform struct {
 	// WriteRate and ReadRate bound the table service in calls a second; 0 means no bound.
@@ -30,17 +30,18 @@
 	OriginRate float64
 	// ListLag is the time after which a change of the VM list can be seen.
 	ListLag time.Duration
+	// View returns a VM as the list shows it in a region; nil shows all alike.
+	View func(region string, m railmember.Member) railmember.Member
 	// Seed fixes the draws of lost answers.
 	Seed uint64
 
-	mu       sync.Mutex
-	random   *rand.Rand
-	rows     map[string]row
-	objects  map[string][]byte
-	members  map[string]railmember.Member
-	listed   []listing
-	versions map[string]string
-	blobs    map[string][]byte
+	tables railtables.Tables
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	objects map[string][]byte
+	// unseen holds the changes of the VM list that can't be seen yet, the oldest first.
+	unseen   []listing
 	down     bool
 	unlisted bool
 	slow     time.Duration
@@ -52,9 +53,10 @@
 	originBytes, writeCount, readCount int64
 }
 
+// listing is a change of the VM list.
 type listing struct {
-	at      time.Time
-	members []railmember.Member
+	at     time.Time
+	change railtable.Change
 }
 
 // SetDown begins or ends an outage of the table service, the object store and the VM list.
@@ -90,41 +92,81 @@
 	if err := p.enter(ctx, false); err != nil {
 		return nil, 0, err
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	r := p.rows[key]
-	return slices.Clone(r.value), r.version, nil
+	row := p.tables.Row(platform.TableState, key)
+	return row.Value, row.Version, nil
 }
 
 // Put writes a row whose version is the given one.
 func (p *Platform) Put(ctx context.Context, key string, value []byte, version int64) (int64, error) {
+	return p.Change(ctx, railtable.Put(platform.TableState, key, value).WithVersion(version))
+}
+
+// Table returns all rows of a table.
+func (p *Platform) Table(ctx context.Context, table string) (railrows.Page, error) {
+	region, list := strings.CutPrefix(table, platform.TableMembers)
+	if !list {
+		err := p.enter(ctx, false)
+		return p.tables.Table(table), err
+	}
+	if err := p.enterList(ctx); err != nil {
+		return railrows.Page{}, err
+	}
+	return p.view(region, p.tables.Table(platform.TableMembers))
+}
+
+// Changes returns the rows of a table that changed after a version.
+func (p *Platform) Changes(ctx context.Context, table string, after int64, wait time.Duration) (railrows.Page, error) {
+	region, list := strings.CutPrefix(table, platform.TableMembers)
+	if !list {
+		if err := p.enter(ctx, false); err != nil {
+			return railrows.Page{}, err
+		}
+		return p.tables.Changes(ctx, table, after, wait)
+	}
+	if err := p.enterList(ctx); err != nil {
+		return railrows.Page{}, err
+	}
+	page, err := p.tables.Changes(ctx, platform.TableMembers, after, wait)
+	if err != nil {
+		return page, err
+	}
+	return p.view(region, page)
+}
+
+// Change makes a change of a row.
+func (p *Platform) Change(ctx context.Context, c railtable.Change) (int64, error) {
 	if err := p.enter(ctx, true); err != nil {
 		return 0, err
 	}
+	version, err := p.tables.Change(c)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.rows[key]
-	if r.version != version {
-		return 0, railtable.ErrConflict
-	}
-	p.rows[key] = row{value: slices.Clone(value), version: version + 1}
-	if p.lossy > 0 && p.random.Float64() < p.lossy {
+	if err == nil && p.lossy > 0 && p.random.Float64() < p.lossy {
 		return 0, railtable.ErrUnknown
 	}
-	return version + 1, nil
+	return version, err
 }
 
-// Read returns an object's content.
+// Read returns an object's content; chunks come at the pace of the origin's link.
 func (p *Platform) Read(ctx context.Context, name string) ([]byte, error) {
-	if err := p.enter(ctx, false); err != nil {
-		return nil, err
+	if !railweights.IsWeights(name) { // The weights lie at an origin that does not share the store's outages.
+		if err := p.enter(ctx, false); err != nil {
+			return nil, err
+		}
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	content, ok := p.objects[name]
+	limiter := p.origin
+	if railweights.IsChunk(name) {
+		p.originBytes += int64(len(content))
+	}
+	p.mu.Unlock()
 	if !ok {
 		return nil, errors.Newf("there is no object %s", name)
 	}
+	if limiter != nil && railweights.IsChunk(name) {
+		return content, errors.Wrap(limiter.WaitN(ctx, len(content)), "wait for the origin's link")
+	}
 	return content, nil
 }
 
@@ -140,41 +182,32 @@
 }
 
 // Members returns the VM list as it was before the lag.
-func (p *Platform) Members(ctx context.Context, _ string) ([]railmember.Member, error) {
-	p.mu.Lock()
-	unlisted, delay := p.unlisted, p.slow
-	p.mu.Unlock()
-	if !railtimer.Sleep(ctx, delay) || unlisted {
-		return nil, railtable.ErrRefused
+func (p *Platform) Members(ctx context.Context, region string) ([]railmember.Member, error) {
+	page, err := p.Table(ctx, platform.TableMembers+region)
+	if err != nil {
+		return nil, err
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	visible := time.Now().Add(-p.ListLag)
-	var seen []railmember.Member
-	for _, l := range p.listed {
-		if !l.at.After(visible) {
-			seen = l.members
+	members := make([]railmember.Member, len(page.Rows))
+	for i, row := range page.Rows {
+		if err := json.Unmarshal(row.Value, &members[i]); err != nil {
+			return nil, errors.Wrapf(err, "decode the VM %s", row.Key)
 		}
 	}
-	return seen, nil
+	return members, nil
 }
 
 // SetMember adds or changes one VM of the list.
 func (p *Platform) SetMember(m railmember.Member) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.init()
-	p.members[m.Name] = m
-	p.list()
+	row, err := json.Marshal(m)
+	if err != nil {
+		panic(err) // A member consists of texts.
+	}
+	p.list(railtable.Put(platform.TableMembers, m.Name, row))
 }
 
 // RemoveMember takes one VM from the list.
 func (p *Platform) RemoveMember(name string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.init()
-	delete(p.members, name)
-	p.list()
+	p.list(railtable.Remove(platform.TableMembers, name))
 }
 
 // AddWeights puts a version of weights into the origin, points its name to it and returns its manifest.
@@ -185,47 +218,13 @@
 	p.init()
 	for i, digest := range m.Chunks {
 		start := int64(i) * chunkSize
-		p.blobs[digest] = weights[start : start+m.ChunkLength(i)]
+		p.objects[railweights.ChunkObject(digest)] = weights[start : start+m.ChunkLength(i)]
 	}
-	p.blobs[m.Digest()] = m.Encode()
-	p.versions[version] = m.Digest()
+	p.objects[railweights.ManifestObject(m.Digest())] = m.Encode()
+	p.objects[railweights.VersionObject(version)] = []byte(m.Digest())
 	return m
 }
 
-// ResolveVersion returns the digest of the manifest that a version's name points to.
-func (p *Platform) ResolveVersion(_ context.Context, version string) (string, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	digest, ok := p.versions[version]
-	if !ok {
-		return "", errors.Newf("there is no version %s", version)
-	}
-	return digest, nil
-}
-
-// Manifest returns the content of a manifest.
-func (p *Platform) Manifest(_ context.Context, digest string) ([]byte, error) {
-	return p.blob(digest)
-}
-
-// Chunk returns a chunk from the origin at the pace of its link.
-func (p *Platform) Chunk(ctx context.Context, digest string) ([]byte, error) {
-	content, err := p.blob(digest)
-	if err != nil {
-		return nil, err
-	}
-	p.mu.Lock()
-	p.originBytes += int64(len(content))
-	limiter := p.origin
-	p.mu.Unlock()
-	if limiter != nil {
-		if err := limiter.WaitN(ctx, len(content)); err != nil {
-			return nil, errors.Wrap(err, "wait for the origin's link")
-		}
-	}
-	return content, nil
-}
-
 // OriginBytes returns the bytes drawn from the origin.
 func (p *Platform) OriginBytes() int64 {
 	p.mu.Lock()
@@ -241,15 +240,11 @@
 }
 
 func (p *Platform) init() {
-	if p.rows != nil {
+	if p.objects != nil {
 		return
 	}
 	p.random = rand.New(rand.NewPCG(p.Seed, p.Seed))
-	p.rows = map[string]row{}
 	p.objects = map[string][]byte{}
-	p.members = map[string]railmember.Member{}
-	p.versions = map[string]string{}
-	p.blobs = map[string][]byte{}
 	if p.WriteRate > 0 {
 		p.writes = rate.NewLimiter(rate.Limit(p.WriteRate), int(p.WriteRate))
 	}
@@ -283,20 +278,46 @@
 	return nil
 }
 
-func (p *Platform) list() {
-	members := make([]railmember.Member, 0, len(p.members))
-	for _, name := range slices.Sorted(maps.Keys(p.members)) {
-		members = append(members, p.members[name])
+// enterList waits as a call of the VM list does, and makes the changes that can be seen now.
+func (p *Platform) enterList(ctx context.Context) error {
+	p.mu.Lock()
+	unlisted, delay := p.unlisted, p.slow
+	p.mu.Unlock()
+	if !railtimer.Sleep(ctx, delay) || unlisted {
+		return railtable.ErrRefused
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	visible := time.Now().Add(-p.ListLag)
+	for len(p.unseen) > 0 && !p.unseen[0].at.After(visible) {
+		if _, err := p.tables.Change(p.unseen[0].change); err != nil {
+			return err
+		}
+		p.unseen = p.unseen[1:]
 	}
-	p.listed = append(p.listed, listing{at: time.Now(), members: members})
+	return nil
 }
 
-func (p *Platform) blob(digest string) ([]byte, error) {
+func (p *Platform) list(c railtable.Change) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	content, ok := p.blobs[digest]
-	if !ok {
-		return nil, errors.Newf("the origin has nothing with the digest %s", digest)
+	p.unseen = append(p.unseen, listing{at: time.Now(), change: c})
+}
+
+// view returns rows of the VM list as a region sees them.
+func (p *Platform) view(region string, page railrows.Page) (railrows.Page, error) {
+	for i, row := range page.Rows {
+		if p.View == nil || row.Removed {
+			continue
+		}
+		var m railmember.Member
+		if err := json.Unmarshal(row.Value, &m); err != nil {
+			return page, errors.Wrapf(err, "decode the VM %s", row.Key)
+		}
+		var err error
+		if page.Rows[i].Value, err = json.Marshal(p.View(region, m)); err != nil {
+			return page, errors.Wrapf(err, "encode the VM %s", row.Key)
+		}
 	}
-	return content, nil
+	return page, nil
 }
--- a/internal/standin/railpower/switch.go
+++ b/internal/standin/railpower/switch.go
@@ -8,9 +8,9 @@
 
 	"github.com/fulmarrail/fulmarrail/internal/endpoint/railendpoint"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
-	"github.com/fulmarrail/fulmarrail/internal/platform/railapi"
-	"github.com/fulmarrail/fulmarrail/internal/platform/railtable"
 	"github.com/fulmarrail/fulmarrail/internal/request/railverdict"
+	"github.com/fulmarrail/fulmarrail/internal/store/railstore"
+	"github.com/fulmarrail/fulmarrail/internal/store/railtable"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
 
@@ -22,7 +22,7 @@
 }
 
 type platformView struct {
-	railapi.Platform
+	railstore.Store
 	power *Switch
 }
 
@@ -38,8 +38,8 @@
 func (s *Switch) Set(on bool) { s.off.Store(!on) }
 
 // PlatformView returns the platform as the process sees it.
-func (s *Switch) PlatformView(p railapi.Platform) railapi.Platform {
-	return &platformView{Platform: p, power: s}
+func (s *Switch) PlatformView(p railstore.Store) railstore.Store {
+	return &platformView{Store: p, power: s}
 }
 
 // EndpointView returns the endpoint as the process sees it; a call that has begun goes on there after the cut.
@@ -58,42 +58,35 @@
 	if err := v.power.err(); err != nil {
 		return nil, 0, err
 	}
-	return v.Platform.Get(ctx, key)
+	return v.Store.Get(ctx, key)
 }
 
 func (v *platformView) Put(ctx context.Context, key string, value []byte, version int64) (int64, error) {
 	if err := v.power.err(); err != nil {
 		return 0, err
 	}
-	return v.Platform.Put(ctx, key, value, version)
+	return v.Store.Put(ctx, key, value, version)
 }
 
 func (v *platformView) Read(ctx context.Context, name string) ([]byte, error) {
 	if err := v.power.err(); err != nil {
 		return nil, err
 	}
-	return v.Platform.Read(ctx, name)
+	return v.Store.Read(ctx, name)
 }
 
 func (v *platformView) Write(ctx context.Context, name string, content []byte) error {
 	if err := v.power.err(); err != nil {
 		return err
 	}
-	return v.Platform.Write(ctx, name, content)
+	return v.Store.Write(ctx, name, content)
 }
 
 func (v *platformView) Members(ctx context.Context, region string) ([]railmember.Member, error) {
 	if err := v.power.err(); err != nil {
 		return nil, err
 	}
-	return v.Platform.Members(ctx, region)
-}
-
-func (v *platformView) Chunk(ctx context.Context, digest string) ([]byte, error) {
-	if err := v.power.err(); err != nil {
-		return nil, err
-	}
-	return v.Platform.Chunk(ctx, digest)
+	return v.Store.Members(ctx, region)
 }
 
 func (v *endpointView) Run(ctx context.Context, req *railproto.ExecuteRequest, emit func(*railproto.Frame)) (railverdict.Verdict, error) {
--- a/internal/platform/railrows/follower.go
+++ b/internal/store/railrows/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"sync"
 	"time"
 
@@ -116,6 +117,18 @@
 	}
 }
 
+// Refresh makes one call, or returns its error; Run need not be used then.
+func (f *Follower) Refresh(ctx context.Context) error {
+	return f.step(ctx)
+}
+
+// Rows returns the copy.
+func (f *Follower) Rows() map[string]Row {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.rows)
+}
+
 // Age returns the time since the copy was last known to be current, or false before it was read at all.
 func (f *Follower) Age() (time.Duration, bool) {
 	f.mu.Lock()
@@ -190,10 +203,7 @@
 	f.version = max(f.version, page.Version)
 	f.storeNow, f.answered = page.Now, f.Now()
 	f.known = true
-	rows := make(map[string]Row, len(f.rows))
-	for k, v := range f.rows {
-		rows[k] = v
-	}
+	rows := maps.Clone(f.rows)
 	f.mu.Unlock()
 	if whole || len(page.Rows) > 0 {
 		f.Changed(rows)
--- a/internal/platform/railrows/follower_test.go
+++ b/internal/store/railrows/follower_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/fulmarrail/fulmarrail/internal/core/railsignal"
 	"github.com/fulmarrail/fulmarrail/internal/lab/railvirtual"
-	"github.com/fulmarrail/fulmarrail/internal/platform/railrows"
+	"github.com/fulmarrail/fulmarrail/internal/store/railrows"
 )
 
 // source answers reads as its fields say.
--- a/internal/platform/railtable/table.go
+++ b/internal/store/railtable/table.go
@@ -6,7 +6,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Table is a set of rows with conditional writes; a row's version starts at 1 and 0 means that it is absent.
+// Table is a set of rows with conditional writes; a row's version grows with each write and 0 means that it is absent.
 type Table interface {
 	// Get returns a row's value and version, or version 0 for an absent row.
 	Get(ctx context.Context, key string) (value []byte, version int64, err error)
