--- a/internal/command/railsiteprocess/namings.go
+++ b/internal/command/railsiteprocess/namings.go
@@ -73,14 +73,16 @@
 		return false
 	}
 	p.recorded.Store(true)
+	var faults []railrows.Fault
 	for _, row := range page.Rows {
 		n, err := parseNaming(row)
 		if err != nil {
-			p.Log.Warn("row does not tell when weights were named", "row", tableNamings+"/"+row.Key, "version", row.Version, "err", err)
+			faults = append(faults, railrows.Fault{Table: tableNamings, Key: row.Key, Version: row.Version, Err: err})
 			continue
 		}
 		p.Current.Learn(n.model, n.version, max(page.Now-n.at, 0))
 	}
+	p.faults[tableNamings].Report(faults)
 	return true
 }
 
--- a/internal/command/railsiteprocess/process.go
+++ b/internal/command/railsiteprocess/process.go
@@ -57,6 +57,8 @@
 	config *railrows.Follower
 	// answers is notified when the store answers again.
 	answers railsignal.Signal
+	// faults holds the rows that can't be read, by their table.
+	faults map[string]*railrows.Faults
 	// recorded says that the times at which versions of weights were named have been read.
 	recorded atomic.Bool
 }
@@ -98,6 +100,10 @@
 	ctx, cancel := p.Factory.Context()
 	defer cancel()
 	go p.reload(hangups)
+	p.faults = map[string]*railrows.Faults{}
+	for _, table := range []string{platform.TableOperator, platform.TableInstances, TableEntries, tableNamings} {
+		p.faults[table] = &railrows.Faults{Log: raillog.Part(p.Log, "store")}
+	}
 	p.Clock = railclock.New()
 	p.Store = &platform.Store{HTTP: &platform.Caller{Timeout: p.Site.Process.Timeout}, Address: p.Site.Process.Store}
 	p.Current = &railcurrent.Current{Weights: p.Site.Bounds.Weights, Recorded: p.recorded.Load, Log: raillog.Part(p.Log, "config")}
@@ -165,10 +171,10 @@
 
 // takeCatalog takes the operator's rows over, or keeps what is in force when they can't be read.
 func (p *Process) takeCatalog(rows map[string]railrows.Row) {
-	log := raillog.Part(p.Log, "config")
-	catalog, err := platform.Catalog(rows, log)
+	catalog, faults, err := platform.Catalog(rows)
+	p.faults[platform.TableOperator].Report(faults)
 	if err != nil {
-		log.Error("configuration can't be read, the last one stays in force", "err", err)
+		raillog.Part(p.Log, "config").Error("configuration can't be read, the last one stays in force", "err", err)
 		return
 	}
 	if _, known := p.Current.Get(); !known && catalog.NamesWeights() {
@@ -180,7 +186,8 @@
 // Instances returns the endpoints that the engines' rows name now.
 func (p *Process) Instances(rows map[string]railrows.Row) []railinstance.Instance {
 	catalog, _ := p.Current.Get()
-	listed := platform.Instances(rows, p.Site.Regions, p.Layers, raillog.Part(p.Log, "endpoints"))
+	listed, faults := platform.Instances(rows, p.Site.Regions, p.Layers)
+	p.faults[platform.TableInstances].Report(faults)
 	return railinstance.Latest(listed, func(service string) bool {
 		_, known := catalog.Backend(service)
 		return known
@@ -190,16 +197,18 @@
 // Entries returns the entries that their rows name.
 func (p *Process) Entries(rows []railrows.Row) []railmember.Member {
 	var list []railmember.Member
+	var faults []railrows.Fault
 	for _, row := range rows {
-		var e entryRow
-		if err := json.Unmarshal(row.Value, &e); err != nil || !isAddress(e.Address) {
-			p.Log.Warn("row names no entry, it is left out", "row", TableEntries+"/"+row.Key, "version", row.Version, "address", e.Address, "err", err)
+		e, err := parseEntry(row.Value)
+		if err != nil {
+			faults = append(faults, railrows.Fault{Table: TableEntries, Key: row.Key, Version: row.Version, Err: err})
 			continue
 		}
 		list = append(list, railmember.Member{
 			Name: row.Key, Role: railmember.RoleEntry, Address: e.Address, Zone: e.Zone, Region: p.Site.Regions[e.Zone],
 		})
 	}
+	p.faults[TableEntries].Report(faults)
 	return list
 }
 
@@ -215,9 +224,13 @@
 	Zone    string `json:"zone"`
 }
 
-func isAddress(text string) bool {
-	_, err := netip.ParseAddrPort(text)
-	return err == nil
+func parseEntry(value []byte) (entryRow, error) {
+	var e entryRow
+	if err := json.Unmarshal(value, &e); err != nil {
+		return e, err
+	}
+	_, err := netip.ParseAddrPort(e.Address)
+	return e, errors.Wrap(err, "field address")
 }
 
 // Layers returns the number of layers of the model that a service's engines serve, or 0 where none is known.
--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -75,7 +75,7 @@
 	next := make(map[string]*endpoint, len(list))
 	for _, i := range list {
 		e := f.endpoints[i.ID]
-		if e == nil || e.Address != i.Address {
+		if e == nil || e.Address != i.Address || e.Born != i.Born {
 			e = &endpoint{pace: 1}
 			f.Log.Info("endpoint appears", "endpoint", i.ID, "service", i.Service, "zone", i.Zone, "weights", i.Version, "row", i.Revision)
 		}
--- a/internal/membership/railfleet/fleet_test.go
+++ b/internal/membership/railfleet/fleet_test.go
@@ -242,3 +242,22 @@
 		qt.Check(t, ok, qt.IsTrue)
 	})
 }
+
+// An engine may start again under the id and address that it had, without its weights and without what was in flight.
+func TestAnEndpointThatStartsAgainUnderItsIDIsAnotherOne(t *testing.T) {
+	railvirtual.Test(t, func(t *testing.T) {
+		i := engine("1")
+		i.Born = 100
+		f, need := newFleet(1, i)
+		before := taken(f, need)["1"]
+		qt.Assert(t, before > 0, qt.IsTrue)
+		f.Notice(i.Address, 2, 0)
+		i.Born, i.Version = 200, 0
+		f.SetInstances([]railinstance.Instance{i})
+		_, ok := f.Reserve(need)
+		qt.Check(t, ok, qt.IsFalse, qt.Commentf("what was told of the former start does not count"))
+		i.Version = 2
+		f.SetInstances([]railinstance.Instance{i})
+		qt.Check(t, taken(f, need)["1"], qt.Equals, before)
+	})
+}
--- a/internal/membership/railinstance/instance.go
+++ b/internal/membership/railinstance/instance.go
@@ -14,6 +14,9 @@
 	ColdMillis int64
 	// Version is the version of the complete weights that the endpoint holds, or 0 for none.
 	Version int64
+	// Born is the time of the endpoint's start in milliseconds of the Unix clock; one that starts again knows nothing of before,
+	// also where it has the id that it had.
+	Born int64
 	// Revision is the version of the row that the entry was read from.
 	Revision int64
 }
