Finish an older version of weights first where nothing else could serve

Cause: a version that was most of the way there was finished for 1.2 s when a newer one was named, then left, whatever served meanwhile. When the origin goes away before version 2 is there and version 3 is named later, engines have nothing to serve from version 2's time on until version 3 is there whole.

Change: rollout/railtarget compares for how long nothing would serve with and without the older version, from what is missing, the link and the times due. Chunks of a newer version that are there are kept when the older one is finished.

Tests: the decision by a table; an installer whose origin is away (fails without the decision).

--- a/internal/node/railcarrier/carrier.go
+++ b/internal/node/railcarrier/carrier.go
@@ -90,6 +90,8 @@
 
 	once      sync.Once
 	store     *railchunks.Store
+	uploads   *railpacer.Pacer
+	downloads *rate.Limiter
 	sharing   *railsharing.Server
 	swarm     *railswarm.Swarm
 	finder    *railfinder.Finder
@@ -119,35 +121,55 @@
 	vault := &railvault.Vault{}
 	stage := &railstage.Stage{Engine: c.Engine, Chunk: vault.Chunk}
 	c.store = &railchunks.Store{Endpoint: vault}
-	uploads := &railpacer.Pacer{Burst: burst}
-	downloads := rate.NewLimiter(rate.Inf, burst)
-	if c.Link > 0 {
-		uploads.SetPace(int(linkShare*float64(c.Link)), 0)
-		downloads.SetLimit(rate.Limit(linkShare * float64(c.Link)))
-	}
-	c.sharing = &railsharing.Server{Store: c.store, Uploads: &railuploads.Scheduler{Slots: uploadSlots}, Pacer: uploads}
+	c.uploads, c.downloads = &railpacer.Pacer{Burst: burst}, rate.NewLimiter(rate.Inf, burst)
+	c.setPace(true)
+	c.sharing = &railsharing.Server{Store: c.store, Uploads: &railuploads.Scheduler{Slots: uploadSlots}, Pacer: c.uploads}
 	c.swarm = &railswarm.Swarm{
 		Self: c.Self, Store: c.store, Members: func() []railmember.Member { return c.members(fetchList) }, Ask: c.ask, Tell: c.tell,
-		Origin: c.origin, OriginRegion: c.originRegion, Pace: downloads, Seed: rand.Uint64(), Log: raillog.Part(c.Log, "fetcher"),
+		Origin: c.origin, OriginRegion: c.originRegion, Pace: c.downloads, Seed: rand.Uint64(), Log: raillog.Part(c.Log, "fetcher"),
 	}
 	c.finder = &railfinder.Finder{
 		Self: c.Self, Members: func() []railmember.Member { return c.members(fetchList) }, Ask: c.askManifest, Origin: c.manifest, OriginRegion: c.originRegion,
 	}
 	c.installer = &railinstaller.Installer{
-		Engine: c.Engine, Wanted: c.wanted, Manifest: c.finder.Find, Turn: c.turn, Notify: c.Notify, Stage: stage, Store: c.store, Fetcher: c.swarm,
-		Log: raillog.Part(c.Log, "rollout"),
+		Engine: c.Engine, Wanted: c.wanted, Manifest: c.finder.Find, Turn: c.turn, Idle: c.setPace, Notify: c.Notify, Stage: stage, Store: c.store, Fetcher: c.swarm,
+		Rate: int(linkShare * float64(c.Link)), Log: raillog.Part(c.Log, "rollout"),
+	}
+}
+
+// setPace paces weights below the link's rate, so that live answers beside them come on time; an idle engine has none.
+func (c *Carrier) setPace(idle bool) {
+	if c.Link <= 0 {
+		return
+	}
+	if idle {
+		c.uploads.SetPace(c.Link, 0)
+		c.downloads.SetLimit(rate.Inf)
+		return
+	}
+	c.uploads.SetPace(int(linkShare*float64(c.Link)), 0)
+	c.downloads.SetLimit(rate.Limit(linkShare * float64(c.Link)))
+}
+
+// wanted returns the model of the engine's service and the versions of its weights that were named.
+func (c *Carrier) wanted() (string, []railinstaller.Version) {
+	model := c.model()
+	named := c.Named(model)
+	versions := make([]railinstaller.Version, len(named))
+	for i, n := range named {
+		versions[i] = railinstaller.Version{Number: n.Version, Due: c.Weights - n.For}
 	}
+	return model, versions
 }
 
-// wanted returns the model of the engine's service and the version of its weights that is wanted, or 0 when none was named.
-func (c *Carrier) wanted() (string, int64) {
+// model returns the model of the engine's service, or an empty string while none is known.
+func (c *Carrier) model() string {
 	catalog, _ := c.Catalog()
 	backend, ok := catalog.Backend(c.Self.Service)
 	if !ok || backend.Engine == nil {
-		return "", 0
+		return ""
 	}
-	version, _ := catalog.Wanted(backend.Engine.Model)
-	return backend.Engine.Model, version
+	return backend.Engine.Model
 }
 
 // manifest reads a manifest from the origin.
@@ -232,10 +254,9 @@
 
 // turn returns the time until this engine's turn to change over: the engines follow each other, so that the others serve.
 func (c *Carrier) turn(serving, loading int64) time.Duration {
-	model, _ := c.wanted()
 	members := c.members(turnList)
 	place := slices.IndexFunc(members, func(m railmember.Member) bool { return m.Name == c.Self.Name })
-	schedule := railturn.Schedule{Weights: c.Weights, Named: c.Named(model)}
+	schedule := railturn.Schedule{Weights: c.Weights, Named: c.Named(c.model())}
 	return schedule.Turn(serving, loading, place, len(members))
 }
 
--- a/internal/rollout/railinstaller/installer_test.go
+++ b/internal/rollout/railinstaller/installer_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -22,7 +24,13 @@
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
 
-const pieces = 8
+const (
+	pieces     = 8
+	pieceBytes = 24
+	perPiece   = 100 * time.Millisecond
+	// timeForWeights is the time after which no answer begins on older weights.
+	timeForWeights = 8 * time.Second
+)
 
 // engine is a stand-in that loads what is staged when it is told to, and notes mixed weights.
 type engine struct {
@@ -84,7 +92,7 @@
 }
 
 func manifest(version int64) railmanifest.Manifest {
-	m := railmanifest.Manifest{Version: strconv.FormatInt(version, 10), ChunkSize: 24, Size: 24 * pieces}
+	m := railmanifest.Manifest{Version: strconv.FormatInt(version, 10), ChunkSize: pieceBytes, Size: pieceBytes * pieces}
 	for i := range pieces {
 		m.Chunks = append(m.Chunks, railmanifest.Sum([]byte(piece(version, i))))
 	}
@@ -93,9 +101,11 @@
 
 // world is an installer beside an engine, with an origin that takes a while for each piece.
 type world struct {
-	engine    *engine
-	mu        sync.Mutex
-	wanted    int64
+	engine *engine
+	mu     sync.Mutex
+	// named holds when each version was named.
+	named     map[int64]time.Time
+	away      bool
 	turn      time.Duration
 	notices   []int64
 	perPiece  time.Duration
@@ -104,7 +114,7 @@
 
 // newWorld starts an installer beside an engine that serves a version; prepare changes what stands before the start.
 func newWorld(t *testing.T, serving int64, prepare func(*world)) *world {
-	w := &world{engine: &engine{staged: map[int]string{}, drain: time.Second}, wanted: 1, perPiece: 100 * time.Millisecond}
+	w := &world{engine: &engine{staged: map[int]string{}, drain: time.Second}, named: map[int64]time.Time{1: time.Now()}, perPiece: perPiece}
 	w.engine.state.Version = serving
 	vault := &railvault.Vault{}
 	store := &railchunks.Store{Endpoint: vault}
@@ -112,11 +122,7 @@
 	log := slog.New(slog.DiscardHandler)
 	w.installer = &railinstaller.Installer{
 		Engine: w.engine, Store: store, Stage: &railstage.Stage{Engine: w.engine, Chunk: vault.Chunk}, Log: log,
-		Wanted: func() (string, int64) {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			return "m", w.wanted
-		},
+		Wanted: w.wanted, Idle: func(bool) {}, Rate: int(pieceBytes * time.Second / perPiece),
 		Manifest: func(_ context.Context, _ string, version int64) (railmanifest.Manifest, int64, error) {
 			return manifest(version), version, nil
 		},
@@ -143,6 +149,12 @@
 
 func (w *world) origin(ctx context.Context, digest string) ([]byte, error) {
 	_, version, index := w.installer.Chunk(digest)
+	w.mu.Lock()
+	away := w.away
+	w.mu.Unlock()
+	if away {
+		return nil, errors.New("the origin is away")
+	}
 	select {
 	case <-time.After(w.perPiece):
 		return []byte(piece(version, index)), nil
@@ -151,10 +163,26 @@
 	}
 }
 
+func (w *world) wanted() (string, []railinstaller.Version) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var versions []railinstaller.Version
+	for _, number := range slices.Sorted(maps.Keys(w.named)) {
+		versions = append(versions, railinstaller.Version{Number: number, Due: timeForWeights - time.Since(w.named[number])})
+	}
+	return "m", versions
+}
+
 func (w *world) want(version int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.wanted = version
+	w.named[version] = time.Now()
+}
+
+func (w *world) setAway(away bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.away = away
 }
 
 func (w *world) loaded() ([]int64, bool) {
@@ -180,7 +208,7 @@
 	railvirtual.Test(t, func(t *testing.T) {
 		w := newWorld(t, 1, func(w *world) {
 			w.turn = time.Duration(time.Now().Add(10 * time.Second).UnixNano())
-			w.wanted = 2
+			w.named[2] = time.Now()
 		})
 		time.Sleep(9 * time.Second)
 		loaded, _ := w.loaded()
@@ -194,16 +222,34 @@
 
 func TestAVersionNamedInBetweenReplacesAnUnfinishedOne(t *testing.T) {
 	railvirtual.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1, func(w *world) { w.wanted = 2 })
+		w := newWorld(t, 1, func(w *world) { w.named[2] = time.Now() })
 		time.Sleep(300 * time.Millisecond)
 		w.want(3)
-		time.Sleep(6 * time.Second)
+		time.Sleep(3 * time.Second)
 		loaded, mixed := w.loaded()
 		qt.Check(t, loaded, qt.DeepEquals, []int64{3})
 		qt.Check(t, mixed, qt.IsFalse)
 	})
 }
 
+// On the heaviest days the origin went away before version 2 was there, and came back when its time was over: engines that turned
+// to version 3 had nothing to serve until that was there too.
+func TestAnUnfinishedVersionIsFinishedFirstWhereNothingElseCouldServe(t *testing.T) {
+	railvirtual.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, func(w *world) { w.named[2] = time.Now() })
+		time.Sleep(450 * time.Millisecond) // Half of it is there.
+		w.setAway(true)
+		time.Sleep(4500 * time.Millisecond)
+		w.want(3)
+		time.Sleep(3500 * time.Millisecond)
+		w.setAway(false)
+		time.Sleep(8 * time.Second)
+		loaded, mixed := w.loaded()
+		qt.Check(t, loaded, qt.DeepEquals, []int64{2, 3})
+		qt.Check(t, mixed, qt.IsFalse)
+	})
+}
+
 func TestSpoiltPiecesAreNeverLoaded(t *testing.T) {
 	railvirtual.Test(t, func(t *testing.T) {
 		w := newWorld(t, 0, func(w *world) {
--- /dev/null
+++ b/internal/rollout/railinstaller/load.go
@@ -0,0 +1,130 @@
+package railinstaller
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
+)
+
+func (n *Installer) ready() weights {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.complete
+}
+
+// install loads the newest complete version once the engine's turn has come.
+func (n *Installer) install(ctx context.Context) error {
+	for ctx.Err() == nil {
+		w := n.ready()
+		state, err := n.state(ctx)
+		if err == nil {
+			n.Idle(n.idle(state.Version))
+		}
+		switch {
+		case err != nil:
+			return err
+		case w.version == 0 && state.Version == 0:
+			n.awaitFetched(ctx)
+			continue
+		case w.version <= state.Version:
+			return nil
+		case state.Busy:
+			return errors.New("the engine is busy with an order")
+		}
+		if wait := n.Turn(state.Version, w.version); state.Version > 0 && wait > 0 {
+			n.announce(state.Version, wait)
+			railtimer.Sleep(ctx, min(wait, look))
+			continue
+		}
+		if err := n.load(ctx, w, state.Version); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+// idle reports whether an engine that holds a version, or none, has nothing that may serve.
+func (n *Installer) idle(holds int64) bool {
+	_, versions := n.Wanted()
+	return holds == 0 || slices.ContainsFunc(versions, func(v Version) bool { return v.Number > holds && v.Due <= 0 })
+}
+
+// awaitFetched waits for a short time until a version is there whole.
+func (n *Installer) awaitFetched(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-n.fetched:
+	case <-time.After(look):
+	}
+}
+
+// announce tells the entries some time ahead that the engine is to change over, so that it has little left to do by then.
+func (n *Installer) announce(serving int64, wait time.Duration) {
+	if wait > announceAhead || time.Since(n.announced) < announcePause {
+		return
+	}
+	n.announced = time.Now()
+	n.Notify(serving, wait)
+}
+
+func (n *Installer) state(ctx context.Context) (State, error) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	s, err := n.Engine.State(ctx)
+	return s, errors.Wrap(err, "read the engine's state")
+}
+
+// load stages a version, orders the engine to load it and waits for its end.
+func (n *Installer) load(ctx context.Context, w weights, serving int64) error {
+	if err := n.stage(ctx, w); err != nil {
+		return err
+	}
+	n.Notify(0, 0)
+	if serving > 0 {
+		railtimer.Sleep(ctx, noticeLead)
+	}
+	bounded, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	began := time.Now()
+	if err := n.Engine.Start(bounded, w.model, w.version); err != nil {
+		n.Notify(serving, 0)
+		return errors.Wrap(err, "order the load")
+	}
+	n.Log.Info("load ordered", "version", w.version, "serving", serving)
+	if err := n.await(ctx, w.version); err != nil {
+		return err
+	}
+	n.Notify(w.version, 0)
+	n.Idle(false)
+	n.Log.Info("weights serve", "version", w.version, "took", time.Since(began))
+	return nil
+}
+
+// stage puts the pieces in place and reads them back.
+func (n *Installer) stage(ctx context.Context, w weights) error {
+	ctx, cancel := context.WithTimeout(ctx, stageLimit)
+	defer cancel()
+	put, err := n.Stage.Complete(ctx, w.model, w.manifest)
+	n.Log.Info("pieces staged", "version", w.version, "put", put, "err", err)
+	return err
+}
+
+func (n *Installer) await(ctx context.Context, version int64) error {
+	began := time.Now()
+	for time.Since(began) < loadLimit && railtimer.Sleep(ctx, lookLoad) {
+		state, err := n.state(ctx)
+		switch {
+		case err != nil:
+			return err
+		case state.Version == version:
+			return nil
+		case !state.Busy:
+			return errors.New("the engine has not loaded what was ordered")
+		}
+	}
+	return errors.Newf("the load has not ended within %s", loadLimit)
+}
--- /dev/null
+++ b/internal/rollout/railtarget/target.go
@@ -0,0 +1,43 @@
+package railtarget
+
+import "time"
+
+const (
+	// spread is the time from the origin's last chunk until the agents have passed it on to all of them.
+	spread = 600 * time.Millisecond
+	// loading is the time from there until an engine serves the weights, its order and their reading back included.
+	loading = 500 * time.Millisecond
+	// nearlyThere is the time to fetch the rest of an older version up to which it is fetched in any case: the engines can change
+	// over to it should the newer one be late.
+	nearlyThere = 300 * time.Millisecond
+	// worthwhile is the least gain for which the newer version waits.
+	worthwhile = 200 * time.Millisecond
+)
+
+// Target is a version of weights that is not there whole.
+type Target struct {
+	// Fetch is the time that what is missing of it takes on the link.
+	Fetch time.Duration
+	// Due is the time until no answer may begin on weights older than it.
+	Due time.Duration
+}
+
+// Before reports whether this version is to be fetched before a newer one: when engines would serve nothing for less time, since
+// the newer one can't be there by the time this one is due.
+func (t Target) Before(newer Target) bool {
+	ready := t.Fetch + spread + loading
+	if ready >= newer.Due {
+		return false
+	}
+	if t.Fetch <= nearlyThere {
+		return true
+	}
+	newerOnly := gap(newer.Fetch+spread+loading, t.Due)
+	both := gap(ready, t.Due) + gap(ready+newer.Fetch+spread, newer.Due)
+	return both+worthwhile < newerOnly
+}
+
+// gap returns the time for which nothing serves when weights are ready at a time and those before them are due at another.
+func gap(ready, due time.Duration) time.Duration {
+	return max(ready-max(due, 0), 0)
+}
