Give callers who come back a place only where first tries have room enough

Change: request/railpatience tells later tries from first ones by the time that their callers have left against what is usual on the route (nine in ten of the last 64; a customer's own usual time goes first where it is shorter). A later try gets a place where its answer is predicted to begin within 0.5 of the target in place of 0.8, and does not wait. A lower rank alone does not do it: work on its way can't be taken back, so room has to be kept.

--- a/internal/node/railgateway/forward.go
+++ b/internal/node/railgateway/forward.go
@@ -21,6 +21,9 @@
 	targetShare = 0.8
 	// waitShare is the share of the same time that a request may wait for a place.
 	waitShare = 0.45
+	// laterShare is the share of that time for a caller who was refused and comes back: its answer is late in any case, so it takes
+	// a place only where enough room is left for those whose answers can be on time.
+	laterShare = 0.5
 	// streamSilence is the longest wait for a stream's next event before it is taken up elsewhere, and plainSilence the
 	// number of times its target that a plain answer may take before it is asked for elsewhere.
 	streamSilence = 1300 * time.Millisecond
@@ -146,7 +149,10 @@
 	}
 	latest := c.began.Add(time.Duration(waitShare * float64(c.route.Target)))
 	need.Within = time.Duration((targetShare - waitShare) * float64(c.route.Target))
-	if now := time.Now(); late || now.After(latest) {
+	if c.later && !late && backend.IsEngine() {
+		latest = time.Now()
+		need.Within = time.Duration(laterShare * float64(c.route.Target))
+	} else if now := time.Now(); late || now.After(latest) {
 		latest, need.Within = now.Add(time.Duration(waitShare*float64(c.route.Target))), c.route.Target
 	}
 	return g.admitter(c.service).Acquire(c.work, need, rank, latest)
@@ -156,11 +162,11 @@
 func (g *Gateway) try(c *call, lease *railfleet.Lease, after *progress) (*attempt, railverdict.Verdict, error) {
 	ctx, cancel := context.WithCancelCause(c.work)
 	a := &attempt{lease: lease, cancel: func() { cancel(nil) }}
-	patience, reason := g.patience(c), errSilent
-	if left := time.Until(lease.BeginBy); !lease.BeginBy.IsZero() && left < patience {
-		patience, reason = left, errDue
+	limit, reason := g.silence(c), errSilent
+	if left := time.Until(lease.BeginBy); !lease.BeginBy.IsZero() && left < limit {
+		limit, reason = left, errDue
 	}
-	silence := time.AfterFunc(patience, func() { cancel(reason) })
+	silence := time.AfterFunc(limit, func() { cancel(reason) })
 	defer silence.Stop()
 	req := g.request(c, lease, after)
 	exchange, verdict, err := railexchange.Start(ctx, lease.Instance.Address, req)
@@ -236,8 +242,8 @@
 	return req
 }
 
-// patience returns the longest time to wait for an answer to begin before it may be asked for elsewhere.
-func (g *Gateway) patience(c *call) time.Duration {
+// silence returns the longest time to wait for an answer to begin before it may be asked for elsewhere.
+func (g *Gateway) silence(c *call) time.Duration {
 	left := time.Until(c.deadline)
 	switch {
 	case !c.route.Repeatable() || c.route.Attempts < 2:
--- a/internal/node/railgateway/gateway.go
+++ b/internal/node/railgateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railfleet"
 	"github.com/fulmarrail/fulmarrail/internal/node/railconn"
 	"github.com/fulmarrail/fulmarrail/internal/request/railenvelope"
+	"github.com/fulmarrail/fulmarrail/internal/request/railpatience"
 	"github.com/fulmarrail/fulmarrail/internal/retry/railbudget"
 	"github.com/fulmarrail/fulmarrail/internal/routing/railadmitter"
 )
@@ -60,6 +61,7 @@
 	// leaving is the time of the planned stop.
 	leaving   atomic.Int64
 	running   atomic.Int64
+	patience  railpatience.Patience
 	admitters sync.Map
 	budgets   sync.Map
 }
--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -45,6 +45,8 @@
 	// held is the time until the request was sent to the endpoint that answered it, first that until its answer began, and gap
 	// the longest pause in it.
 	held, first, gap time.Duration
+	// later says that the request is likely to be that of a caller who was refused and comes back.
+	later bool
 	// repeated says that the request was taken elsewhere after an endpoint's own failure.
 	repeated bool
 	// work ends when the caller leaves or the time is up.
@@ -112,6 +114,7 @@
 	}
 	c.service = route.Pick(rand.Float64())
 	c.deadline = c.began.Add(limit(c.Wait, route.Timeout))
+	c.later = g.patience.Later(route.Name, c.customer.Name, c.Wait)
 	return nil
 }
 
@@ -160,7 +163,7 @@
 	}
 	count(c, no.status)
 	g.Log.Info("request refused", "request", c.ID, "route", c.route.Name, "customer", c.customer.Name, "status", no.status,
-		"reason", no.reason, "deadline", c.Wait, "after", time.Since(c.began))
+		"reason", no.reason, "deadline", c.Wait, "later", c.later, "after", time.Since(c.began))
 }
 
 // fail answers a request by what is known of whether it has run.
@@ -187,7 +190,7 @@
 	lease := a.lease
 	g.Log.Log(context.Background(), level, "request answered", "request", c.ID, "route", c.route.Name, "customer", c.customer.Name,
 		"endpoint", lease.Instance.ID, "zone", lease.Instance.Zone, "row", lease.Instance.Revision, "held", c.held, "predicted", lease.Predicted,
-		"first", c.first, "gap", c.gap, "running", lease.Load.Running, "unread", lease.Load.Unread, "prompt", c.PromptTokens, "deadline", c.Wait, "after", time.Since(c.began))
+		"first", c.first, "gap", c.gap, "running", lease.Load.Running, "unread", lease.Load.Unread, "prompt", c.PromptTokens, "deadline", c.Wait, "later", c.later, "after", time.Since(c.began))
 }
 
 // count counts a request that has ended with a status.
