--- /dev/null
+++ b/internal/lab/railloadtrial/sheet.go
@@ -0,0 +1,35 @@
+package railloadtrial
+
+import (
+	"time"
+
+	"github.com/fulmarrail/fulmarrail/internal/config/railbackend"
+)
+
+// Assistant returns a trial of a typical assistant: three kinds of request by entries to engines of which one bears about nine
+// requests a second.
+func Assistant(policy string, seed uint64) *Trial {
+	kind := func(name string, rate float64, prompt, answer int, target time.Duration, worth, late float64) Kind {
+		return Kind{
+			Name: name, Rate: rate, Prompt: prompt, Answer: answer, Target: target, Gap: 400 * time.Millisecond, Deadline: 6 * time.Second,
+			Worth: worth, Late: late,
+		}
+	}
+	return &Trial{
+		Policy: policy, Seed: seed, Entries: 6, Engines: 27, Slots: 16, Chunk: 2048, Length: 20 * time.Second,
+		Timing: railbackend.Timing{
+			Step: 8870 * time.Microsecond, PerSequence: 40 * time.Microsecond, Stride: 5, ReadPerSecond: 19_100, PairsPerMillion: 1470 * time.Microsecond,
+		},
+		Kinds: []Kind{
+			kind("brief", 79, 1330, 105, 500*time.Millisecond, 2.4, 0.6),
+			kind("check", 60, 827, 105, 400*time.Millisecond, 2, 0.5),
+			kind("question", 57, 647, 70, 400*time.Millisecond, 1.5, 0.37),
+		},
+	}
+}
+
+// WithChanges returns the trial with changes of the engines that serve.
+func (t *Trial) WithChanges(changes ...Change) *Trial {
+	t.Changes = changes
+	return t
+}
--- a/internal/node/railgateway/forward.go
+++ b/internal/node/railgateway/forward.go
@@ -12,18 +12,12 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railfleet"
 	"github.com/fulmarrail/fulmarrail/internal/request/railenvelope"
 	"github.com/fulmarrail/fulmarrail/internal/request/railverdict"
+	"github.com/fulmarrail/fulmarrail/internal/routing/railterms"
 )
 
 const (
 	// maxSends bounds the endpoints that one request is offered to, refusals as not run included.
 	maxSends = 5
-	// targetShare is the share of the time to an answer on time that may be predicted to pass.
-	targetShare = 0.8
-	// waitShare is the share of the same time that a request may wait for a place.
-	waitShare = 0.45
-	// laterShare is the share of that time for a caller who was refused and comes back: its answer is late in any case, so it takes
-	// a place only where enough room is left for those whose answers can be on time.
-	laterShare = 0.5
 	// streamSilence is the longest wait for a stream's next event before it is taken up elsewhere, and plainSilence the
 	// number of times its target that a plain answer may take before it is asked for elsewhere.
 	streamSilence = 1300 * time.Millisecond
@@ -147,15 +141,16 @@
 		version, left := g.Due(backend.Engine.Model)
 		need.DueVersion, need.DueAt = version, time.Now().Add(left)
 	}
-	latest := c.began.Add(time.Duration(waitShare * float64(c.route.Target)))
-	need.Within = time.Duration((targetShare - waitShare) * float64(c.route.Target))
-	if c.later && !late && backend.IsEngine() {
-		latest = time.Now()
-		need.Within = time.Duration(laterShare * float64(c.route.Target))
-	} else if now := time.Now(); late || now.After(latest) {
-		latest, need.Within = now.Add(time.Duration(waitShare*float64(c.route.Target))), c.route.Target
+	try := railterms.First
+	switch {
+	case late:
+		try = railterms.Again
+	case c.later && backend.IsEngine():
+		try = railterms.Later
 	}
-	return g.admitter(c.service).Acquire(c.work, need, rank, latest)
+	terms := railterms.For(try, c.route.Target, c.began, time.Now())
+	need.Within = terms.Within
+	return g.admitter(c.service).Acquire(c.work, need, rank, terms.Latest)
 }
 
 // try makes one attempt; its verdict is for this attempt alone.
