Tell other entries of each request as it is sent

Cause: an entry's view of the others' load was up to 40 ms old, in which six entries send eight requests; several chose the same engine as the emptiest one.

Change: a digest names the endpoints at which something has changed, with what is in flight there now; it is sent at once when a request goes out, within 20 ms when one ends, and all is told every 500 ms, since datagrams are lost. What is older for one endpoint does not replace what is newer; an entry that has started again counts anew (its digests were left out for 1.5 s before).

Tests: changes in any order, lost, from an entry that has started again.

--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -5,6 +5,7 @@
 	"context"
 	"maps"
 	"math"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -41,9 +42,8 @@
 	// entriesWait is the time for which the store may hold a call for changes among the entries.
 	entriesWait = 20 * time.Second
 	// keyAge is the part of the bound on revocations for which a view of the configuration is trusted.
-	keyAge         = 0.8
-	digestInterval = 40 * time.Millisecond
-	announcePause  = time.Second
+	keyAge        = 0.8
+	announcePause = time.Second
 )
 
 // NewCmdGateway returns the command.
@@ -100,14 +100,19 @@
 		Share: g.entries.Share, Changed: front.Wake, Log: raillog.Part(p.Log, "fleet"),
 	}
 	front.Fleet = g.fleet
-	exchange := &raildigest.Exchange{
-		Name: site.Process.Name, Peers: g.others, Digest: g.fleet.Digest, Absorb: g.absorb, Notice: g.fleet.Notice, Interval: digestInterval,
-		Socket: &raildatagram.Socket{Conn: datagrams, Log: raillog.Part(p.Log, "digest")},
+	socket := &raildatagram.Socket{Conn: datagrams, Log: raillog.Part(p.Log, "datagrams")}
+	timer := &railtimer.Service{}
+	teller := &raildigest.Teller{
+		Name: site.Process.Name, Incarnation: rand.Uint32(), Source: g.fleet, Timer: timer, Send: func(digest *railproto.LoadDigest) {
+			socket.Send(&railproto.Datagram{Content: &railproto.Datagram_Digest{Digest: digest}}, g.others()...)
+		},
 	}
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g.follow(work)
-	go exchange.Run(work)
+	go timer.Run(work)
+	go teller.Run(work)
+	go socket.Receive(work, g.hear)
 	go g.announce(work)
 	if err := g.serveAgents(work, inner); err != nil {
 		return err
@@ -202,10 +207,15 @@
 	return known
 }
 
-// absorb takes over what another entry has in flight.
-func (g *gateway) absorb(entry string, sequence uint64, loads []*railproto.EndpointLoad) bool {
-	g.entries.Hear(entry)
-	return g.fleet.Absorb(entry, sequence, loads)
+// hear takes over what another entry tells of its load, or an agent of the engine beside it.
+func (g *gateway) hear(_ net.Addr, datagram *railproto.Datagram) {
+	if digest := datagram.GetDigest(); digest != nil {
+		g.entries.Hear(digest.GetEntry())
+		g.fleet.Absorb(digest)
+	}
+	if n := datagram.GetNotice(); n != nil {
+		g.fleet.Notice(n.GetAddress(), n.GetVersion(), time.Duration(n.GetChangesInMillis())*time.Millisecond)
+	}
 }
 
 // announce writes this entry's row until that has worked.
--- a/internal/lab/railloadtrial/policy.go
+++ b/internal/lab/railloadtrial/policy.go
@@ -15,19 +15,24 @@
 	"github.com/fulmarrail/fulmarrail/internal/request/railpatience"
 	"github.com/fulmarrail/fulmarrail/internal/routing/railadmitter"
 	"github.com/fulmarrail/fulmarrail/internal/routing/railterms"
+	"github.com/fulmarrail/fulmarrail/internal/wire/raildigest"
+	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
 
 const (
-	// System is the system's own policy, and Alike the same where callers who come back are served like new ones.
+	// System is the system's own policy.
 	System = "system"
-	Alike  = "alike"
-	// RoundRobin takes the engines in turn, and LeastInFlight the one with the fewest of the entry's own requests; both admit all.
-	RoundRobin    = "roundRobin"
+	// Alike is the system's own policy where callers who come back are served like new ones.
+	Alike = "alike"
+	// RoundRobin takes the engines in turn and admits all.
+	RoundRobin = "roundRobin"
+	// LeastInFlight takes the engine with the fewest of the entry's own requests and admits all.
 	LeastInFlight = "leastInFlight"
 
-	digestInterval = 40 * time.Millisecond
-	service        = "engines"
-	zone           = "a"
+	// latency is the time that a datagram takes from one entry to another.
+	latency = 2 * time.Millisecond
+	service = "engines"
+	zone    = "a"
 )
 
 // ask is one try of a caller at an entry.
@@ -63,6 +68,8 @@
 
 // newOwn returns the entries of a deployment, which tell each other what they have in flight until ctx is done.
 func newOwn(ctx context.Context, t *Trial, alike bool) []policy {
+	timer := &railtimer.Service{}
+	go timer.Run(ctx)
 	var entries []*own
 	for range t.Entries {
 		entries = append(entries, &own{backend: t.backend(), alike: alike, engines: map[string]int{}})
@@ -73,7 +80,8 @@
 		}
 		e.admitter = &railadmitter.Admitter{Fleet: e.fleet}
 		e.fleet.Changed = e.admitter.Wake
-		go e.tell(ctx, fmt.Sprint("entry-", i), entries)
+		teller := &raildigest.Teller{Name: fmt.Sprint("entry-", i), Source: e.fleet, Timer: timer, Send: e.send(entries)}
+		go teller.Run(ctx)
 	}
 	list := make([]policy, len(entries))
 	for i, e := range entries {
@@ -82,15 +90,16 @@
 	return list
 }
 
-// tell tells the other entries what is in flight here.
-func (o *own) tell(ctx context.Context, name string, entries []*own) {
-	for railtimer.Sleep(ctx, digestInterval) {
-		loads, sequence := o.fleet.Digest()
-		for _, other := range entries {
-			if other != o {
-				other.fleet.Absorb(name, sequence, loads)
+// send returns the function that sends what is in flight here to the other entries.
+func (o *own) send(entries []*own) func(*railproto.LoadDigest) {
+	return func(digest *railproto.LoadDigest) {
+		time.AfterFunc(latency, func() {
+			for _, other := range entries {
+				if other != o {
+					other.fleet.Absorb(digest)
+				}
 			}
-		}
+		})
 	}
 }
 
--- a/internal/membership/railfleet/endpoint.go
+++ b/internal/membership/railfleet/endpoint.go
@@ -33,6 +33,8 @@
 	hash   uint32
 	load   railpass.Load
 	window railwindow.Window
+	// untold says that the load has changed since the other entries were told.
+	untold bool
 	// pace is the time that answers take to begin, over what was predicted.
 	pace    float64
 	strikes int
--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -47,6 +47,8 @@
 	endpoints map[string]*endpoint
 	peers     map[string]*peer
 	sequence  uint64
+	once      sync.Once
+	news      chan struct{}
 }
 
 // Need is what a request needs of an endpoint.
--- a/internal/membership/railfleet/fleet_test.go
+++ b/internal/membership/railfleet/fleet_test.go
@@ -111,18 +111,72 @@
 		_, ok := a.Reserve(need)
 		qt.Assert(t, ok, qt.IsTrue)
 	}
-	loads, sequence := a.Digest()
-	qt.Assert(t, b.Absorb("a", sequence, loads), qt.IsTrue)
+	qt.Assert(t, b.Absorb(whole(a)), qt.IsTrue)
 	need.Tried = nil
 	l, ok := b.Reserve(need)
 	qt.Assert(t, ok, qt.IsTrue)
 	qt.Check(t, l.Instance.ID, qt.Equals, "2")
 }
 
-func TestAnOvertakenDigestIsLeftOut(t *testing.T) {
-	f, _ := newFleet(2, engine("1"))
-	qt.Check(t, f.Absorb("b", 7, nil), qt.IsTrue)
-	qt.Check(t, f.Absorb("b", 6, []*railproto.EndpointLoad{{Endpoint: 1, Running: 9}}), qt.IsFalse)
+// whole returns what an entry tells of all endpoints, and changes what it tells of those that have changed.
+func whole(f *railfleet.Fleet) *railproto.LoadDigest {
+	loads, sequence := f.Whole()
+	return &railproto.LoadDigest{Entry: "a", Sequence: sequence, Loads: loads}
+}
+
+func changes(f *railfleet.Fleet) *railproto.LoadDigest {
+	loads, sequence := f.Changes()
+	return &railproto.LoadDigest{Entry: "a", Sequence: sequence, Loads: loads, Partial: true}
+}
+
+// room returns the number of requests that a fleet gives an engine, and gives them back.
+func room(f *railfleet.Fleet, need railfleet.Need) int {
+	n := 0
+	for {
+		l, ok := f.Reserve(need)
+		if !ok {
+			return n
+		}
+		defer l.Done(railfleet.Answered)
+		n++
+	}
+}
+
+func TestChangesOfLoadArriveInAnyOrder(t *testing.T) {
+	a, need := newFleet(1, engine("1"))
+	need.Backend.ColdPerSecond = 0
+	first, ok := a.Reserve(need)
+	qt.Assert(t, ok, qt.IsTrue)
+	one := changes(a)
+	_, ok = a.Reserve(need)
+	qt.Assert(t, ok, qt.IsTrue)
+	two := changes(a)
+	first.Done(railfleet.Answered)
+	back := changes(a)
+	all := whole(a)
+	qt.Check(t, len(changes(a).GetLoads()), qt.Equals, 0, qt.Commentf("nothing has changed since"))
+	alone, _ := newFleet(1, engine("1"))
+	empty := room(alone, need)
+	for name, c := range map[string]struct {
+		digests []*railproto.LoadDigest
+		running int
+	}{
+		"in order":                    {[]*railproto.LoadDigest{one, two, back}, 1},
+		"an older one last":           {[]*railproto.LoadDigest{two, back, one}, 1},
+		"the second lost":             {[]*railproto.LoadDigest{one, all}, 1},
+		"older ones after all":        {[]*railproto.LoadDigest{all, one, two}, 1},
+		"the last one lost":           {[]*railproto.LoadDigest{one, two}, 2},
+		"nothing in flight at others": {[]*railproto.LoadDigest{one, {Entry: "a", Sequence: 9}}, 0},
+		"the entry has started again": {[]*railproto.LoadDigest{one, two, {Entry: "a", Incarnation: 7, Sequence: 0}}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, _ := newFleet(1, engine("1"))
+			for _, d := range c.digests {
+				b.Absorb(d)
+			}
+			qt.Check(t, room(b, need), qt.Equals, empty-c.running)
+		})
+	}
 }
 
 // An entry without a part of what an engine bears in cold start must not send to it, even if nothing else is in flight there.
--- a/internal/membership/railfleet/lease.go
+++ b/internal/membership/railfleet/lease.go
@@ -49,7 +49,12 @@
 	}
 	e.load = e.load.With(l.part)
 	e.window.Add(now)
-	f.sequence++
+	f.tellOf(e)
+	f.once.Do(f.init)
+	select {
+	case f.news <- struct{}{}:
+	default:
+	}
 	return l
 }
 
@@ -78,7 +83,7 @@
 	l.at.load.Unread -= l.part.Unread
 	l.at.learn(l.Predicted, time.Since(l.granted))
 	l.at.strikes = 0
-	f.sequence++
+	f.tellOf(l.at)
 	return true
 }
 
@@ -95,6 +100,6 @@
 	}
 	l.at.load.Running--
 	l.at.settle(outcome, time.Now())
-	f.sequence++
+	f.tellOf(l.at)
 	return true
 }
--- a/internal/membership/railfleet/peers.go
+++ b/internal/membership/railfleet/peers.go
@@ -12,46 +12,112 @@
 
 // peer is what another entry has in flight.
 type peer struct {
+	incarnation uint32
+	heard       time.Time
+	// whole is the sequence of the last digest that told of all endpoints.
+	whole uint64
+	loads map[uint32]told
+}
+
+// told is what was told of one endpoint.
+type told struct {
+	load     railpass.Load
 	sequence uint64
-	heard    time.Time
-	loads    map[uint32]railpass.Load
 }
 
-// Digest returns what this entry has in flight, and a number that changes with it.
-func (f *Fleet) Digest() ([]*railproto.EndpointLoad, uint64) {
+// Whole returns what this entry has in flight, and a number that grows with each change of it.
+func (f *Fleet) Whole() ([]*railproto.EndpointLoad, uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var list []*railproto.EndpointLoad
 	for _, e := range f.endpoints {
+		e.untold = false
 		if e.load.Running > 0 {
-			list = append(list, &railproto.EndpointLoad{
-				Endpoint: e.hash, Running: uint32(e.load.Running), UnreadMillis: uint32(e.load.Unread.Milliseconds()),
-			})
+			list = append(list, e.wireLoad())
+		}
+	}
+	return list, f.sequence
+}
+
+// Changes returns what this entry has in flight at the endpoints at which that has changed since it was last asked for.
+func (f *Fleet) Changes() ([]*railproto.EndpointLoad, uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []*railproto.EndpointLoad
+	for _, e := range f.endpoints {
+		if e.untold {
+			e.untold = false
+			list = append(list, e.wireLoad())
 		}
 	}
 	return list, f.sequence
 }
 
+// News returns a channel that tells of requests that were sent.
+func (f *Fleet) News() <-chan struct{} {
+	f.once.Do(f.init)
+	return f.news
+}
+
+func (f *Fleet) init() {
+	f.news = make(chan struct{}, 1)
+}
+
+// tellOf notes that what is in flight at an endpoint has changed.
+func (f *Fleet) tellOf(e *endpoint) {
+	e.untold = true
+	f.sequence++
+}
+
 // Absorb takes over what another entry has in flight, and reports whether that was news.
-func (f *Fleet) Absorb(name string, sequence uint64, loads []*railproto.EndpointLoad) bool {
+func (f *Fleet) Absorb(digest *railproto.LoadDigest) bool {
 	f.mu.Lock()
+	news := f.peer(digest).absorb(digest)
+	f.mu.Unlock()
+	if news {
+		f.Changed()
+	}
+	return news
+}
+
+// peer returns the entry that a digest is from; one that has started again has nothing of before in flight.
+func (f *Fleet) peer(digest *railproto.LoadDigest) *peer {
 	if f.peers == nil {
 		f.peers = map[string]*peer{}
 	}
-	now := time.Now()
-	if old := f.peers[name]; old != nil && old.sequence > sequence && now.Sub(old.heard) < peerFor {
-		f.mu.Unlock()
-		return false // Datagrams may overtake each other.
+	p := f.peers[digest.GetEntry()]
+	if p == nil || p.incarnation != digest.GetIncarnation() {
+		p = &peer{incarnation: digest.GetIncarnation(), loads: map[uint32]told{}}
+		f.peers[digest.GetEntry()] = p
+	}
+	return p
+}
+
+// absorb takes over what is newer than what is known, since datagrams may overtake each other.
+func (p *peer) absorb(digest *railproto.LoadDigest) bool {
+	p.heard = time.Now()
+	sequence := digest.GetSequence()
+	if sequence < p.whole {
+		return false
 	}
-	p := &peer{sequence: sequence, heard: now, loads: make(map[uint32]railpass.Load, len(loads))}
-	for _, l := range loads {
-		p.loads[l.GetEndpoint()] = railpass.Load{
-			Running: int(l.GetRunning()), Unread: time.Duration(l.GetUnreadMillis()) * time.Millisecond,
+	news := false
+	for _, l := range digest.GetLoads() {
+		if old := p.loads[l.GetEndpoint()]; sequence < old.sequence {
+			continue
 		}
+		load := railpass.Load{Running: int(l.GetRunning()), Unread: time.Duration(l.GetUnreadMillis()) * time.Millisecond}
+		p.loads[l.GetEndpoint()] = told{load: load, sequence: sequence}
+		news = true
 	}
-	f.peers[name] = p
-	f.mu.Unlock()
-	f.Changed()
+	if digest.GetPartial() {
+		return news
+	}
+	for endpoint, old := range p.loads {
+		if old.sequence < sequence {
+			delete(p.loads, endpoint)
+		}
+	}
+	p.whole = sequence
 	return true
 }
 
@@ -61,8 +127,14 @@
 	now := time.Now()
 	for _, p := range f.peers {
 		if now.Sub(p.heard) < peerFor {
-			sum = sum.With(p.loads[hash])
+			sum = sum.With(p.loads[hash].load)
 		}
 	}
 	return sum
 }
+
+func (e *endpoint) wireLoad() *railproto.EndpointLoad {
+	return &railproto.EndpointLoad{
+		Endpoint: e.hash, Running: uint32(e.load.Running), UnreadMillis: uint32(e.load.Unread.Milliseconds()),
+	}
+}
--- a/internal/wire/raildigest/doc.go
+++ b/internal/wire/raildigest/doc.go
@@ -1,2 +1,2 @@
-// Package raildigest tells the other entries in datagrams what this entry has in flight.
+// Package raildigest tells the other entries what this entry has in flight, each change at once.
 package raildigest
