Explain a request from the logs, with the inputs of its refusal

Cause: from a request's id to its cause took grep over all processes' files, and a refusal did not say what decided it.

Change: fulmarrail explain ID reads logs from files or standard input, tells the request's lines in order, its outcome, and what the processes that decided had learned before (standing beliefs, news of its endpoints and of their carriers). A refusal says how many endpoints could serve, how many requests wait before it, the wait behind them, and the version and ages of configuration and list. Answers on time are logged too, five a second of each entry, with the count left out. Durations have units.

--- a/internal/command/railcarriercmd/carrier.go
+++ b/internal/command/railcarriercmd/carrier.go
@@ -68,7 +68,7 @@
 			Layers: func() int { return p.Layers(site.Service) },
 		},
 		Link:    int(site.Link * bytesPerMegabit),
-		Weights: p.Site.Bounds.Weights, Regions: p.Site.Regions, Log: p.Log,
+		Weights: p.Site.Bounds.Weights, Regions: p.Site.Regions, Log: p.Log.With("engine", site.Endpoint),
 		Instances: learner.Instances,
 		Notify: func(version int64, changesIn time.Duration) {
 			notice := &railproto.EndpointNotice{Address: site.Endpoint, Version: version, ChangesInMillis: changesIn.Milliseconds()}
--- /dev/null
+++ b/internal/command/railexplaincmd/doc.go
@@ -0,0 +1,2 @@
+// Package railexplaincmd is the command "explain".
+package railexplaincmd
--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -92,7 +92,7 @@
 	g.briefer = &railbriefer.Briefer{Current: p.Current, Age: g.age, Instances: g.listed, Entries: g.members}
 	front := &railgateway.Gateway{
 		Callers: callers, Ready: ready, ReadyPath: platform.ReadyPath, Translator: platform.Translator{}, Catalog: p.Current.Get, Oldest: p.Current.Oldest, Due: p.Current.Due,
-		Placed: g.placed, Age: g.age, KeyAge: trustedFor(site.Bounds.Revocation), RetryShare: site.Bounds.RepeatShare / 2,
+		Placed: g.placed, Age: g.age, ListAge: g.listAge, KeyAge: trustedFor(site.Bounds.Revocation), RetryShare: site.Bounds.RepeatShare / 2,
 		Log: raillog.Part(p.Log, "front"),
 	}
 	g.fleet = &railfleet.Fleet{
@@ -173,6 +173,11 @@
 	return age
 }
 
+func (g *gateway) listAge() time.Duration {
+	age, _ := g.list.Age()
+	return age
+}
+
 func (g *gateway) listed() []railinstance.Instance {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/command/railroot/root.go
+++ b/internal/command/railroot/root.go
@@ -13,6 +13,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/command/raildiffcmd"
 	"github.com/fulmarrail/fulmarrail/internal/command/railentrycmd"
 	"github.com/fulmarrail/fulmarrail/internal/command/railexit"
+	"github.com/fulmarrail/fulmarrail/internal/command/railexplaincmd"
 	"github.com/fulmarrail/fulmarrail/internal/command/railfactory"
 	"github.com/fulmarrail/fulmarrail/internal/command/railgatewaycmd"
 	"github.com/fulmarrail/fulmarrail/internal/command/railshowcmd"
@@ -39,7 +40,7 @@
 	cmd.AddCommand(
 		railentrycmd.NewCmdEntry(f, nil), railagentcmd.NewCmdAgent(f, nil), config,
 		railstatuscmd.NewCmdStatus(f, nil), railburncmd.NewCmdBurn(f, nil), raildemocmd.NewCmdDemo(f, nil),
-		railversioncmd.NewCmdVersion(f, nil), railgatewaycmd.NewCmdGateway(f), railcarriercmd.NewCmdCarrier(f),
+		railexplaincmd.NewCmdExplain(f, nil), railversioncmd.NewCmdVersion(f, nil), railgatewaycmd.NewCmdGateway(f), railcarriercmd.NewCmdCarrier(f),
 	)
 	return cmd
 }
--- a/internal/command/railroot/root_test.go
+++ b/internal/command/railroot/root_test.go
@@ -167,3 +167,17 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(string(image), qt.Contains, "<svg")
 }
+
+func TestExplainReadsFilesAndStandardInput(t *testing.T) {
+	c := qt.New(t)
+	const line = `{"time":"2026-10-08T07:46:05Z","level":"INFO","msg":"front: stream broken","name":"gw-1","request":"aa11","err":"EOF"}` + "\n"
+	code, out, _ := run(&railfactory.Factory{}, "explain", "aa11", write(c, c.TempDir(), "gw-1.json", line))
+	c.Check(code, qt.Equals, railexit.OK)
+	c.Check(out, qt.Contains, "request aa11: its stream was broken off: EOF\n")
+	code, out, _ = run(&railfactory.Factory{In: strings.NewReader(line)}, "explain", "aa11", "--json")
+	c.Check(code, qt.Equals, railexit.OK)
+	c.Check(out, qt.Contains, `"process": "gw-1"`)
+	code, _, errs := run(&railfactory.Factory{In: strings.NewReader(line)}, "explain", "bb22")
+	c.Check(code, qt.Equals, railexit.Failed)
+	c.Check(errs, qt.Contains, "no line names request bb22")
+}
--- a/internal/command/railsiteprocess/process.go
+++ b/internal/command/railsiteprocess/process.go
@@ -96,7 +96,7 @@
 		<-written
 	}()
 	p.level.Set(p.Site.Level())
-	p.Log = slog.New(slog.NewJSONHandler(sink, &slog.HandlerOptions{Level: &p.level})).With("role", p.Role, "name", p.Site.Process.Name)
+	p.Log = slog.New(slog.NewJSONHandler(sink, &slog.HandlerOptions{Level: &p.level, ReplaceAttr: raillog.ReadableDurations})).With("role", p.Role, "name", p.Site.Process.Name)
 	ctx, cancel := p.Factory.Context()
 	defer cancel()
 	go p.reload(hangups)
--- a/internal/core/raillog/handler.go
+++ b/internal/core/raillog/handler.go
@@ -31,3 +31,11 @@
 func (h Handler) WithGroup(name string) slog.Handler {
 	return Handler{Handler: h.Handler.WithGroup(name), Prefix: h.Prefix}
 }
+
+// ReadableDurations writes durations with their units; it is for the options of a handler.
+func ReadableDurations(_ []string, a slog.Attr) slog.Attr {
+	if a.Value.Kind() == slog.KindDuration {
+		a.Value = slog.StringValue(a.Value.Duration().String())
+	}
+	return a
+}
--- a/internal/core/raillog/handler_test.go
+++ b/internal/core/raillog/handler_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"log/slog"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -16,3 +17,10 @@
 	raillog.Part(log, "config").With("revision", 7).Info("revision published")
 	qt.Check(t, out.String(), qt.Contains, `msg="config: revision published" revision=7`)
 }
+
+func TestDurationsAreReadable(t *testing.T) {
+	var out bytes.Buffer
+	log := slog.New(slog.NewJSONHandler(&out, &slog.HandlerOptions{ReplaceAttr: raillog.ReadableDurations}))
+	log.Info("x", "after", 1500*time.Millisecond)
+	qt.Check(t, out.String(), qt.Contains, `"after":"1.5s"`)
+}
--- /dev/null
+++ b/internal/core/railsample/sampler_test.go
@@ -0,0 +1,28 @@
+package railsample_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmarrail/fulmarrail/internal/core/railsample"
+	"github.com/fulmarrail/fulmarrail/internal/lab/railvirtual"
+)
+
+func TestWhatIsLeftOutIsCounted(t *testing.T) {
+	railvirtual.Test(t, func(t *testing.T) {
+		s := railsample.Sampler{PerSecond: 5}
+		logged := 0
+		for range 20 {
+			if _, ok := s.Take(); ok {
+				logged++
+			}
+		}
+		qt.Check(t, logged, qt.Equals, 5)
+		time.Sleep(time.Second)
+		leftOut, ok := s.Take()
+		qt.Check(t, ok, qt.IsTrue)
+		qt.Check(t, leftOut, qt.Equals, 15)
+	})
+}
--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -79,7 +79,7 @@
 		e := f.endpoints[i.ID]
 		if e == nil || e.Address != i.Address || e.Born != i.Born {
 			e = &endpoint{pace: 1}
-			f.Log.Info("endpoint appears", "endpoint", i.ID, "service", i.Service, "zone", i.Zone, "weights", i.Version, "row", i.Revision)
+			f.Log.Info("endpoint appears", "endpoint", i.ID, "address", i.Address, "service", i.Service, "zone", i.Zone, "weights", i.Version, "row", i.Revision)
 		}
 		e.update(i)
 		next[i.ID] = e
--- a/internal/node/railgateway/deployment_test.go
+++ b/internal/node/railgateway/deployment_test.go
@@ -135,6 +135,7 @@
 			return d.age
 		},
 	}
+	d.gateway.ListAge = d.gateway.Age
 	d.gateway.Fleet = &railfleet.Fleet{Share: func(_ string, total int) int { return total }, Changed: d.gateway.Wake, Log: slog.New(slog.DiscardHandler)}
 	d.gateway.Fleet.SetInstances(serve(t, endpoints))
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/node/railgateway/gateway.go
+++ b/internal/node/railgateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/fulmarrail/fulmarrail/internal/config/railcatalog"
+	"github.com/fulmarrail/fulmarrail/internal/core/railsample"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railfleet"
 	"github.com/fulmarrail/fulmarrail/internal/node/railconn"
 	"github.com/fulmarrail/fulmarrail/internal/request/railenvelope"
@@ -30,6 +31,8 @@
 	// balancerDelay is the time after which the balancer sends no new connection to an entry that is not ready, which asks
 	// once a second and goes by two answers in a row.
 	balancerDelay = 2500 * time.Millisecond
+	// onTimeLines is the number of answers on time a second of which a line is logged.
+	onTimeLines = 5
 )
 
 // Gateway is one entry process; its fields are set before Run.
@@ -47,6 +50,8 @@
 	Placed func() bool
 	// Age returns the time since the configuration was last known to be current.
 	Age func() time.Duration
+	// ListAge returns the age of the list of endpoints.
+	ListAge func() time.Duration
 	// KeyAge is the age of the configuration from which on customers' keys can't be trusted any more.
 	KeyAge time.Duration
 	// Oldest returns the oldest version of a model's weights that may begin an answer now.
@@ -57,6 +62,7 @@
 	RetryShare float64
 	Log        *slog.Logger
 
+	onTime   railsample.Sampler
 	stopping atomic.Bool
 	// leaving is the time of the planned stop.
 	leaving   atomic.Int64
@@ -68,6 +74,7 @@
 
 // Run serves until ctx is done, then lets running answers end within the given time; nil means that none was cut off.
 func (g *Gateway) Run(ctx context.Context, drain time.Duration) error {
+	g.onTime.PerSecond = onTimeLines
 	server := &fasthttp.Server{
 		Handler: g.handle, Concurrency: concurrency, ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, IdleTimeout: idleTimeout, Logger: silent{},
--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -19,6 +19,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/node/railconn"
 	"github.com/fulmarrail/fulmarrail/internal/request/railenvelope"
 	"github.com/fulmarrail/fulmarrail/internal/request/railverdict"
+	"github.com/fulmarrail/fulmarrail/internal/routing/railadmitter"
 )
 
 const (
@@ -60,6 +61,8 @@
 type refusal struct {
 	status int
 	reason string
+	// inputs are what else decided, for the log.
+	inputs []any
 }
 
 func (g *Gateway) handle(ctx *fasthttp.RequestCtx) {
@@ -94,19 +97,19 @@
 // admit finds a request's route and customer, or the reason for which it is not taken.
 func (g *Gateway) admit(c *call) *refusal {
 	if g.closing() {
-		return &refusal{fasthttp.StatusServiceUnavailable, "the entry is about to stop"}
+		return &refusal{status: fasthttp.StatusServiceUnavailable, reason: "the entry is about to stop"}
 	}
 	catalog, known := g.Catalog()
 	if !known {
-		return &refusal{fasthttp.StatusServiceUnavailable, "no configuration is known yet"}
+		return &refusal{status: fasthttp.StatusServiceUnavailable, reason: "no configuration is known yet"}
 	}
 	path, _, _ := strings.Cut(string(c.ctx.Request.Header.RequestURI()), "?")
 	if most := catalog.Limits.BodyBytes; most > 0 && len(c.ctx.Request.Body()) > most {
-		return &refusal{fasthttp.StatusRequestEntityTooLarge, "the body is too long"}
+		return &refusal{status: fasthttp.StatusRequestEntityTooLarge, reason: "the body is too long"}
 	}
 	route, ok := catalog.Match(string(c.ctx.Request.Header.Host()), path)
 	if !ok {
-		return &refusal{fasthttp.StatusNotFound, "no route matches"}
+		return &refusal{status: fasthttp.StatusNotFound, reason: "no route matches"}
 	}
 	c.route = route
 	if no := g.identify(c, catalog); no != nil {
@@ -130,9 +133,9 @@
 	case c.route.Public:
 		return nil
 	case g.Age() > g.KeyAge:
-		return &refusal{fasthttp.StatusServiceUnavailable, "the store is out of reach, keys can't be checked"}
+		return &refusal{status: fasthttp.StatusServiceUnavailable, reason: "the store is out of reach, keys can't be checked"}
 	case !ok:
-		return &refusal{fasthttp.StatusUnauthorized, "the key is unknown"}
+		return &refusal{status: fasthttp.StatusUnauthorized, reason: "the key is unknown"}
 	}
 	return nil
 }
@@ -162,35 +165,47 @@
 		c.ctx.SetConnectionClose()
 	}
 	count(c, no.status)
-	g.Log.Info("request refused", "request", c.ID, "route", c.route.Name, "customer", c.customer.Name, "status", no.status,
-		"reason", no.reason, "deadline", c.Wait, "later", c.later, "after", time.Since(c.began))
+	catalog, _ := g.Catalog()
+	g.Log.With(no.inputs...).Info("request refused", "request", c.ID, "route", c.route.Name, "customer", c.customer.Name, "status", no.status,
+		"reason", no.reason, "config", catalog.Version, "configAge", g.Age(), "listAge", g.ListAge(), "deadline", c.Wait, "later", c.later,
+		"after", time.Since(c.began))
+}
+
+// inputs returns what decided that a request got no place, for the log.
+func inputs(err error) []any {
+	var denial *railadmitter.Denial
+	if !errors.As(err, &denial) {
+		return nil
+	}
+	return []any{"serving", denial.Serving, "waiting", denial.Waiting, "expectedWait", denial.Expected}
 }
 
 // fail answers a request by what is known of whether it has run.
 func (g *Gateway) fail(c *call, verdict railverdict.Verdict, err error) {
-	no := &refusal{fasthttp.StatusBadGateway, "the endpoint did not answer"}
+	no := &refusal{status: fasthttp.StatusBadGateway, reason: "the endpoint did not answer"}
 	switch {
 	case verdict == railverdict.NotRun:
-		no = &refusal{fasthttp.StatusServiceUnavailable, "the request has not run: " + errors.UnwrapAll(err).Error()}
+		no = &refusal{status: fasthttp.StatusServiceUnavailable, reason: "the request has not run: " + errors.UnwrapAll(err).Error(), inputs: inputs(err)}
 	case errors.Is(c.work.Err(), context.DeadlineExceeded):
-		no = &refusal{fasthttp.StatusGatewayTimeout, "the time is up, and the request may have run"}
+		no = &refusal{status: fasthttp.StatusGatewayTimeout, reason: "the time is up, and the request may have run"}
 	}
 	g.refuse(c, no)
 }
 
-// logAnswer logs an answer that was passed on whole, with what decided on its way when it was late.
+// logAnswer logs an answer that was passed on whole, with what decided on its way: each one that was late, and a sample of the others.
 func (g *Gateway) logAnswer(c *call, a *attempt) {
-	level := slog.LevelDebug
-	if c.first > c.route.Target || c.route.TargetGap > 0 && c.gap > c.route.TargetGap {
-		level = slog.LevelInfo
-	}
-	if !g.Log.Enabled(c.work, level) {
-		return
+	late := c.first > c.route.Target || c.route.TargetGap > 0 && c.gap > c.route.TargetGap
+	leftOut := 0
+	if !late && !g.Log.Enabled(c.work, slog.LevelDebug) {
+		var ok bool
+		if leftOut, ok = g.onTime.Take(); !ok {
+			return
+		}
 	}
 	lease := a.lease
-	g.Log.Log(context.Background(), level, "request answered", "request", c.ID, "route", c.route.Name, "customer", c.customer.Name,
+	g.Log.Info("request answered", "request", c.ID, "route", c.route.Name, "customer", c.customer.Name,
 		"endpoint", lease.Instance.ID, "zone", lease.Instance.Zone, "row", lease.Instance.Revision, "held", c.held, "predicted", lease.Predicted,
-		"first", c.first, "gap", c.gap, "running", lease.Load.Running, "unread", lease.Load.Unread, "prompt", c.PromptTokens, "deadline", c.Wait, "later", c.later, "after", time.Since(c.began))
+		"first", c.first, "gap", c.gap, "running", lease.Load.Running, "unread", lease.Load.Unread, "prompt", c.PromptTokens, "deadline", c.Wait, "later", c.later, "after", time.Since(c.began), "late", late, "leftOut", leftOut)
 }
 
 // count counts a request that has ended with a status.
--- /dev/null
+++ b/internal/report/raillife/life_test.go
@@ -0,0 +1,56 @@
+package raillife_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmarrail/fulmarrail/internal/report/raillife"
+)
+
+// The lines of two gateways and a carrier, out of order, with what a collector puts before some of them.
+const logs = `
+  37.9 gw-1 {"time":"2026-10-08T07:46:05.9Z","level":"INFO","msg":"front: request refused","role":"gateway","name":"gw-1","request":"aa11","status":503,"reason":"no endpoint can begin the answer in time"}
+{"time":"2026-10-08T07:46:05.1Z","level":"INFO","msg":"front: attempt failed","role":"gateway","name":"gw-1","request":"aa11","endpoint":"e-7","verdict":0,"err":"connection refused"}
+{"time":"2026-10-08T07:46:05.2Z","level":"INFO","msg":"front: request refused","role":"gateway","name":"gw-1","request":"bb22","status":503}
+{"time":"2026-10-08T07:40:00Z","level":"INFO","msg":"config: configuration in force","role":"gateway","name":"gw-1","version":2,"before":1}
+{"time":"2026-10-08T07:41:00Z","level":"INFO","msg":"config: configuration in force","role":"gateway","name":"gw-1","version":3,"before":2}
+{"time":"2026-10-08T07:41:00Z","level":"INFO","msg":"config: configuration in force","role":"gateway","name":"gw-2","version":3,"before":2}
+{"time":"2026-10-08T07:46:04Z","level":"INFO","msg":"fleet: endpoint is gone","role":"gateway","name":"gw-2","endpoint":"e-7"}
+{"time":"2026-10-08T07:46:04Z","level":"INFO","msg":"fleet: endpoint is gone","role":"gateway","name":"gw-1","endpoint":"e-8"}
+{"time":"2026-10-08T07:30:04Z","level":"INFO","msg":"fleet: endpoint appears","role":"gateway","name":"gw-1","endpoint":"e-7","address":"10.0.0.7:80"}
+{"time":"2026-10-08T07:46:01Z","level":"INFO","msg":"rollout: load ordered","role":"carrier","name":"c-7","engine":"10.0.0.7:80","version":3}
+{"time":"2026-10-08T07:46:01Z","level":"INFO","msg":"rollout: load ordered","role":"carrier","name":"c-8","engine":"10.0.0.8:80","version":3}
+{"time":"2026-10-08T07:47:00Z","level":"WARN","msg":"store: store lost","role":"gateway","name":"gw-1","table":"op"}
+panic: not a line of a log
+`
+
+func TestALifeHoldsTheRequestsLinesInOrderAndWhatWasKnown(t *testing.T) {
+	c := qt.New(t)
+	life := raillife.New("aa11")
+	c.Assert(life.Read(strings.NewReader(logs)), qt.IsNil)
+	life.Close()
+	c.Check(life.Outcome, qt.Equals, "answered by the entry with 503, no endpoint can begin the answer in time")
+	c.Check(life.Unread, qt.Equals, 1)
+	var out bytes.Buffer
+	life.WriteText(&out)
+	c.Check(out.String(), qt.Equals, `request aa11: answered by the entry with 503, no endpoint can begin the answer in time
+  07:46:05.100000  gw-1  front: attempt failed role=gateway endpoint=e-7 verdict=0 err="connection refused"
+  07:46:05.900000  gw-1  front: request refused role=gateway status=503 reason="no endpoint can begin the answer in time"
+what the processes that decided had learned before:
+  07:41:00.000000  gw-1  config: configuration in force role=gateway version=3 before=2
+  07:46:01.000000  c-7  rollout: load ordered role=carrier engine=10.0.0.7:80 version=3
+  07:46:04.000000  gw-2  fleet: endpoint is gone role=gateway endpoint=e-7
+1 lines are not of a process's log and were left out
+`)
+}
+
+func TestARequestThatNoLineNamesSaysSo(t *testing.T) {
+	life := raillife.New("cc33")
+	qt.Assert(t, life.Read(strings.NewReader(logs)), qt.IsNil)
+	life.Close()
+	qt.Check(t, life.Lines, qt.HasLen, 0)
+	qt.Check(t, life.Outcome, qt.Contains, "no line names it")
+}
--- /dev/null
+++ b/internal/report/raillogline/doc.go
@@ -0,0 +1,2 @@
+// Package raillogline reads the structured lines that processes log.
+package raillogline
--- a/internal/routing/railadmitter/admitter.go
+++ b/internal/routing/railadmitter/admitter.go
@@ -24,6 +24,26 @@
 	ErrNoEndpoint = errors.New("no endpoint may take the request")
 )
 
+// Denial is the error of a request that gets no place, with what decided that when the request came.
+type Denial struct {
+	// Reason is ErrBusy or ErrNoEndpoint.
+	Reason error
+	// Serving is the number of endpoints that could take the request at all, and Waiting that of the requests that go before it.
+	Serving, Waiting int
+	// Expected is the wait behind those.
+	Expected time.Duration
+}
+
+// Error returns the reason's text.
+func (d *Denial) Error() string {
+	return d.Reason.Error()
+}
+
+// Unwrap returns the reason.
+func (d *Denial) Unwrap() error {
+	return d.Reason
+}
+
 // Admitter grants the endpoints of one service; its fields are set before its first use.
 type Admitter struct {
 	Fleet *railfleet.Fleet
@@ -41,7 +61,8 @@
 	granted chan *railfleet.Lease
 }
 
-// Acquire returns a place at an endpoint, waiting for it until latest at most; the errors mean that the request was not run.
+// Acquire returns a place at an endpoint, waiting for it until latest at most; the errors mean that the request was not run, and
+// are a Denial if the caller still waits.
 func (a *Admitter) Acquire(ctx context.Context, need railfleet.Need, rank int, latest time.Time) (*railfleet.Lease, error) {
 	a.mu.Lock()
 	now := time.Now()
@@ -52,18 +73,18 @@
 			return l, nil
 		}
 	}
-	if a.Fleet.Serving(need) == 0 && !now.Before(latest) {
-		a.mu.Unlock()
-		return nil, ErrNoEndpoint
+	denial := &Denial{Reason: ErrBusy, Serving: a.Fleet.Serving(need), Waiting: a.ahead(rank), Expected: a.wait(now, rank)}
+	if denial.Serving == 0 && !now.Before(latest) {
+		denial.Reason = ErrNoEndpoint
 	}
-	if a.wait(now, rank) > latest.Sub(now) {
+	if denial.Reason != ErrBusy || denial.Expected > latest.Sub(now) {
 		a.mu.Unlock()
-		return nil, ErrBusy
+		return nil, denial
 	}
 	w := &waiter{need: need, rank: rank, latest: latest, granted: make(chan *railfleet.Lease, 1)}
 	a.push(w)
 	a.mu.Unlock()
-	return a.await(ctx, w)
+	return a.await(ctx, w, denial)
 }
 
 // Wake grants places to waiting requests as far as there is room. One for which there is none holds up those behind it, so that
@@ -103,7 +124,8 @@
 	return a.Fleet.Reserve(need)
 }
 
-func (a *Admitter) await(ctx context.Context, w *waiter) (*railfleet.Lease, error) {
+// await waits for a grant; denial is the error when none comes in time.
+func (a *Admitter) await(ctx context.Context, w *waiter, denial *Denial) (*railfleet.Lease, error) {
 	expired := time.NewTimer(time.Until(w.latest))
 	defer expired.Stop()
 	look := time.NewTicker(lookInterval)
@@ -115,7 +137,7 @@
 		case <-look.C:
 			a.Wake()
 		case <-expired.C:
-			return a.leave(w, ErrBusy)
+			return a.leave(w, denial)
 		case <-ctx.Done():
 			l, err := a.leave(w, ctx.Err())
 			if l != nil {
@@ -153,14 +175,20 @@
 	return len(a.waiting) > 0 && a.waiting[0].rank <= rank
 }
 
-// wait predicts the wait behind those that go first, from the places granted lately.
-func (a *Admitter) wait(now time.Time, rank int) time.Duration {
-	ahead := 0
+// ahead returns the number of waiting requests that go before a new one of the rank.
+func (a *Admitter) ahead(rank int) int {
+	n := 0
 	for _, w := range a.waiting {
 		if w.rank <= rank {
-			ahead++
+			n++
 		}
 	}
+	return n
+}
+
+// wait predicts the wait behind those that go first, from the places granted lately.
+func (a *Admitter) wait(now time.Time, rank int) time.Duration {
+	ahead := a.ahead(rank)
 	a.forget(now)
 	if ahead == 0 || len(a.grants) == 0 {
 		return 0
