Keep the ids of a load trial's engines apart from changes of the list

Change: the map is made once, for all engines that there ever are.

Measured: go test -race -count=2 ./internal/lab/railloadtrial passes.

--- a/internal/lab/railloadtrial/policy.go
+++ b/internal/lab/railloadtrial/policy.go
@@ -63,16 +63,21 @@
 	backend  railbackend.Backend
 	patience railpatience.Patience
 	alike    bool
-	engines  map[string]int
+	// engines holds the index of each engine that there ever is, by its id; it does not change.
+	engines map[string]int
 }
 
 // newOwn returns the entries of a deployment, which tell each other what they have in flight until ctx is done.
 func newOwn(ctx context.Context, t *Trial, alike bool) []policy {
 	timer := &railtimer.Service{}
 	go timer.Run(ctx)
+	engines := map[string]int{}
+	for i := range t.most() {
+		engines[engineID(i)] = i
+	}
 	var entries []*own
 	for range t.Entries {
-		entries = append(entries, &own{backend: t.backend(), alike: alike, engines: map[string]int{}})
+		entries = append(entries, &own{backend: t.backend(), alike: alike, engines: engines})
 	}
 	for i, e := range entries {
 		e.fleet = &railfleet.Fleet{
@@ -103,12 +108,15 @@
 	}
 }
 
+func engineID(index int) string {
+	return fmt.Sprint("engine-", index)
+}
+
 // setEngines takes over which engines there are.
 func (o *own) setEngines(indexes []int, slots int) {
 	var list []railinstance.Instance
 	for _, i := range indexes {
-		id := fmt.Sprint("engine-", i)
-		o.engines[id] = i
+		id := engineID(i)
 		list = append(list, railinstance.Instance{
 			ID: id, Address: id, Service: service, Zone: zone, Region: zone, Slots: slots, Version: 1,
 		})
