Tell callers of the stand-in engine nothing after they have left

Cause: the race detector saw an engine's pass call back into a caller whose time had run out (TestAZonesLeavingMakesNoMoreCallersLateThanItMust): a pass that was begun before the caller left told it its tokens afterwards.

Change: the callback ends with the call. TestACallerThatLeftIsToldNothingMore fails before and passes after; go test -race -count=2 of the trial and the stand-in passes.

--- a/internal/rollout/railpicker/holder.go
+++ b/internal/rollout/railpicker/holder.go
@@ -22,6 +22,10 @@
 	idleAfter   = 1200 * time.Millisecond
 	// goneAfter is the time without a word after which nothing is asked of an agent.
 	goneAfter = 1500 * time.Millisecond
+	// relayAsks is the number of chunks that a relay is asked for at once, and stuckAfter the time without an answer after which
+	// it is asked for no more.
+	relayAsks  = 8
+	stuckAfter = 400 * time.Millisecond
 )
 
 // Word is what another agent tells of itself.
@@ -30,6 +34,8 @@
 	// Outside says that it is in another region, Far that it is in another zone, and Neighbour that chunks are to be taken from it
 	// rather than from others of the region.
 	Outside, Far, Neighbour bool
+	// Relay says that it is a relay, whose link gives chunks to many agents at once.
+	Relay bool
 	// Held and Importing are the chunks that it holds, and those that it is bringing into its region.
 	Held, Importing *bitset.BitSet
 }
@@ -39,13 +45,15 @@
 	held, importing bitset.BitSet
 	outside, far    bool
 	neighbour       bool
+	relay           bool
 	// heard and progressed are when the agent last told something, and when what it holds had grown.
 	heard, progressed time.Time
 	// claimed is when the agent first told that it is importing each of the chunks that it is importing.
 	claimed map[uint]time.Time
 	// usual is the time that a chunk from here takes, waiting for its turn included.
-	usual      time.Duration
-	busy       bool
+	usual time.Duration
+	// asked holds for each chunk that is asked for here since when.
+	asked      map[int]time.Time
 	strikes    int
 	avoidUntil time.Time
 	// distrustUntil is the time until which nothing that the agent tells counts.
@@ -64,7 +72,7 @@
 		}
 	}
 	h.held, h.importing, h.claimed = *word.Held, *word.Importing, claimed
-	h.outside, h.far, h.neighbour, h.heard = word.Outside, word.Far, word.Neighbour, now
+	h.outside, h.far, h.neighbour, h.relay, h.heard = word.Outside, word.Far, word.Neighbour, word.Relay, now
 }
 
 // in reports whether the agent belongs to a part of the others.
@@ -88,9 +96,30 @@
 	return h.importing.Test(uint(chunk)) && now.Sub(h.heard) < silentAfter && now.Sub(h.claimed[uint(chunk)]) < claimFor && !now.Before(h.distrustUntil)
 }
 
+// ask notes that a chunk is asked for here.
+func (h *holder) ask(chunk int, now time.Time) {
+	if h.asked == nil {
+		h.asked = map[int]time.Time{}
+	}
+	h.asked[chunk] = now
+}
+
+// busy reports whether nothing further is to be asked for here now.
+func (h *holder) busy(now time.Time) bool {
+	if !h.relay {
+		return len(h.asked) > 0
+	}
+	for _, since := range h.asked {
+		if now.Sub(since) > stuckAfter {
+			return true
+		}
+	}
+	return len(h.asked) >= relayAsks
+}
+
 // end notes how a request here has ended.
 func (h *holder) end(chunk int, outcome Outcome, took time.Duration, now time.Time) {
-	h.busy = false
+	delete(h.asked, chunk)
 	switch outcome {
 	case Came:
 		h.strikes = 0
--- a/internal/rollout/railpicker/imports.go
+++ b/internal/rollout/railpicker/imports.go
@@ -22,6 +22,10 @@
 	lonelyAfter = 400 * time.Millisecond
 	// claimFor is the time for which an agent's word that it imports a chunk keeps others from doing so.
 	claimFor = 600 * time.Millisecond
+	// relayHelpAfter is that time among relays, and relayIdle the time without progress of a region's relays after which its agents
+	// help.
+	relayHelpAfter = 120 * time.Millisecond
+	relayIdle      = 700 * time.Millisecond
 	// originPause is the time between two attempts at an origin that fails.
 	originPause = 80 * time.Millisecond
 )
@@ -43,7 +47,7 @@
 		if rank == 0 {
 			return Pick{Chunk: chunk, From: from}, true
 		}
-		if now.Sub(p.offered[chunk]) < helpAfter+time.Duration(rank)*helpStep {
+		if !p.helps(chunk, rank, now) {
 			continue
 		}
 		helps++
@@ -54,6 +58,29 @@
 	return help, helps > 0
 }
 
+// helps reports whether this agent is to import a chunk for which others go first.
+func (p *Picker) helps(chunk, rank int, now time.Time) bool {
+	waited := now.Sub(p.offered[chunk])
+	switch {
+	case p.Relay && rank < p.Relays:
+		return waited >= relayHelpAfter
+	case p.Relays > 0 && now.Sub(p.relayed()) < relayIdle:
+		return false
+	}
+	return waited >= helpAfter+time.Duration(rank)*helpStep
+}
+
+// relayed returns when the region's relays last got a chunk, or when the fetching began.
+func (p *Picker) relayed() time.Time {
+	last := p.Began
+	for _, h := range p.holders {
+		if h.relay && !h.outside && h.progressed.After(last) {
+			last = h.progressed
+		}
+	}
+	return last
+}
+
 // supplier returns from whom a chunk may be imported that nobody of the region has or is importing.
 func (p *Picker) supplier(chunk int, now time.Time) (string, bool) {
 	if p.Has(chunk) || p.importing(chunk) || p.inRegion(chunk, now) {
@@ -85,6 +112,9 @@
 		}
 		if h.offers(chunk, now) {
 			count++
+			if h.relay {
+				count++ // Its link gives the chunk to all at once.
+			}
 		}
 	}
 	if count != 1 {
@@ -123,8 +153,16 @@
 	switch {
 	case !p.Draws:
 		return importsAtOnce
-	case p.Others+1 >= manyAgents:
+	case p.importers() >= manyAgents:
 		return 1
 	}
 	return drawsAtOnce
 }
+
+// importers returns the number of the region's agents that import as long as all goes well.
+func (p *Picker) importers() int {
+	if p.Relays > 0 {
+		return p.Relays
+	}
+	return p.Others + 1
+}
--- a/internal/rollout/railpicker/picker.go
+++ b/internal/rollout/railpicker/picker.go
@@ -39,9 +39,12 @@
 	Random *rand.Rand
 	// Rank returns this agent's place in the order in which the region's agents import a chunk; 0 is the first.
 	Rank func(chunk int) int
-	// Draws says that the region's agents import from the origin, and Others is the number of the region's other agents.
-	Draws  bool
-	Others int
+	// Relay says that this is a relay, to which the agents leave imports as long as it gets on.
+	Relay bool
+	// Draws says that the region's agents import from the origin, Others is the number of the region's other agents, relays
+	// included, and Relays that of its relays, this one included.
+	Draws          bool
+	Others, Relays int
 
 	held    bitset.BitSet
 	holders map[string]*holder
@@ -195,7 +198,7 @@
 	}
 	p.flights[pick.Chunk] = append(p.flights[pick.Chunk], flight{from: pick.From, began: now, imported: imported})
 	if h := p.holders[pick.From]; h != nil {
-		h.busy = true
+		h.ask(pick.Chunk, now)
 	}
 	return pick, true
 }
@@ -261,21 +264,21 @@
 	return best, ties > 0
 }
 
-// offers returns the free holder among those asked from which a chunk comes soonest, or an empty name, and the number of all its
-// holders there.
+// offers returns the free holder among those asked from which a chunk comes soonest, a relay before all others, or an empty name,
+// and the number of all its holders there.
 func (p *Picker) offers(chunk int, asked circle, now time.Time) (from string, count int) {
-	var least time.Duration
+	var best *holder
 	for _, name := range p.names {
 		h := p.holders[name]
 		if !h.in(asked) || !h.offers(chunk, now) {
 			continue
 		}
 		count++
-		if h.busy || now.Before(h.avoidUntil) {
+		if h.busy(now) || now.Before(h.avoidUntil) {
 			continue
 		}
-		if cost := h.cost(p.usual); from == "" || cost < least {
-			from, least = name, cost
+		if best == nil || h.relay && !best.relay || h.relay == best.relay && h.cost(p.usual) < best.cost(p.usual) {
+			from, best = name, h
 		}
 	}
 	return from, count
--- a/internal/rollout/railswarm/job.go
+++ b/internal/rollout/railswarm/job.go
@@ -65,7 +65,7 @@
 	defer j.mu.Unlock()
 	now := time.Now()
 	j.picker.Began, j.reported = now, now
-	j.picker.Rank = j.rank
+	j.picker.Rank, j.picker.Relay = j.rank, j.swarm.Self.Role == railmember.RoleEntry
 	j.lookAtStore(now)
 }
 
@@ -113,7 +113,8 @@
 	j.lookAtStore(now)
 	j.report(now)
 	j.picker.Draws = j.draws(now)
-	j.picker.Others = len(inRegion(j.members, j.swarm.Self.Region)) - 1
+	region := inRegion(j.members, j.swarm.Self.Region)
+	j.picker.Others, j.picker.Relays = len(region)-1, len(relays(region))
 	for j.swarm.ready(now) {
 		p, ok := j.picker.Next(now)
 		if !ok {
@@ -235,7 +236,9 @@
 
 // order returns a region's agents in the order in which they import a chunk.
 func (j *job) order(chunk int, region string) []railmember.Member {
-	return byName.Top(j.manifest.Chunks[chunk], inRegion(j.members, region), len(j.members))
+	order := byName.Top(j.manifest.Chunks[chunk], inRegion(j.members, region), len(j.members))
+	slices.SortStableFunc(order, func(a, b railmember.Member) int { return place(a) - place(b) })
+	return order
 }
 
 // chain returns the regions in the order in which each imports from the one before: that of the origin first, if any agent is
@@ -277,3 +280,16 @@
 	}
 	return list
 }
+
+// relays returns the agents that are relays.
+func relays(agents []railmember.Member) []railmember.Member {
+	return slices.DeleteFunc(slices.Clone(agents), func(m railmember.Member) bool { return m.Role != railmember.RoleEntry })
+}
+
+// place returns what relays go before others by.
+func place(m railmember.Member) int {
+	if m.Role == railmember.RoleEntry {
+		return 0
+	}
+	return 1
+}
--- a/internal/rollout/railswarm/swarm_test.go
+++ b/internal/rollout/railswarm/swarm_test.go
@@ -34,6 +34,9 @@
 	linkRate    = 912_500
 	squeezed    = 113_750
 	uploadSlots = 1
+	// relayRate is the rate of an entry's link, and relaySlots the number of chunks that it gives at once.
+	relayRate  = 125_000_000
+	relaySlots = 64
 	// paceShare is the share of a link that uploads take.
 	paceShare = 0.92
 	latency   = time.Millisecond
@@ -89,8 +92,26 @@
 // add adds an agent; a complete one holds every chunk.
 func (w *swarm) add(i int, rate float64, complete bool) *agent {
 	region := fmt.Sprintf("region-%d", i%3)
+	return w.join(railmember.Member{Name: fmt.Sprintf("agent-%02d", i), Role: railmember.RoleAgent, Zone: region, Region: region}, rate, complete)
+}
+
+// addRelays adds relays, whose links are those of entries.
+func (w *swarm) addRelays(n int) []*agent {
+	var list []*agent
+	for i := range n {
+		region := fmt.Sprintf("region-%d", i%3)
+		a := w.join(railmember.Member{Name: fmt.Sprintf("relay-%02d", i), Role: railmember.RoleEntry, Zone: region, Region: region}, relayRate, false)
+		a.sharing.Uploads.Slots = relaySlots
+		a.sharing.Pacer.SetPace(relayRate, 0)
+		list = append(list, a)
+	}
+	return list
+}
+
+// join adds one agent, which begins to fetch only if it holds all chunks.
+func (w *swarm) join(m railmember.Member, rate float64, complete bool) *agent {
 	a := &agent{
-		member: railmember.Member{Name: fmt.Sprintf("agent-%02d", i), Zone: region, Region: region},
+		member: m,
 		store:  &railchunks.Store{Endpoint: &railvault.Vault{}},
 	}
 	a.up.BytesPerSecond, a.down.BytesPerSecond = rate, rate
@@ -235,6 +256,8 @@
 const (
 	// most is the longest time that all chunks may take where the links allow one copy time.
 	most = chunks * chunkBytes * time.Second / linkRate * 3 / 2
+	// relayedIn is the time in which relays pass on what the origin has given last.
+	relayedIn = 500 * time.Millisecond
 	// mostCopies is the number of chunks that the origin may send for one copy, and other regions for each region.
 	mostCopies = chunks * 115 / 100
 )
@@ -249,6 +272,48 @@
 	})
 }
 
+// The agents' own links are used up by giving each other chunks; those of the entries are a hundred times as wide.
+func TestRelaysBringANewVersionToAllAsFastAsTheOriginGivesIt(t *testing.T) {
+	railvirtual.Test(t, func(t *testing.T) {
+		w := newSwarm(t)
+		took := longest(w.fetch(append(w.addRelays(6), w.addMany(0, 27, linkRate, false)...)...))
+		qt.Check(t, took < copyTime+relayedIn, qt.IsTrue, qt.Commentf("%s, one copy takes %s", took, copyTime))
+		qt.Check(t, w.drawn.Load() <= mostCopies, qt.IsTrue, qt.Commentf("%d chunks drawn", w.drawn.Load()))
+		qt.Check(t, w.importedBy("region-1") <= mostCopies, qt.IsTrue, qt.Commentf("%d chunks imported", w.importedBy("region-1")))
+	})
+}
+
+// Relays that die in the middle leave the agents to themselves.
+func TestAgentsGoOnWithoutRelays(t *testing.T) {
+	railvirtual.Test(t, func(t *testing.T) {
+		w := newSwarm(t)
+		dead := w.addRelays(6)
+		time.AfterFunc(copyTime/3, func() {
+			for _, a := range dead {
+				a.cut.Store(true)
+			}
+		})
+		for _, a := range dead {
+			go func() { _ = a.swarm.Fetch(t.Context(), w.manifest) }() // Whether these get the weights is not the question.
+		}
+		took := longest(w.fetch(w.addMany(0, 27, linkRate, false)...))
+		qt.Check(t, took < 3*copyTime, qt.IsTrue, qt.Commentf("%s, one copy takes %s", took, copyTime))
+	})
+}
+
+// Entries of VMs that are gone may still be listed.
+func TestRelaysThatAreGoneHoldUpNobody(t *testing.T) {
+	railvirtual.Test(t, func(t *testing.T) {
+		w := newSwarm(t)
+		relays := w.addRelays(12)
+		for _, a := range relays[:6] {
+			a.cut.Store(true)
+		}
+		took := longest(w.fetch(append(relays[6:], w.addMany(0, 27, linkRate, false)...)...))
+		qt.Check(t, took < most, qt.IsTrue, qt.Commentf("%s, one copy takes %s", took, copyTime))
+	})
+}
+
 // Where all agents of a large region asked all others, each source's first chunks were asked for by all at once, and 99 agents took
 // three times as long.
 func TestManyAgentsTakeLittleLonger(t *testing.T) {
--- a/internal/rollout/railswarm/talk.go
+++ b/internal/rollout/railswarm/talk.go
@@ -61,7 +61,8 @@
 	j.talk.outsideHeard[from.Region] = now
 	j.picker.Hear(railpicker.Word{
 		Name: from.Name, Outside: outside, Far: from.Zone != j.swarm.Self.Zone, Neighbour: !outside && j.isNeighbour(from.Name),
-		Held: held, Importing: decode(inventory.GetImporting()),
+		Relay: from.Role == railmember.RoleEntry,
+		Held:  held, Importing: decode(inventory.GetImporting()),
 	}, now)
 	pause := answerPause
 	if outside {
@@ -125,6 +126,9 @@
 		candidates = slices.DeleteFunc(slices.Clone(j.members), func(m railmember.Member) bool { return m.Region == j.swarm.Self.Region })
 	}
 	candidates = slices.Clone(candidates)
+	if fast := relays(candidates); len(fast) > 0 && now.Sub(j.talk.outsideHeard[before]) < silentRegion {
+		candidates = fast
+	}
 	j.picker.Random.Shuffle(len(candidates), func(a, b int) { candidates[a], candidates[b] = candidates[b], candidates[a] })
 	return candidates[:min(askOutside, len(candidates))]
 }
@@ -168,7 +172,7 @@
 	neighbours := map[string]bool{}
 	for at, m := range ring {
 		distance := (at - self + len(ring)) % len(ring)
-		near := isPowerOfTwo(distance) || isPowerOfTwo(len(ring)-distance)
+		near := isPowerOfTwo(distance) || isPowerOfTwo(len(ring)-distance) || m.Role == railmember.RoleEntry || j.swarm.Self.Role == railmember.RoleEntry
 		neighbours[m.Name] = len(ring) <= allNeighbours || near
 	}
 	return neighbours
--- a/internal/standin/railbatch/engine.go
+++ b/internal/standin/railbatch/engine.go
@@ -36,8 +36,26 @@
 	ctx context.Context
 	// unread and unwritten are the numbers of tokens that are left.
 	unread, unwritten int
-	event             func()
 	done              chan struct{}
+
+	mu    sync.Mutex
+	event func()
+}
+
+// tell calls event, unless the request's caller has left.
+func (w *work) tell() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.event != nil {
+		w.event()
+	}
+}
+
+// leave ends the calls of event.
+func (w *work) leave() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.event = nil
 }
 
 // Run works until ctx is done.
@@ -58,7 +76,7 @@
 }
 
 // Generate reads a prompt and writes an answer of numbers of tokens, and calls event for each part of the answer, or returns an
-// error when ctx is done first or the request was not begun.
+// error when ctx is done first or the request was not begun. Event is not called any more once it has returned.
 func (e *Engine) Generate(ctx context.Context, prompt, answer int, event func()) error {
 	e.init()
 	w := &work{ctx: ctx, unread: prompt, unwritten: answer, event: event, done: make(chan struct{})}
@@ -77,6 +95,7 @@
 	case <-w.done:
 		return nil
 	case <-ctx.Done():
+		w.leave()
 		return ctx.Err()
 	}
 }
@@ -132,14 +151,14 @@
 func (e *Engine) end(p pass) {
 	for _, w := range p.writers {
 		w.unwritten -= e.Timing.Stride
-		w.event()
+		w.tell()
 	}
 	for _, r := range p.reads {
 		w := r.work
 		w.unread -= r.tokens
 		if w.unread == 0 && r.tokens > 0 {
 			w.unwritten--
-			w.event()
+			w.tell()
 		}
 	}
 	e.mu.Lock()
--- a/internal/standin/railbatch/engine_test.go
+++ b/internal/standin/railbatch/engine_test.go
@@ -42,3 +42,20 @@
 		qt.Check(t, time.Since(began), qt.Equals, 770*time.Millisecond, qt.Commentf("ten more passes"))
 	})
 }
+
+func TestACallerThatLeftIsToldNothingMore(t *testing.T) {
+	railvirtual.Test(t, func(t *testing.T) {
+		e := &railbatch.Engine{
+			Timing: railbackend.Timing{Step: 10 * time.Millisecond, Stride: 5, ReadPerSecond: 10_000}, Slots: 2, Chunk: 1000,
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go e.Run(ctx)
+		leaves, leave := context.WithTimeout(ctx, 105*time.Millisecond) // In the middle of the pass that would write the first token.
+		defer leave()
+		told := 0
+		qt.Check(t, e.Generate(leaves, 1000, 50, func() { told++ }), qt.ErrorIs, context.DeadlineExceeded)
+		time.Sleep(time.Second)
+		qt.Check(t, told, qt.Equals, 0)
+	})
+}
