Let entries relay weights over their wide links

In the origin's region the agents' uplinks are used up by giving each other one copy each; the regions behind wait for what is left of them.

Change: an entry takes part in the exchange of each model's weights that fit into 16 MiB, as a relay: relays import and draw first, agents ask them first and for several chunks at once, and go on without them when they get no further. The part of a process in the exchange is a package of its own (railpeer) that carrier and gateway share; what fetches (railcollector) is apart from what loads (railinstaller).

--- a/internal/command/railcarriercmd/carrier.go
+++ b/internal/command/railcarriercmd/carrier.go
@@ -64,9 +64,11 @@
 	carrier := &railcarrier.Carrier{
 		Self: self, Key: []byte(site.SharedKey), Inner: inner, Port: port, Dialer: dialer, Socket: socket, Catalog: p.Current.Get, Named: p.Current.Namings,
 		Engine: &platform.Engine{
-			HTTP: p.Store.HTTP, Origin: &platform.Caller{Timeout: site.Timeout, Single: true}, Address: site.Endpoint,
+			HTTP: p.Store.HTTP, Address: site.Endpoint,
 			Layers: func() int { return p.Layers(site.Service) },
 		},
+		Origin:  p.Origin(),
+		Entries: learner.Entries,
 		Link:    int(site.Link * bytesPerMegabit),
 		Weights: p.Site.Bounds.Weights, Regions: p.Site.Regions, Log: p.Log.With("engine", site.Endpoint),
 		Instances: learner.Instances,
--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -25,9 +25,11 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/node/railgateway"
+	"github.com/fulmarrail/fulmarrail/internal/node/railrelay"
 	"github.com/fulmarrail/fulmarrail/internal/store/railrows"
 	"github.com/fulmarrail/fulmarrail/internal/store/railtable"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildatagram"
+	"github.com/fulmarrail/fulmarrail/internal/wire/raildialer"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildigest"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raillistener"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
@@ -44,6 +46,8 @@
 	// keyAge is the part of the bound on revocations for which a view of the configuration is trusted.
 	keyAge        = 0.8
 	announcePause = time.Second
+	// dialTimeout bounds an attempt to connect to another process.
+	dialTimeout = 500 * time.Millisecond
 )
 
 // NewCmdGateway returns the command.
@@ -62,6 +66,7 @@
 
 	briefer *railbriefer.Briefer
 	entries *railentries.Entries
+	relay   *railrelay.Relay
 
 	mu        sync.Mutex
 	peers     []*net.UDPAddr
@@ -109,7 +114,12 @@
 	}
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	if g.relay, err = g.newRelay(socket); err != nil {
+		return err
+	}
+	defer func() { _ = g.relay.Dialer.Close() }()
 	g.follow(work)
+	go g.relay.Run(work)
 	go timer.Run(work)
 	go teller.Run(work)
 	go socket.Receive(work, g.hear)
@@ -120,6 +130,21 @@
 	return front.Run(ctx, site.Bounds.Grace-300*time.Millisecond)
 }
 
+// newRelay returns the part that passes weights on to agents.
+func (g *gateway) newRelay(socket *raildatagram.Socket) (*railrelay.Relay, error) {
+	site := g.Site.Process
+	host, port, err := net.SplitHostPort(site.Inner)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the setting inner")
+	}
+	return &railrelay.Relay{
+		Self: railmember.Member{Name: host, Role: railmember.RoleEntry, Address: site.Inner, Zone: site.Zone, Region: site.Region},
+		Port: port, Origin: g.Origin(), Dialer: &raildialer.Dialer{Key: []byte(site.SharedKey), Timeout: dialTimeout}, Socket: socket,
+		Catalog: g.Current.Get, Instances: g.listed, Entries: g.members, Named: g.Current.Namings, Weights: g.Site.Bounds.Weights,
+		Regions: g.Site.Regions, Log: g.Log,
+	}, nil
+}
+
 // follow keeps copies of the store's tables.
 func (g *gateway) follow(ctx context.Context) {
 	bounds := g.Site.Bounds
@@ -151,13 +176,14 @@
 	g.mu.Unlock()
 	g.fleet.SetInstances(instances)
 	g.briefer.Changed()
+	g.relay.Changed()
 }
 
 // serveAgents answers the agents that only bring weights.
 func (g *gateway) serveAgents(ctx context.Context, inner net.Listener) error {
 	mux := drpcmux.New()
-	if err := railproto.DRPCRegisterEntry(mux, g.briefer); err != nil {
-		return errors.Wrap(err, "register the inner service")
+	if err := errors.CombineErrors(railproto.DRPCRegisterEntry(mux, g.briefer), railproto.DRPCRegisterAgent(mux, g.relay)); err != nil {
+		return errors.Wrap(err, "register the inner services")
 	}
 	listener := &raillistener.Listener{Key: []byte(g.Site.Process.SharedKey), Handler: mux, Log: raillog.Part(g.Log, "inner")}
 	go func() {
@@ -213,11 +239,14 @@
 }
 
 // hear takes over what another entry tells of its load, or an agent of the engine beside it.
-func (g *gateway) hear(_ net.Addr, datagram *railproto.Datagram) {
+func (g *gateway) hear(from net.Addr, datagram *railproto.Datagram) {
 	if digest := datagram.GetDigest(); digest != nil {
 		g.entries.Hear(digest.GetEntry())
 		g.fleet.Absorb(digest)
 	}
+	if inventory := datagram.GetInventory(); inventory != nil {
+		g.relay.Hear(from, inventory)
+	}
 	if n := datagram.GetNotice(); n != nil {
 		g.fleet.Notice(n.GetAddress(), n.GetVersion(), time.Duration(n.GetChangesInMillis())*time.Millisecond)
 	}
--- a/internal/command/railsiteprocess/process.go
+++ b/internal/command/railsiteprocess/process.go
@@ -140,6 +140,11 @@
 	return signals
 }
 
+// Origin returns the client of the origin of weights; it uses a connection for each call, since the origin bears few.
+func (p *Process) Origin() *platform.Origin {
+	return &platform.Origin{HTTP: &platform.Caller{Timeout: p.Site.Process.Timeout, Single: true}}
+}
+
 // Follow keeps a copy of a table; changed gets all rows after each change.
 func (p *Process) Follow(table string, wait, pause time.Duration, changed func(map[string]railrows.Row)) *railrows.Follower {
 	return &railrows.Follower{
--- a/internal/config/railbackend/backend.go
+++ b/internal/config/railbackend/backend.go
@@ -11,8 +11,9 @@
 	Engine *Engine
 	// Origin is the address of the origin of weights, for the service that is one.
 	Origin string
-	// Zone is the origin's availability zone.
+	// Zone is the origin's availability zone, and Link the rate of its link in bytes a second, or 0 where it is not known.
 	Zone string
+	Link int
 }
 
 // Engine describes the model engines of a service.
--- a/internal/node/railcarrier/carrier.go
+++ b/internal/node/railcarrier/carrier.go
@@ -3,31 +3,24 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/time/rate"
 	"storj.io/drpc/drpcmux"
 
+	"github.com/fulmarrail/fulmarrail/internal/config/railbackend"
 	"github.com/fulmarrail/fulmarrail/internal/config/railcatalog"
 	"github.com/fulmarrail/fulmarrail/internal/core/raillog"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
-	"github.com/fulmarrail/fulmarrail/internal/rollout/railchunks"
-	"github.com/fulmarrail/fulmarrail/internal/rollout/railfinder"
+	"github.com/fulmarrail/fulmarrail/internal/node/railpeer"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railcollector"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railinstaller"
-	"github.com/fulmarrail/fulmarrail/internal/rollout/railmanifest"
-	"github.com/fulmarrail/fulmarrail/internal/rollout/railpacer"
-	"github.com/fulmarrail/fulmarrail/internal/rollout/railsharing"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railstage"
-	"github.com/fulmarrail/fulmarrail/internal/rollout/railswarm"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railturn"
-	"github.com/fulmarrail/fulmarrail/internal/rollout/railuploads"
-	"github.com/fulmarrail/fulmarrail/internal/rollout/railvault"
 	"github.com/fulmarrail/fulmarrail/internal/routing/railhash"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildatagram"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildialer"
@@ -40,25 +33,12 @@
 	uploadSlots = 1
 	// linkShare is the share of the link, each way, that weights may take.
 	linkShare = 0.92
-	// burst is the number of bytes of weights that may pass at once: a chunk.
-	burst = 32 << 10
-	// askLimit bounds the time for which a chunk that another agent has may take.
-	askLimit = 2 * time.Second
 	// fetchList and turnList are the ages that the list of endpoints may have while weights are fetched, and for this engine's
 	// place among the others. Fresh agents tell of themselves before the list is read again.
 	fetchList = 3 * time.Second
 	turnList  = 6 * time.Second
 )
 
-// Engine is the engine beside the process, and the origin.
-type Engine interface {
-	railinstaller.Engine
-	// Manifest returns the manifest of a version from the origin, and the version; version 0 is the newest.
-	Manifest(ctx context.Context, origin, model string, version int64) (railmanifest.Manifest, int64, error)
-	// OriginPiece returns a piece from the origin; it is not checked.
-	OriginPiece(ctx context.Context, origin, model string, version int64, index int) ([]byte, error)
-}
-
 // Carrier is one agent process; its fields are set before Run.
 type Carrier struct {
 	// Self is this process; its name is the IP address of its VM.
@@ -66,16 +46,19 @@
 	Key   []byte
 	Inner net.Listener
 	// Port is the port at which the agents of all VMs listen.
-	Port   string
-	Engine Engine
+	Port string
+	// Engine is the engine beside the process.
+	Engine railinstaller.Engine
+	Origin railpeer.Origin
 	Dialer *raildialer.Dialer
 	// Socket is the socket for datagrams, at the address of Inner.
 	Socket *raildatagram.Socket
 	// Catalog returns the configuration in force, Instances the endpoints that are listed by a
-	// list that is not older than asked for, and Named the versions of a model's
+	// list that is not older than asked for, Entries the entries, and Named the versions of a model's
 	// weights in the order in which they were named.
 	Catalog   func() (railcatalog.Catalog, bool)
 	Instances func(oldest time.Duration) []railinstance.Instance
+	Entries   func() []railmember.Member
 	Named     func(model string) []railturn.Naming
 	// Notify tells the entries which version serves, or 0 while the engine takes nothing new, and the time after which it is to
 	// change, if that is not 0.
@@ -89,12 +72,7 @@
 	Log     *slog.Logger
 
 	once      sync.Once
-	store     *railchunks.Store
-	uploads   *railpacer.Pacer
-	downloads *rate.Limiter
-	sharing   *railsharing.Server
-	swarm     *railswarm.Swarm
-	finder    *railfinder.Finder
+	peer      *railpeer.Peer
 	installer *railinstaller.Installer
 }
 
@@ -102,7 +80,7 @@
 func (c *Carrier) Run(ctx context.Context) error {
 	c.once.Do(c.init)
 	mux := drpcmux.New()
-	if err := railproto.DRPCRegisterAgent(mux, &service{carrier: c}); err != nil {
+	if err := railproto.DRPCRegisterAgent(mux, c.peer); err != nil {
 		return errors.Wrap(err, "register the inner service")
 	}
 	go c.installer.Run(ctx)
@@ -114,162 +92,81 @@
 // Changed tells that the configuration or the version wanted has changed.
 func (c *Carrier) Changed() {
 	c.once.Do(c.init)
-	c.installer.Changed()
+	c.peer.Collector().Changed()
 }
 
 func (c *Carrier) init() {
-	vault := &railvault.Vault{}
-	stage := &railstage.Stage{Engine: c.Engine, Chunk: vault.Chunk}
-	c.store = &railchunks.Store{Endpoint: vault}
-	c.uploads, c.downloads = &railpacer.Pacer{Burst: burst}, rate.NewLimiter(rate.Inf, burst)
-	c.setPace(true)
-	c.sharing = &railsharing.Server{Store: c.store, Uploads: &railuploads.Scheduler{Slots: uploadSlots}, Pacer: c.uploads}
-	c.swarm = &railswarm.Swarm{
-		Self: c.Self, Store: c.store, Members: func() []railmember.Member { return c.members(fetchList) }, Ask: c.ask, Tell: c.tell,
-		Origin: c.origin, OriginRegion: c.originRegion, Pace: c.downloads, Seed: rand.Uint64(), Log: raillog.Part(c.Log, "fetcher"),
-	}
-	c.finder = &railfinder.Finder{
-		Self: c.Self, Members: func() []railmember.Member { return c.members(fetchList) }, Ask: c.askManifest, Origin: c.manifest, OriginRegion: c.originRegion,
+	stage := &railstage.Stage{Engine: c.Engine}
+	c.peer = &railpeer.Peer{
+		Self: c.Self, Members: c.exchange, Model: c.model, Catalog: c.Catalog, Named: c.Named, Weights: c.Weights, Regions: c.Regions,
+		Origin: c.Origin, Dialer: c.Dialer, Socket: c.Socket, Rate: int(linkShare * float64(c.Link)), UploadSlots: uploadSlots, Log: c.Log,
+		Own: func(ctx context.Context, w railcollector.Weights, take func(string, []byte) error) error {
+			return stage.Recover(ctx, w.Model, w.Manifest, take)
+		},
 	}
+	stage.Chunk = c.peer.Held
+	c.setPace(true)
 	c.installer = &railinstaller.Installer{
-		Engine: c.Engine, Wanted: c.wanted, Manifest: c.finder.Find, Turn: c.turn, Idle: c.setPace, Notify: c.Notify, Stage: stage, Store: c.store, Fetcher: c.swarm,
-		Rate: int(linkShare * float64(c.Link)), Log: raillog.Part(c.Log, "rollout"),
+		Engine: c.Engine, Collector: c.peer.Collector(), Turn: c.turn, Idle: c.setPace, Notify: c.Notify, Stage: stage,
+		Log: raillog.Part(c.Log, "rollout"),
 	}
 }
 
 // setPace paces weights below the link's rate, so that live answers beside them come on time; an idle engine has none.
 func (c *Carrier) setPace(idle bool) {
-	if c.Link <= 0 {
-		return
-	}
-	if idle {
-		c.uploads.SetPace(c.Link, 0)
-		c.downloads.SetLimit(rate.Inf)
-		return
-	}
-	c.uploads.SetPace(int(linkShare*float64(c.Link)), 0)
-	c.downloads.SetLimit(rate.Limit(linkShare * float64(c.Link)))
-}
-
-// wanted returns the model of the engine's service and the versions of its weights that were named.
-func (c *Carrier) wanted() (string, []railinstaller.Version) {
-	model := c.model()
-	named := c.Named(model)
-	versions := make([]railinstaller.Version, len(named))
-	for i, n := range named {
-		versions[i] = railinstaller.Version{Number: n.Version, Due: c.Weights - n.For}
+	switch paced := int(linkShare * float64(c.Link)); {
+	case c.Link <= 0:
+	case idle:
+		c.peer.SetPace(c.Link, 0)
+	default:
+		c.peer.SetPace(paced, paced)
 	}
-	return model, versions
 }
 
-// model returns the model of the engine's service, or an empty string while none is known.
-func (c *Carrier) model() string {
+// engine returns what is known of the engines of the service.
+func (c *Carrier) engine() (*railbackend.Engine, bool) {
 	catalog, _ := c.Catalog()
 	backend, ok := catalog.Backend(c.Self.Service)
-	if !ok || backend.Engine == nil {
-		return ""
-	}
-	return backend.Engine.Model
+	return backend.Engine, ok && backend.Engine != nil
 }
 
-// manifest reads a manifest from the origin.
-func (c *Carrier) manifest(ctx context.Context, model string, version int64) (railmanifest.Manifest, int64, error) {
-	catalog, _ := c.Catalog()
-	origin, ok := catalog.Origin()
+// model returns the model of the engine's service, or an empty string while none is known.
+func (c *Carrier) model() string {
+	engine, ok := c.engine()
 	if !ok {
-		return railmanifest.Manifest{}, 0, errors.New("the configuration names no origin of weights")
+		return ""
 	}
-	ctx, cancel := context.WithTimeout(ctx, askLimit)
-	defer cancel()
-	return c.Engine.Manifest(ctx, origin.Origin, model, version)
+	return engine.Model
 }
 
-// origin draws a chunk of the version that is fetched now.
-func (c *Carrier) origin(ctx context.Context, digest string) ([]byte, error) {
-	catalog, _ := c.Catalog()
-	origin, ok := catalog.Origin()
-	model, version, index := c.installer.Chunk(digest)
-	if !ok || index < 0 {
-		return nil, errors.Newf("chunk %s is not of the version wanted now", digest)
+// exchange returns the processes with which weights are exchanged: the agents, and the entries where they relay them.
+func (c *Carrier) exchange() []railmember.Member {
+	list := c.agents(fetchList)
+	if engine, ok := c.engine(); ok && railpeer.Relayed(engine) {
+		list = append(list, railpeer.Relays(c.Entries())...)
 	}
-	ctx, cancel := context.WithTimeout(ctx, askLimit)
-	defer cancel()
-	return c.Engine.OriginPiece(ctx, origin.Origin, model, version, index)
+	return list
 }
 
-func (c *Carrier) originRegion() string {
-	catalog, _ := c.Catalog()
-	origin, _ := catalog.Origin()
-	return c.Regions[origin.Zone]
-}
-
-// members returns the agents beside the engines of the same service that stay, each once: after a start the list may show an
-// engine's former entry beside its new one.
-func (c *Carrier) members(oldest time.Duration) []railmember.Member {
-	list := []railmember.Member{c.Self}
-	known := map[string]bool{c.Self.Name: true}
-	for _, i := range c.Instances(oldest) {
-		host := i.Host()
-		if i.Service != c.Self.Service || i.Draining || host == "" || known[host] {
-			continue
-		}
-		known[host] = true
-		list = append(list, railmember.Member{
-			Name: host, Role: railmember.RoleAgent, Address: net.JoinHostPort(host, c.Port), Zone: i.Zone, Region: i.Region, Service: i.Service,
-		})
-	}
+// agents returns this agent and the others beside engines of the same service, in an order that is the same at all of them.
+func (c *Carrier) agents(oldest time.Duration) []railmember.Member {
+	list := railpeer.Agents(c.Instances(oldest), func(service string) bool { return service == c.Self.Service }, c.Port)
+	list = slices.DeleteFunc(list, func(m railmember.Member) bool { return m.Name == c.Self.Name })
 	byName := railhash.Ranking[railmember.Member]{Name: func(m railmember.Member) string { return m.Name }}
-	return byName.Top("", list, len(list))
-}
-
-func (c *Carrier) ask(ctx context.Context, m railmember.Member, req *railproto.ChunkRequest) (*railproto.ChunkReply, error) {
-	if m.Name == c.Self.Name {
-		return nil, errors.New("an agent does not ask itself")
-	}
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.GetWaitMillis())*time.Millisecond+askLimit)
-	defer cancel()
-	return c.Dialer.Agent(ctx, m.Address).Chunk(ctx, req)
-}
-
-func (c *Carrier) askManifest(ctx context.Context, m railmember.Member, req *railproto.ManifestRequest) (*railproto.ManifestReply, error) {
-	return c.Dialer.Agent(ctx, m.Address).Manifest(ctx, req)
+	return byName.Top("", append(list, c.Self), len(list)+1)
 }
 
-// tell tells another agent what is held here.
-func (c *Carrier) tell(m railmember.Member, inventory *railproto.Inventory) {
-	c.Socket.Send(&railproto.Datagram{Content: &railproto.Datagram_Inventory{Inventory: inventory}}, raildatagram.Addresses([]railmember.Member{m})...)
-}
-
-// hear takes over what another agent tells of the chunks that it holds.
+// hear takes over what another process tells of the chunks that it holds.
 func (c *Carrier) hear(from net.Addr, datagram *railproto.Datagram) {
-	inventory := datagram.GetInventory()
-	if inventory == nil {
-		return
+	if inventory := datagram.GetInventory(); inventory != nil {
+		c.peer.Hear(from, inventory)
 	}
-	c.swarm.Hear(railmember.Member{
-		Name: inventory.GetAgent(), Role: railmember.RoleAgent, Address: from.String(), Zone: inventory.GetZone(), Region: inventory.GetRegion(),
-		Service: c.Self.Service,
-	}, inventory)
 }
 
 // turn returns the time until this engine's turn to change over: the engines follow each other, so that the others serve.
 func (c *Carrier) turn(serving, loading int64) time.Duration {
-	members := c.members(turnList)
-	place := slices.IndexFunc(members, func(m railmember.Member) bool { return m.Name == c.Self.Name })
+	agents := c.agents(turnList)
+	place := slices.IndexFunc(agents, func(m railmember.Member) bool { return m.Name == c.Self.Name })
 	schedule := railturn.Schedule{Weights: c.Weights, Named: c.Named(c.model())}
-	return schedule.Turn(serving, loading, place, len(members))
-}
-
-// service answers the other agents.
-type service struct {
-	railproto.DRPCAgentUnimplementedServer
-	carrier *Carrier
-}
-
-func (s *service) Chunk(ctx context.Context, req *railproto.ChunkRequest) (*railproto.ChunkReply, error) {
-	return s.carrier.sharing.Chunk(ctx, req)
-}
-
-func (s *service) Manifest(ctx context.Context, req *railproto.ManifestRequest) (*railproto.ManifestReply, error) {
-	return s.carrier.finder.Answer(ctx, req)
+	return schedule.Turn(serving, loading, place, len(agents))
 }
--- a/internal/node/railcarrier/carrier_test.go
+++ b/internal/node/railcarrier/carrier_test.go
@@ -27,7 +27,7 @@
 		},
 	}
 	names := map[string]int{}
-	for _, m := range c.members(0) {
+	for _, m := range c.agents(0) {
 		names[m.Name]++
 	}
 	qt.Check(t, names, qt.DeepEquals, map[string]int{"10.0.0.1": 1, "10.0.0.2": 1})
--- /dev/null
+++ b/internal/node/railpeer/members.go
@@ -0,0 +1,50 @@
+package railpeer
+
+import (
+	"net"
+
+	"github.com/fulmarrail/fulmarrail/internal/config/railbackend"
+	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
+	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
+)
+
+// mostRelayed bounds the bytes of one version that entries keep in memory to pass them on; larger weights go among the agents only.
+const mostRelayed = 16 << 20
+
+// Relayed reports whether entries pass on the weights of an engine's model.
+func Relayed(e *railbackend.Engine) bool {
+	bytes := e.Chunks * e.ChunkBytes
+	return bytes > 0 && bytes <= mostRelayed
+}
+
+// Relays returns entries as those that pass weights on; like agents they go by the IP addresses of their VMs.
+func Relays(entries []railmember.Member) []railmember.Member {
+	var list []railmember.Member
+	for _, m := range entries {
+		host, _, err := net.SplitHostPort(m.Address)
+		if err != nil {
+			continue // An entry's address is checked where it is read.
+		}
+		m.Name = host
+		list = append(list, m)
+	}
+	return list
+}
+
+// Agents returns the agents beside the endpoints of some services that stay, each once: after a start the list may show an engine's
+// former entry beside its new one. All listen at the same port.
+func Agents(endpoints []railinstance.Instance, services func(string) bool, port string) []railmember.Member {
+	var list []railmember.Member
+	known := map[string]bool{}
+	for _, i := range endpoints {
+		host := i.Host()
+		if !services(i.Service) || i.Draining || host == "" || known[host] {
+			continue
+		}
+		known[host] = true
+		list = append(list, railmember.Member{
+			Name: host, Role: railmember.RoleAgent, Address: net.JoinHostPort(host, port), Zone: i.Zone, Region: i.Region, Service: i.Service,
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/node/railpeer/peer.go
@@ -0,0 +1,211 @@
+package railpeer
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/fulmarrail/fulmarrail/internal/config/railcatalog"
+	"github.com/fulmarrail/fulmarrail/internal/core/raillog"
+	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railchunks"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railcollector"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railfinder"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railmanifest"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railpacer"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railsharing"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railswarm"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railtarget"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railturn"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railuploads"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railvault"
+	"github.com/fulmarrail/fulmarrail/internal/wire/raildatagram"
+	"github.com/fulmarrail/fulmarrail/internal/wire/raildialer"
+	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
+)
+
+const (
+	// burst is the number of bytes of weights that may pass at once: a chunk.
+	burst = 32 << 10
+	// askLimit bounds the time for which a chunk that another process has may take.
+	askLimit = 2 * time.Second
+)
+
+// Origin is where weights come from.
+type Origin interface {
+	// Manifest returns the manifest of a version from the origin at an address, and the version; version 0 is the newest.
+	Manifest(ctx context.Context, address, model string, version int64) (railmanifest.Manifest, int64, error)
+	// Piece returns a piece from the origin at an address; it is not checked.
+	Piece(ctx context.Context, address, model string, version int64, index int) ([]byte, error)
+}
+
+// Peer is safe for concurrent use; its fields are set before its first use.
+type Peer struct {
+	railproto.DRPCAgentUnimplementedServer
+
+	// Self is this process; its name is the IP address of its VM.
+	Self railmember.Member
+	// Members returns the processes that take part in the exchange, this one included.
+	Members func() []railmember.Member
+	// Model returns the model whose weights are fetched, or an empty string while none is known.
+	Model func() string
+	// Catalog returns the configuration in force, and Named the versions of a model's weights in the order in which they were named.
+	Catalog func() (railcatalog.Catalog, bool)
+	Named   func(model string) []railturn.Naming
+	// Weights is the time in which new weights are to serve everywhere.
+	Weights time.Duration
+	// Regions holds the region of each zone.
+	Regions map[string]string
+	Origin  Origin
+	Dialer  *raildialer.Dialer
+	Socket  *raildatagram.Socket
+	// Own hands over the sound chunks that an engine beside the process has, or is nil where there is none.
+	Own func(ctx context.Context, w railcollector.Weights, take func(digest string, data []byte) error) error
+	// Rate is the rate at which weights come, in bytes a second, or 0 where it is not known.
+	Rate int
+	// UploadSlots bounds the chunks on their way to the link at once.
+	UploadSlots int
+	Log         *slog.Logger
+
+	once      sync.Once
+	vault     railvault.Vault
+	store     *railchunks.Store
+	uploads   *railpacer.Pacer
+	downloads *rate.Limiter
+	sharing   *railsharing.Server
+	swarm     *railswarm.Swarm
+	finder    *railfinder.Finder
+	collector *railcollector.Collector
+}
+
+// Collector returns the part that fetches; whoever runs it brings the weights.
+func (p *Peer) Collector() *railcollector.Collector {
+	p.once.Do(p.init)
+	return p.collector
+}
+
+// Held returns a chunk that is here, or an error.
+func (p *Peer) Held(ctx context.Context, digest string) ([]byte, error) {
+	return p.vault.Chunk(ctx, digest)
+}
+
+// Holds reports whether a chunk is here.
+func (p *Peer) Holds(digest string) bool {
+	p.once.Do(p.init)
+	return p.store.Has(digest)
+}
+
+// SetPace sets the rates, in bytes a second, below which weights go and come; 0 stands for no bound on what comes.
+func (p *Peer) SetPace(up, down int) {
+	p.once.Do(p.init)
+	p.uploads.SetPace(up, 0)
+	if down == 0 {
+		p.downloads.SetLimit(rate.Inf)
+		return
+	}
+	p.downloads.SetLimit(rate.Limit(down))
+}
+
+// Chunk gives another process a chunk.
+func (p *Peer) Chunk(ctx context.Context, req *railproto.ChunkRequest) (*railproto.ChunkReply, error) {
+	p.once.Do(p.init)
+	return p.sharing.Chunk(ctx, req)
+}
+
+// Manifest gives another process a manifest.
+func (p *Peer) Manifest(ctx context.Context, req *railproto.ManifestRequest) (*railproto.ManifestReply, error) {
+	p.once.Do(p.init)
+	return p.finder.Answer(ctx, req)
+}
+
+// Hear takes over what another process tells of the chunks that it holds.
+func (p *Peer) Hear(from net.Addr, inventory *railproto.Inventory) {
+	p.once.Do(p.init)
+	role := railmember.RoleAgent
+	if inventory.GetRelay() {
+		role = railmember.RoleEntry
+	}
+	p.swarm.Hear(railmember.Member{
+		Name: inventory.GetAgent(), Role: role, Address: from.String(), Zone: inventory.GetZone(), Region: inventory.GetRegion(),
+	}, inventory)
+}
+
+func (p *Peer) init() {
+	p.store = &railchunks.Store{Endpoint: &p.vault}
+	p.uploads, p.downloads = &railpacer.Pacer{Burst: burst}, rate.NewLimiter(rate.Inf, burst)
+	p.sharing = &railsharing.Server{Store: p.store, Uploads: &railuploads.Scheduler{Slots: p.UploadSlots}, Pacer: p.uploads}
+	p.swarm = &railswarm.Swarm{
+		Self: p.Self, Store: p.store, Members: p.Members, Ask: p.ask, Tell: p.tell, Origin: p.draw, OriginRegion: p.originRegion,
+		Pace: p.downloads, Seed: rand.Uint64(), Log: raillog.Part(p.Log, "fetcher"),
+	}
+	p.finder = &railfinder.Finder{Self: p.Self, Members: p.Members, Ask: p.askManifest, Origin: p.manifest, OriginRegion: p.originRegion}
+	p.collector = &railcollector.Collector{
+		Wanted: p.wanted, Manifest: p.finder.Find, Own: p.Own, Rate: p.Rate, Store: p.store, Fetcher: p.swarm, Log: raillog.Part(p.Log, "rollout"),
+	}
+}
+
+// wanted returns the model and the versions of its weights that were named.
+func (p *Peer) wanted() (string, []railtarget.Version) {
+	model := p.Model()
+	named := p.Named(model)
+	versions := make([]railtarget.Version, len(named))
+	for i, n := range named {
+		versions[i] = railtarget.Version{Number: n.Version, Due: p.Weights - n.For}
+	}
+	return model, versions
+}
+
+// manifest reads a manifest from the origin.
+func (p *Peer) manifest(ctx context.Context, model string, version int64) (railmanifest.Manifest, int64, error) {
+	catalog, _ := p.Catalog()
+	origin, ok := catalog.Origin()
+	if !ok {
+		return railmanifest.Manifest{}, 0, errors.New("the configuration names no origin of weights")
+	}
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	return p.Origin.Manifest(ctx, origin.Origin, model, version)
+}
+
+// draw draws a chunk of the version that is fetched now.
+func (p *Peer) draw(ctx context.Context, digest string) ([]byte, error) {
+	catalog, _ := p.Catalog()
+	origin, ok := catalog.Origin()
+	model, version, index := p.collector.Chunk(digest)
+	if !ok || index < 0 {
+		return nil, errors.Newf("chunk %s is not of the version wanted now", digest)
+	}
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	return p.Origin.Piece(ctx, origin.Origin, model, version, index)
+}
+
+func (p *Peer) originRegion() string {
+	catalog, _ := p.Catalog()
+	origin, _ := catalog.Origin()
+	return p.Regions[origin.Zone]
+}
+
+func (p *Peer) ask(ctx context.Context, m railmember.Member, req *railproto.ChunkRequest) (*railproto.ChunkReply, error) {
+	if m.Name == p.Self.Name {
+		return nil, errors.New("a process does not ask itself")
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.GetWaitMillis())*time.Millisecond+askLimit)
+	defer cancel()
+	return p.Dialer.Agent(ctx, m.Address).Chunk(ctx, req)
+}
+
+func (p *Peer) askManifest(ctx context.Context, m railmember.Member, req *railproto.ManifestRequest) (*railproto.ManifestReply, error) {
+	return p.Dialer.Agent(ctx, m.Address).Manifest(ctx, req)
+}
+
+// tell tells another process what is held here.
+func (p *Peer) tell(m railmember.Member, inventory *railproto.Inventory) {
+	p.Socket.Send(&railproto.Datagram{Content: &railproto.Datagram_Inventory{Inventory: inventory}}, raildatagram.Addresses([]railmember.Member{m})...)
+}
--- a/internal/rollout/railinstaller/installer_test.go
+++ b/internal/rollout/railinstaller/installer_test.go
@@ -16,10 +16,12 @@
 	"github.com/fulmarrail/fulmarrail/internal/lab/railvirtual"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railchunks"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railcollector"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railfetcher"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railinstaller"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railmanifest"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railstage"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railtarget"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railvault"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
@@ -109,6 +111,7 @@
 	turn      time.Duration
 	notices   []int64
 	perPiece  time.Duration
+	collector *railcollector.Collector
 	installer *railinstaller.Installer
 }
 
@@ -120,19 +123,14 @@
 	store := &railchunks.Store{Endpoint: vault}
 	self := railmember.Member{Name: "self", Region: "r"}
 	log := slog.New(slog.DiscardHandler)
-	w.installer = &railinstaller.Installer{
-		Engine: w.engine, Store: store, Stage: &railstage.Stage{Engine: w.engine, Chunk: vault.Chunk}, Log: log,
-		Wanted: w.wanted, Idle: func(bool) {}, Rate: int(pieceBytes * time.Second / perPiece),
+	stage := &railstage.Stage{Engine: w.engine, Chunk: vault.Chunk}
+	w.collector = &railcollector.Collector{
+		Store: store, Wanted: w.wanted, Rate: int(pieceBytes * time.Second / perPiece), Log: log,
 		Manifest: func(_ context.Context, _ string, version int64) (railmanifest.Manifest, int64, error) {
 			return manifest(version), version, nil
 		},
-		Turn: func(int64, int64) time.Duration { return time.Until(time.Unix(0, int64(w.turn))) },
-		Notify: func(version int64, changesIn time.Duration) {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			if changesIn == 0 {
-				w.notices = append(w.notices, version)
-			}
+		Own: func(ctx context.Context, w railcollector.Weights, take func(string, []byte) error) error {
+			return stage.Recover(ctx, w.Model, w.Manifest, take)
 		},
 		Fetcher: &railfetcher.Fetcher{
 			Self: self, Store: store, Members: func(string) []railmember.Member { return []railmember.Member{self} },
@@ -142,13 +140,24 @@
 			Origin: w.origin, OriginRegion: func() string { return "r" }, Takeover: time.Second, Window: 1, Imports: 1, Log: log,
 		},
 	}
+	w.installer = &railinstaller.Installer{
+		Engine: w.engine, Collector: w.collector, Stage: stage, Log: log, Idle: func(bool) {},
+		Turn: func(int64, int64) time.Duration { return time.Until(time.Unix(0, int64(w.turn))) },
+		Notify: func(version int64, changesIn time.Duration) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if changesIn == 0 {
+				w.notices = append(w.notices, version)
+			}
+		},
+	}
 	prepare(w)
 	go w.installer.Run(t.Context())
 	return w
 }
 
 func (w *world) origin(ctx context.Context, digest string) ([]byte, error) {
-	_, version, index := w.installer.Chunk(digest)
+	_, version, index := w.collector.Chunk(digest)
 	w.mu.Lock()
 	away := w.away
 	w.mu.Unlock()
@@ -163,12 +172,12 @@
 	}
 }
 
-func (w *world) wanted() (string, []railinstaller.Version) {
+func (w *world) wanted() (string, []railtarget.Version) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var versions []railinstaller.Version
+	var versions []railtarget.Version
 	for _, number := range slices.Sorted(maps.Keys(w.named)) {
-		versions = append(versions, railinstaller.Version{Number: number, Due: timeForWeights - time.Since(w.named[number])})
+		versions = append(versions, railtarget.Version{Number: number, Due: timeForWeights - time.Since(w.named[number])})
 	}
 	return "m", versions
 }
--- a/internal/rollout/railinstaller/load.go
+++ b/internal/rollout/railinstaller/load.go
@@ -8,18 +8,14 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railcollector"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railtarget"
 )
 
-func (n *Installer) ready() weights {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.complete
-}
-
 // install loads the newest complete version once the engine's turn has come.
 func (n *Installer) install(ctx context.Context) error {
 	for ctx.Err() == nil {
-		w := n.ready()
+		w := n.Collector.Complete()
 		state, err := n.state(ctx)
 		if err == nil {
 			n.Idle(n.idle(state.Version))
@@ -27,15 +23,15 @@
 		switch {
 		case err != nil:
 			return err
-		case w.version == 0 && state.Version == 0:
+		case w.Version == 0 && state.Version == 0:
 			n.awaitFetched(ctx)
 			continue
-		case w.version <= state.Version:
+		case w.Version <= state.Version:
 			return nil
 		case state.Busy:
 			return errors.New("the engine is busy with an order")
 		}
-		if wait := n.Turn(state.Version, w.version); state.Version > 0 && wait > 0 {
+		if wait := n.Turn(state.Version, w.Version); state.Version > 0 && wait > 0 {
 			n.announce(state.Version, wait)
 			railtimer.Sleep(ctx, min(wait, look))
 			continue
@@ -49,15 +45,15 @@
 
 // idle reports whether an engine that holds a version, or none, has nothing that may serve.
 func (n *Installer) idle(holds int64) bool {
-	_, versions := n.Wanted()
-	return holds == 0 || slices.ContainsFunc(versions, func(v Version) bool { return v.Number > holds && v.Due <= 0 })
+	_, versions := n.Collector.Wanted()
+	return holds == 0 || slices.ContainsFunc(versions, func(v railtarget.Version) bool { return v.Number > holds && v.Due <= 0 })
 }
 
 // awaitFetched waits for a short time until a version is there whole.
 func (n *Installer) awaitFetched(ctx context.Context) {
 	select {
 	case <-ctx.Done():
-	case <-n.fetched:
+	case <-n.Collector.Fetched():
 	case <-time.After(look):
 	}
 }
@@ -79,7 +75,7 @@
 }
 
 // load stages a version, orders the engine to load it and waits for its end.
-func (n *Installer) load(ctx context.Context, w weights, serving int64) error {
+func (n *Installer) load(ctx context.Context, w railcollector.Weights, serving int64) error {
 	if err := n.stage(ctx, w); err != nil {
 		return err
 	}
@@ -90,26 +86,26 @@
 	bounded, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	began := time.Now()
-	if err := n.Engine.Start(bounded, w.model, w.version); err != nil {
+	if err := n.Engine.Start(bounded, w.Model, w.Version); err != nil {
 		n.Notify(serving, 0)
 		return errors.Wrap(err, "order the load")
 	}
-	n.Log.Info("load ordered", "version", w.version, "serving", serving)
-	if err := n.await(ctx, w.version); err != nil {
+	n.Log.Info("load ordered", "version", w.Version, "serving", serving)
+	if err := n.await(ctx, w.Version); err != nil {
 		return err
 	}
-	n.Notify(w.version, 0)
+	n.Notify(w.Version, 0)
 	n.Idle(false)
-	n.Log.Info("weights serve", "version", w.version, "took", time.Since(began))
+	n.Log.Info("weights serve", "version", w.Version, "took", time.Since(began))
 	return nil
 }
 
 // stage puts the pieces in place and reads them back.
-func (n *Installer) stage(ctx context.Context, w weights) error {
+func (n *Installer) stage(ctx context.Context, w railcollector.Weights) error {
 	ctx, cancel := context.WithTimeout(ctx, stageLimit)
 	defer cancel()
-	put, err := n.Stage.Complete(ctx, w.model, w.manifest)
-	n.Log.Info("pieces staged", "version", w.version, "put", put, "err", err)
+	put, err := n.Stage.Complete(ctx, w.Model, w.Manifest)
+	n.Log.Info("pieces staged", "version", w.Version, "put", put, "err", err)
 	return err
 }
 
--- /dev/null
+++ b/internal/rollout/railsteps/doc.go
@@ -0,0 +1,2 @@
+// Package railsteps repeats one step of getting weights into place.
+package railsteps
--- a/internal/rollout/railswarm/talk.go
+++ b/internal/rollout/railswarm/talk.go
@@ -199,6 +199,7 @@
 	return &railproto.Inventory{
 		Agent: self.Name, Zone: self.Zone, Region: self.Region, Manifest: j.key,
 		Held: encode(j.picker.Held(), len(j.manifest.Chunks)), Importing: encode(j.picker.Importing(), len(j.manifest.Chunks)),
+		Relay: self.Role == railmember.RoleEntry,
 	}
 }
 
--- a/internal/rollout/railtarget/target.go
+++ b/internal/rollout/railtarget/target.go
@@ -14,6 +14,13 @@
 	worthwhile = 200 * time.Millisecond
 )
 
+// Version is a version of weights that was named.
+type Version struct {
+	Number int64
+	// Due is the time until no answer may begin on older weights.
+	Due time.Duration
+}
+
 // Target is a version of weights that is not there whole.
 type Target struct {
 	// Fetch is the time that what is missing of it takes on the link.
