--- a/internal/command/railsiteprocess/process.go
+++ b/internal/command/railsiteprocess/process.go
@@ -35,6 +35,9 @@
 	// TableEntries holds where each entry is reached by the system's other processes, by its name.
 	TableEntries = "entries"
 
+	// originConnect bounds an attempt to connect to the origin: one that was lost is made again sooner than TCP would.
+	originConnect = 250 * time.Millisecond
+
 	settingsFlag = "settings"
 	// settingsVariable names the settings file where no flag does.
 	settingsVariable = "FULMARRAIL_CONFIG"
@@ -142,7 +145,7 @@
 
 // Origin returns the client of the origin of weights; it uses a connection for each call, since the origin bears few.
 func (p *Process) Origin() *platform.Origin {
-	return &platform.Origin{HTTP: &platform.Caller{Timeout: p.Site.Process.Timeout, Single: true}}
+	return &platform.Origin{HTTP: &platform.Caller{Timeout: originConnect, Single: true}}
 }
 
 // Follow keeps a copy of a table; changed gets all rows after each change.
--- a/internal/rollout/railfinder/finder_test.go
+++ b/internal/rollout/railfinder/finder_test.go
@@ -29,7 +29,11 @@
 	members []railmember.Member
 	finders map[string]*railfinder.Finder
 	dead    map[string]bool
-	reads   int
+	// late is an agent that does not look for the manifest.
+	late  string
+	reads int
+	// readers holds who has read from the origin.
+	readers map[string]bool
 	// origin answers the n-th read.
 	origin func(n int) (railmanifest.Manifest, error)
 }
@@ -37,16 +41,32 @@
 func newWorld(origin func(n int) (railmanifest.Manifest, error)) *world {
 	w := &world{finders: map[string]*railfinder.Finder{}, dead: map[string]bool{}, origin: origin}
 	for i := range agents {
-		m := railmember.Member{Name: fmt.Sprintf("agent-%02d", i), Region: fmt.Sprintf("region-%d", i%3)}
-		w.members = append(w.members, m)
-		w.finders[m.Name] = &railfinder.Finder{
-			Self: m, Members: func() []railmember.Member { return w.members }, Ask: w.ask, Origin: w.read,
-			OriginRegion: func() string { return "region-1" },
-		}
+		w.add(railmember.Member{Name: fmt.Sprintf("agent-%02d", i), Region: fmt.Sprintf("region-%d", i%3)})
 	}
 	return w
 }
 
+func (w *world) add(m railmember.Member) {
+	w.members = append(w.members, m)
+	w.finders[m.Name] = &railfinder.Finder{
+		Self: m, Members: func() []railmember.Member { return w.members }, Ask: w.ask,
+		Origin: func(ctx context.Context, model string, number int64) (railmanifest.Manifest, int64, error) {
+			w.note(m.Name)
+			return w.read(ctx, model, number)
+		},
+		OriginRegion: func() string { return "region-1" },
+	}
+}
+
+// note notes who reads from the origin.
+func (w *world) note(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.readers != nil {
+		w.readers[name] = true
+	}
+}
+
 func (w *world) ask(ctx context.Context, m railmember.Member, req *railproto.ManifestRequest) (*railproto.ManifestReply, error) {
 	time.Sleep(latency)
 	if w.dead[m.Name] {
@@ -70,7 +90,7 @@
 	began := time.Now()
 	var wg sync.WaitGroup
 	for name, f := range w.finders {
-		if w.dead[name] {
+		if w.dead[name] || name == w.late {
 			continue
 		}
 		wg.Go(func() {
@@ -140,3 +160,31 @@
 		qt.Check(t, took < time.Second, qt.IsTrue, qt.Commentf("%s after the origin was back", took))
 	})
 }
+
+// After a loss of power the agents learn at different times what is wanted; the first in the order made all others wait.
+func TestAgentsThatDoNotLookYetKeepNobodyWaiting(t *testing.T) {
+	railvirtual.Test(t, func(t *testing.T) {
+		for late := range agents {
+			w := newWorld(func(int) (railmanifest.Manifest, error) { return sound(), nil })
+			name := w.members[late].Name
+			w.late = name
+			took := w.find(t)
+			qt.Check(t, took < 150*time.Millisecond, qt.IsTrue, qt.Commentf("%s while %s looks for nothing", took, name))
+		}
+	})
+}
+
+// Entries know first what is wanted.
+func TestEntriesReadTheManifest(t *testing.T) {
+	railvirtual.Test(t, func(t *testing.T) {
+		w := newWorld(func(int) (railmanifest.Manifest, error) { return sound(), nil })
+		w.readers = map[string]bool{}
+		for i := range 6 {
+			w.add(railmember.Member{Name: fmt.Sprintf("entry-%d", i), Role: railmember.RoleEntry, Region: fmt.Sprintf("region-%d", i%3)})
+		}
+		took := w.find(t)
+		qt.Check(t, took < 50*time.Millisecond, qt.IsTrue, qt.Commentf("%s", took))
+		qt.Check(t, w.readers["entry-1"] != w.readers["entry-4"], qt.IsTrue, qt.Commentf("read by %v", w.readers))
+		qt.Check(t, len(w.readers), qt.Equals, 1)
+	})
+}
