Take answers back from old weights a whole pass before their time is over

The margin of 150 ms before the end of that time was shorter than the longest pass of an engine (45 ms of steps and 107 ms of reading), and an engine ends the pass that it has begun.

Change: the margin is an engine's longest pass, from the values that the configuration states, and 100 ms.

Tests: TestNothingIsSentToOldWeightsThatWouldBeginTooLate asks for a whole pass; it fails before.

--- a/internal/config/railbackend/backend.go
+++ b/internal/config/railbackend/backend.go
@@ -38,6 +38,8 @@
 	Stride int
 	// ReadPerSecond is the number of prompt tokens that are read in a second.
 	ReadPerSecond float64
+	// MostRead is the most prompt tokens that one pass reads, or 0 where it is not known.
+	MostRead int
 	// PairsPerMillion is the time for a million pairs of a token and an earlier one.
 	PairsPerMillion time.Duration
 }
@@ -55,3 +57,8 @@
 	pairs := float64(tokens) * float64(tokens) / 2 / 1e6
 	return time.Duration(float64(tokens)/t.ReadPerSecond*float64(time.Second)) + time.Duration(pairs*float64(t.PairsPerMillion))
 }
+
+// LongestPass returns the time of a pass that reads as much as it can while a number of requests are writing.
+func (t Timing) LongestPass(writers int) time.Duration {
+	return time.Duration(t.Stride)*(t.Step+time.Duration(writers)*t.PerSequence) + t.ReadTime(t.MostRead)
+}
--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -22,9 +22,9 @@
 	// dueFactor and dueMargin say how much later than predicted an answer on old weights may begin.
 	dueFactor = 1.5
 	dueMargin = 200 * time.Millisecond
-	// beginMargin is the time before the end of old weights' time at which an answer that has not begun on them is taken back:
-	// about a pass of an engine, which ends what it has begun.
-	beginMargin = 150 * time.Millisecond
+	// beginMargin is the time, beside that of an engine's longest pass, which ends what it has begun, before the end of old weights'
+	// time at which an answer that has not begun on them is taken back.
+	beginMargin = 100 * time.Millisecond
 	// drainTail is the time for which answers may go on at an endpoint that is about to change its weights.
 	drainTail = time.Second
 	// coldShare is the share of the bound on requests a second that the entries together use.
--- a/internal/membership/railfleet/fleet_test.go
+++ b/internal/membership/railfleet/fleet_test.go
@@ -26,7 +26,7 @@
 		Log: slog.New(slog.DiscardHandler),
 	}
 	f.SetInstances(list)
-	timing := railbackend.Timing{Step: 9 * time.Millisecond, Stride: 5, ReadPerSecond: 19_000}
+	timing := railbackend.Timing{Step: 9 * time.Millisecond, Stride: 5, ReadPerSecond: 19_000, MostRead: 2048}
 	return f, railfleet.Need{
 		Backend: railbackend.Backend{Name: "engines", ColdPerSecond: 26, Engine: &railbackend.Engine{Slots: 16, Timing: timing}},
 		Prompt:  1000, Within: 400 * time.Millisecond,
@@ -245,7 +245,10 @@
 	need.DueVersion, need.DueAt = 2, time.Now().Add(time.Second)
 	l, ok := f.Reserve(need)
 	qt.Assert(t, ok, qt.IsTrue)
-	qt.Check(t, time.Until(l.BeginBy) > 0 && l.BeginBy.Before(need.DueAt), qt.IsTrue, qt.Commentf("%s", time.Until(l.BeginBy)))
+	qt.Check(t, time.Until(l.BeginBy) > 0, qt.IsTrue, qt.Commentf("%s", time.Until(l.BeginBy)))
+	pass := need.Backend.Engine.Timing.LongestPass(need.Backend.Engine.Slots) // An engine begins what it has taken up in its next pass.
+	qt.Check(t, pass > 150*time.Millisecond, qt.IsTrue)
+	qt.Check(t, l.BeginBy.Before(need.DueAt.Add(-pass)), qt.IsTrue, qt.Commentf("%s, a pass takes %s", time.Until(l.BeginBy), pass))
 	need.Prompt, need.DueAt = 4000, time.Now().Add(500*time.Millisecond) // It begins after 0.33 s as predicted, or later.
 	_, ok = f.Reserve(need)
 	qt.Check(t, ok, qt.IsFalse)
--- a/internal/membership/railfleet/lease.go
+++ b/internal/membership/railfleet/lease.go
@@ -41,11 +41,11 @@
 
 func (f *Fleet) lease(e *endpoint, need Need, predicted time.Duration, now time.Time) *Lease {
 	l := &Lease{Instance: e.Instance, Predicted: predicted, fleet: f, at: e, part: railpass.Load{Running: 1}, granted: now, Load: e.load.With(f.elsewhere(e.hash))}
-	if e.Version < need.DueVersion {
-		l.BeginBy = need.DueAt.Add(-beginMargin)
-	}
-	if need.Backend.Engine != nil {
-		l.part.Unread = need.Backend.Engine.Timing.ReadTime(need.Prompt)
+	if engine := need.Backend.Engine; engine != nil {
+		if e.Version < need.DueVersion {
+			l.BeginBy = need.DueAt.Add(-beginMargin - engine.Timing.LongestPass(engine.Slots))
+		}
+		l.part.Unread = engine.Timing.ReadTime(need.Prompt)
 	}
 	e.load = e.load.With(l.part)
 	e.window.Add(now)
