--- /dev/null
+++ b/internal/command/railbenchcmd/load.go
@@ -0,0 +1,91 @@
+package railbenchcmd
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/fulmarrail/fulmarrail/internal/lab/railloadtrial"
+)
+
+const loadLimit = 5 * time.Minute
+
+type loadOptions struct {
+	*Options
+	Engines []int
+	Plot    string
+}
+
+func newCmdLoad(shared *Options) *cobra.Command {
+	opts := &loadOptions{Options: shared}
+	cmd := &cobra.Command{
+		Use:   "load",
+		Short: "Send an assistant's load to more and fewer engines than it needs",
+		Long: `Send an assistant's load, 196 requests a second of three kinds through six entries, to stand-in engines that read and write with
+stated timing, by the system's own policy, by the same without a better place for first tries, and by the baselines round robin and
+least in flight.
+
+Callers that are refused come back once it is time. Worth is the share of what answers on time to all callers would be worth.`,
+		Example: `  $ fulmarbench load --engines 27,22,17 --json
+  $ fulmarbench load --plot load.svg`,
+		Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return loadRun(opts) },
+	}
+	cmd.Flags().IntSliceVar(&opts.Engines, "engines", []int{27, 22, 20, 17, 13}, "numbers of engines, one trial of each policy each")
+	cmd.Flags().StringVar(&opts.Plot, "plot", "", "write a plot of worth against engines to this .svg or .png file")
+	return cmd
+}
+
+// loadResult is what callers got from a number of engines.
+type loadResult struct {
+	Engines int `json:"engines"`
+	railloadtrial.Result
+}
+
+func loadRun(opts *loadOptions) error {
+	ctx, cancel := context.WithTimeout(context.Background(), loadLimit)
+	defer cancel()
+	policies := []string{railloadtrial.System, railloadtrial.Alike, railloadtrial.LeastInFlight, railloadtrial.RoundRobin}
+	var results []loadResult
+	for _, engines := range opts.Engines {
+		for _, r := range runLoads(ctx, engines, opts.Seed, policies) {
+			results = append(results, r)
+			if !opts.JSON {
+				fmt.Fprintf(opts.Factory.Out, "%2d engines %-13s %5d asked %5d on time %5d late %5d refused %4d failed worth %5.3f first token p50 %6.1f p99 %7.1f ms\n",
+					engines, r.Policy, r.Asked, r.OnTime, r.Late, r.Refused, r.Failed, r.Worth, r.P50FirstTokenMillis, r.P99FirstTokenMillis)
+			}
+		}
+	}
+	if opts.JSON {
+		if err := opts.Factory.WriteJSON(results); err != nil {
+			return err
+		}
+	}
+	if opts.Plot == "" {
+		return nil
+	}
+	c := &chart{title: "What an assistant's load is worth", x: "engines", y: "share of the worth of answers on time to all", order: policies}
+	for _, r := range slices.Backward(results) {
+		c.add(r.Policy, float64(r.Engines), r.Worth)
+	}
+	return c.save(opts.Plot)
+}
+
+// runLoads sends the same load by each policy, all at once, since they mostly wait.
+func runLoads(ctx context.Context, engines int, seed uint64, policies []string) []loadResult {
+	results := make([]loadResult, len(policies))
+	var wg sync.WaitGroup
+	for i, policy := range policies {
+		wg.Go(func() {
+			trial := railloadtrial.Assistant(policy, seed)
+			trial.Engines = engines
+			results[i] = loadResult{Engines: engines, Result: trial.Run(ctx)}
+		})
+	}
+	wg.Wait()
+	return results
+}
--- a/internal/command/railbenchcmd/rollout.go
+++ b/internal/command/railbenchcmd/rollout.go
@@ -8,10 +8,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
-	"gonum.org/v1/plot"
-	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
-	"gonum.org/v1/plot/vg"
 
 	"github.com/fulmarrail/fulmarrail/internal/command/railexit"
 	"github.com/fulmarrail/fulmarrail/internal/lab/railrollouttrial"
@@ -19,8 +15,6 @@
 
 const (
 	rolloutLimit = 48 * time.Second
-	plotWidth    = 16 * vg.Centimeter
-	plotHeight   = 10 * vg.Centimeter
 
 	goalRatio         = 1.5
 	goalOrigin        = 1.1
@@ -170,26 +164,12 @@
 }
 
 func plotRollouts(path string, results []railrollouttrial.Result) error {
-	lines := map[string]plotter.XYs{}
-	for _, r := range results {
-		lines[r.Mode] = append(lines[r.Mode], plotter.XY{X: float64(r.Replicas), Y: r.Ratio})
-	}
-	p := plot.New()
-	p.Title.Text = "Time of a rollout over the bound that the links set"
-	p.X.Label.Text = "replicas"
-	p.Y.Label.Text = "time / bound"
-	p.Y.Scale = plot.LogScale{}
-	p.Y.Tick.Marker = plot.LogTicks{Prec: -1}
-	var args []any
-	for _, mode := range []string{railrollouttrial.ModeSwarm, railrollouttrial.ModeTree, railrollouttrial.ModeOrigin} {
-		if len(lines[mode]) > 0 {
-			args = append(args, mode, lines[mode])
-		}
+	c := &chart{
+		title: "Time of a rollout over the bound that the links set", x: "replicas", y: "time / bound", logarithmic: true,
+		order: []string{railrollouttrial.ModeSwarm, railrollouttrial.ModeTree, railrollouttrial.ModeOrigin},
 	}
-	if err := plotutil.AddLinePoints(p, args...); err != nil {
-		return errors.Wrap(err, "draw the rollouts")
+	for _, r := range results {
+		c.add(r.Mode, float64(r.Replicas), r.Ratio)
 	}
-	p.Legend.Top = true
-	p.Legend.Left = true
-	return errors.Wrapf(p.Save(plotWidth, plotHeight, path), "write the plot; its name must end in .svg or .png: %s", path)
+	return c.save(path)
 }
