--- a/internal/rollout/railpicker/holder.go
+++ b/internal/rollout/railpicker/holder.go
@@ -42,6 +42,7 @@
 
 // holder is another agent.
 type holder struct {
+	name            string
 	held, importing bitset.BitSet
 	outside, far    bool
 	neighbour       bool
--- a/internal/rollout/railpicker/imports.go
+++ b/internal/rollout/railpicker/imports.go
@@ -33,7 +33,10 @@
 // nextImport returns a chunk that this agent is to bring into its region. Those come first for which this agent is the first
 // in their order; when it has no such chunk, it helps the others.
 func (p *Picker) nextImport(now time.Time) (Pick, bool) {
-	if now.Sub(p.Began) < settle && p.Heard() < p.Others || p.imports() >= p.window() || p.Draws && now.Before(p.originAfter) {
+	switch {
+	case p.leavesToRelays(now), p.imports() >= p.window():
+		return Pick{}, false
+	case now.Sub(p.Began) < settle && p.Heard() < p.Others, p.Draws && now.Before(p.originAfter):
 		return Pick{}, false
 	}
 	var help Pick
@@ -58,22 +61,27 @@
 	return help, helps > 0
 }
 
+// leavesToRelays reports whether this agent imports nothing, since the region's relays get on.
+func (p *Picker) leavesToRelays(now time.Time) bool {
+	return !p.Relay && p.Relays > 0 && now.Sub(p.relayed()) < relayIdle
+}
+
 // helps reports whether this agent is to import a chunk for which others go first.
 func (p *Picker) helps(chunk, rank int, now time.Time) bool {
-	waited := now.Sub(p.offered[chunk])
+	waited, patience := now.Sub(p.offered[chunk]), helpAfter+time.Duration(rank)*helpStep
 	switch {
 	case p.Relay && rank < p.Relays:
 		return waited >= relayHelpAfter
-	case p.Relays > 0 && now.Sub(p.relayed()) < relayIdle:
-		return false
+	case !p.Relay && p.Relays > 0:
+		waited, patience = now.Sub(p.relayed())-relayIdle, time.Duration(rank-p.Relays)*helpStep
 	}
-	return waited >= helpAfter+time.Duration(rank)*helpStep
+	return waited >= patience
 }
 
 // relayed returns when the region's relays last got a chunk, or when the fetching began.
 func (p *Picker) relayed() time.Time {
 	last := p.Began
-	for _, h := range p.holders {
+	for _, h := range p.ordered {
 		if h.relay && !h.outside && h.progressed.After(last) {
 			last = h.progressed
 		}
@@ -103,7 +111,7 @@
 // inRegion reports whether other agents of the region hold a chunk or are about to.
 func (p *Picker) inRegion(chunk int, now time.Time) bool {
 	count := 0
-	for _, h := range p.holders {
+	for _, h := range p.ordered {
 		if h.outside {
 			continue
 		}
--- a/internal/rollout/railpicker/picker.go
+++ b/internal/rollout/railpicker/picker.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/bits-and-blooms/bitset"
@@ -48,8 +49,8 @@
 
 	held    bitset.BitSet
 	holders map[string]*holder
-	// names are those of the holders, sorted, so that the order of picks repeats.
-	names    []string
+	// ordered holds the holders by their names, so that the order of picks repeats.
+	ordered  []*holder
 	flights  map[int][]flight
 	arrivals []time.Time
 	// last is when a chunk came here last, and usual the time that a chunk takes from anywhere.
@@ -106,10 +107,10 @@
 	}
 	h := p.holders[word.Name]
 	if h == nil {
-		h = &holder{progressed: now}
+		h = &holder{name: word.Name, progressed: now}
 		p.holders[word.Name] = h
-		at, _ := slices.BinarySearch(p.names, word.Name)
-		p.names = slices.Insert(p.names, at, word.Name)
+		at, _ := slices.BinarySearchFunc(p.ordered, h, func(a, b *holder) int { return strings.Compare(a.name, b.name) })
+		p.ordered = slices.Insert(p.ordered, at, h)
 	}
 	h.hear(word, now)
 }
@@ -160,7 +161,7 @@
 // Heard returns the number of the region's other agents that have told what they hold.
 func (p *Picker) Heard() int {
 	n := 0
-	for _, h := range p.holders {
+	for _, h := range p.ordered {
 		if !h.outside {
 			n++
 		}
@@ -170,7 +171,7 @@
 
 // Outside reports whether any agent of another region has told something lately.
 func (p *Picker) Outside(now time.Time) bool {
-	for _, h := range p.holders {
+	for _, h := range p.ordered {
 		if h.outside && now.Sub(h.heard) < goneAfter {
 			return true
 		}
@@ -268,8 +269,7 @@
 // and the number of all its holders there.
 func (p *Picker) offers(chunk int, asked circle, now time.Time) (from string, count int) {
 	var best *holder
-	for _, name := range p.names {
-		h := p.holders[name]
+	for _, h := range p.ordered {
 		if !h.in(asked) || !h.offers(chunk, now) {
 			continue
 		}
@@ -278,7 +278,7 @@
 			continue
 		}
 		if best == nil || h.relay && !best.relay || h.relay == best.relay && h.cost(p.usual) < best.cost(p.usual) {
-			from, best = name, h
+			from, best = h.name, h
 		}
 	}
 	return from, count
