Let status, config show and burn ask a deployment without agents

Gateways and carriers answer Status over the inner protocol: a gateway with what it knows of endpoints, zones, waiting requests and the counts of each route's objective, a carrier with the version that its engine holds and how far the next one is. The entries and engines are read from the store's tables.

--- a/internal/burn/railburn/recorder.go
+++ b/internal/burn/railburn/recorder.go
@@ -10,6 +10,9 @@
 // Minutes is the number of minutes that are kept.
 const Minutes = 3 * 24 * 60
 
+// Windows are the lengths of a burn report's windows in minutes.
+var Windows = [...]int{5, 30, 60, 6 * 60, Minutes}
+
 type bucket struct {
 	minute int64
 	good   uint32
--- a/internal/command/railburncmd/burn.go
+++ b/internal/command/railburncmd/burn.go
@@ -13,8 +13,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/burn/railburnreport"
 	"github.com/fulmarrail/fulmarrail/internal/command/railexit"
 	"github.com/fulmarrail/fulmarrail/internal/command/railfactory"
-	"github.com/fulmarrail/fulmarrail/internal/command/railprocess"
-	"github.com/fulmarrail/fulmarrail/internal/config/railsettings"
+	"github.com/fulmarrail/fulmarrail/internal/command/railsource"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 )
 
@@ -22,10 +21,10 @@
 
 // Options holds what the command was given.
 type Options struct {
-	Factory  *railfactory.Factory
-	Settings railsettings.Settings
-	JSON     bool
-	Plot     string
+	Factory *railfactory.Factory
+	Source  railsource.Source
+	JSON    bool
+	Plot    string
 }
 
 // NewCmdBurn returns the command; runF replaces its work in tests.
@@ -36,7 +35,8 @@
 		Short: "Report how fast service-level objectives burn their budgets",
 		Long:  "Merge the counts of all entries into burn rates and the error budgets left, and name the entries that did not answer.\n\nThe exit code is 3 when an objective burns its budget too fast.",
 		Example: `  $ fulmarrail burn --settings entry-1.ini
-  $ fulmarrail burn --settings entry-1.ini --plot burn.svg`,
+  $ fulmarrail burn --settings entry-1.ini --plot burn.svg
+  $ fulmarrail burn --site gateway.ini`,
 		PreRunE: func(*cobra.Command, []string) error {
 			if extension := filepath.Ext(opts.Plot); opts.Plot != "" && extension != ".svg" && extension != ".png" {
 				return railexit.With(errors.Newf("--plot %s: the name must end in .svg or .png", opts.Plot), railexit.Usage)
@@ -44,7 +44,7 @@
 			return nil
 		},
 	}
-	railprocess.Bind(cmd, railmember.RoleEntry, &opts.Settings, opts, burnRun, runF)
+	railsource.Bind(cmd, &opts.Source, opts, burnRun, runF)
 	cmd.Flags().BoolVar(&opts.JSON, "json", false, "print the report as JSON")
 	cmd.Flags().StringVar(&opts.Plot, "plot", "", "write a plot to this .svg or .png file")
 	return cmd
@@ -53,7 +53,7 @@
 func burnRun(opts *Options) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	survey, err := opts.Factory.Ask(ctx, opts.Settings, func(m railmember.Member) bool { return m.Role == railmember.RoleEntry })
+	survey, err := opts.Source.Ask(ctx, opts.Factory, func(m railmember.Member) bool { return m.Role == railmember.RoleEntry })
 	if err != nil {
 		return err
 	}
--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/command/railfactory"
 	"github.com/fulmarrail/fulmarrail/internal/command/railsiteprocess"
 	"github.com/fulmarrail/fulmarrail/internal/config/railbriefer"
+	"github.com/fulmarrail/fulmarrail/internal/config/railzone"
 	"github.com/fulmarrail/fulmarrail/internal/core/raillog"
 	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railentries"
@@ -26,6 +27,8 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/node/railgateway"
 	"github.com/fulmarrail/fulmarrail/internal/node/railrelay"
+	"github.com/fulmarrail/fulmarrail/internal/node/railreporter"
+	"github.com/fulmarrail/fulmarrail/internal/report/railentryreport"
 	"github.com/fulmarrail/fulmarrail/internal/store/railrows"
 	"github.com/fulmarrail/fulmarrail/internal/store/railtable"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildatagram"
@@ -67,6 +70,7 @@
 	briefer *railbriefer.Briefer
 	entries *railentries.Entries
 	relay   *railrelay.Relay
+	front   *railgateway.Gateway
 
 	mu        sync.Mutex
 	peers     []*net.UDPAddr
@@ -95,16 +99,17 @@
 	}
 	g.entries = &railentries.Entries{Self: site.Process.Name, Log: raillog.Part(p.Log, "entries")}
 	g.briefer = &railbriefer.Briefer{Current: p.Current, Age: g.age, Instances: g.listed, Entries: g.members}
-	front := &railgateway.Gateway{
+	g.front = &railgateway.Gateway{
 		Callers: callers, Ready: ready, ReadyPath: platform.ReadyPath, Translator: platform.Translator{}, Catalog: p.Current.Get, Oldest: p.Current.Oldest, Due: p.Current.Due,
 		Placed: g.placed, Age: g.age, ListAge: g.listAge, KeyAge: trustedFor(site.Bounds.Revocation), RetryShare: site.Bounds.RepeatShare / 2,
-		Log: raillog.Part(p.Log, "front"),
+		Objective: site.Process.Objective,
+		Log:       raillog.Part(p.Log, "front"),
 	}
 	g.fleet = &railfleet.Fleet{
 		Zone: site.Process.Zone, Region: site.Process.Region, ColdOvershoot: site.Bounds.ColdOvershoot, ColdSlack: site.Bounds.ColdSlack,
-		Share: g.entries.Share, Changed: front.Wake, Log: raillog.Part(p.Log, "fleet"),
+		Share: g.entries.Share, Changed: g.front.Wake, Log: raillog.Part(p.Log, "fleet"),
 	}
-	front.Fleet = g.fleet
+	g.front.Fleet = g.fleet
 	socket := &raildatagram.Socket{Conn: datagrams, Log: raillog.Part(p.Log, "datagrams")}
 	timer := &railtimer.Service{}
 	teller := &raildigest.Teller{
@@ -127,7 +132,7 @@
 	if err := g.serveAgents(work, inner); err != nil {
 		return err
 	}
-	return front.Run(ctx, site.Bounds.Grace-300*time.Millisecond)
+	return g.front.Run(ctx, site.Bounds.Grace-300*time.Millisecond)
 }
 
 // newRelay returns the part that passes weights on to agents.
@@ -182,7 +187,8 @@
 // serveAgents answers the agents that only bring weights.
 func (g *gateway) serveAgents(ctx context.Context, inner net.Listener) error {
 	mux := drpcmux.New()
-	if err := errors.CombineErrors(railproto.DRPCRegisterEntry(mux, g.briefer), railproto.DRPCRegisterAgent(mux, g.relay)); err != nil {
+	reporter := &railreporter.Reporter[railentryreport.Report]{Report: g.report}
+	if err := errors.Join(railproto.DRPCRegisterEntry(mux, g.briefer), railproto.DRPCRegisterAgent(mux, g.relay), railproto.DRPCRegisterNode(mux, reporter)); err != nil {
 		return errors.Wrap(err, "register the inner services")
 	}
 	listener := &raillistener.Listener{Key: []byte(g.Site.Process.SharedKey), Handler: mux, Log: raillog.Part(g.Log, "inner")}
@@ -194,6 +200,21 @@
 	return nil
 }
 
+// report returns what operators see of this entry.
+func (g *gateway) report() railentryreport.Report {
+	r := g.front.Report()
+	r.Name, r.Zone = g.Site.Process.Name, g.Site.Process.Zone
+	catalog, _ := g.Current.Get()
+	for _, zone := range slices.Sorted(maps.Keys(g.Site.Regions)) {
+		state := railzone.StateIn
+		if catalog.ZoneOut(zone) {
+			state = railzone.StateOut
+		}
+		r = r.WithZone(zone, g.Site.Regions[zone], state)
+	}
+	return r
+}
+
 func (g *gateway) age() time.Duration {
 	age, _ := g.config.Age()
 	return age
--- a/internal/command/railshowcmd/show.go
+++ b/internal/command/railshowcmd/show.go
@@ -1,45 +1,67 @@
 package railshowcmd
 
 import (
+	"context"
 	"fmt"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/fulmarrail/fulmarrail/internal/command/railexit"
 	"github.com/fulmarrail/fulmarrail/internal/command/railfactory"
+	"github.com/fulmarrail/fulmarrail/internal/command/railsiteprocess"
+	"github.com/fulmarrail/fulmarrail/internal/command/railsource"
 	"github.com/fulmarrail/fulmarrail/internal/config/railfolder"
 	"github.com/fulmarrail/fulmarrail/internal/config/railrevision"
+	"github.com/fulmarrail/fulmarrail/internal/report/railconfigreport"
 )
 
+const timeout = 5 * time.Second
+
 // Options holds what the command was given.
 type Options struct {
 	Factory   *railfactory.Factory
 	Directory string
 	JSON      bool
+
+	site *string
 }
 
 // NewCmdShow returns the command; runF replaces its work in tests.
 func NewCmdShow(f *railfactory.Factory, runF func(*Options) error) *cobra.Command {
 	opts := &Options{Factory: f}
 	cmd := &cobra.Command{
-		Use:   "show DIR",
-		Short: "Show a folder's files merged into one",
+		Use:   "show {DIR | --site FILE}",
+		Short: "Show a folder's files merged into one, or a deployment's configuration",
 		Example: `  # What the files say together, later ones over earlier ones
-  $ fulmarrail config show ./folder`,
-		Args: cobra.ExactArgs(1),
+  $ fulmarrail config show ./folder
+
+  # What the store of a deployment whose endpoints have no agents holds
+  $ fulmarrail config show --site gateway.ini`,
+		Args: cobra.MaximumNArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
-			opts.Directory = args[0]
+			if (len(args) == 1) == (*opts.site != "") {
+				return railexit.With(errors.Newf("name either a folder or --%s FILE", railsource.SiteFlag), railexit.Usage)
+			}
+			if len(args) == 1 {
+				opts.Directory = args[0]
+			}
 			if runF != nil {
 				return runF(opts)
 			}
 			return showRun(opts)
 		},
 	}
+	opts.site = railsource.SitePath(cmd)
 	cmd.Flags().BoolVar(&opts.JSON, "json", false, "print the values as JSON, defaults included")
 	return cmd
 }
 
 func showRun(opts *Options) error {
+	if *opts.site != "" {
+		return showSite(opts)
+	}
 	folder, err := railfolder.Read(opts.Directory)
 	if err != nil {
 		return err
@@ -60,3 +82,23 @@
 		"services": spec.Services(), "zones": spec.Zones(), "customers": spec.Customers(), "objectives": spec.Objectives(),
 	})
 }
+
+// showSite shows what the store of a deployment holds.
+func showSite(opts *Options) error {
+	reader, err := railsiteprocess.Open(*opts.site)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	catalog, err := reader.Catalog(ctx)
+	if err != nil {
+		return errors.Wrap(err, "read the configuration; is the store up, and is the address in the settings right?")
+	}
+	report := railconfigreport.New(catalog, reader.Zones())
+	if opts.JSON {
+		return opts.Factory.WriteJSON(report)
+	}
+	report.WriteText(opts.Factory.Out)
+	return nil
+}
--- a/internal/command/railsiteprocess/process.go
+++ b/internal/command/railsiteprocess/process.go
@@ -103,13 +103,7 @@
 	ctx, cancel := p.Factory.Context()
 	defer cancel()
 	go p.reload(hangups)
-	p.faults = map[string]*railrows.Faults{}
-	for _, table := range []string{platform.TableOperator, platform.TableInstances, TableEntries, tableNamings} {
-		p.faults[table] = &railrows.Faults{Log: raillog.Part(p.Log, "store")}
-	}
-	p.Clock = railclock.New()
-	p.Store = &platform.Store{HTTP: &platform.Caller{Timeout: p.Site.Process.Timeout}, Address: p.Site.Process.Store}
-	p.Current = &railcurrent.Current{Weights: p.Site.Bounds.Weights, Recorded: p.recorded.Load, Log: raillog.Part(p.Log, "config")}
+	p.connect()
 	if err := p.serveAdmin(ctx); err != nil {
 		return err
 	}
@@ -122,6 +116,17 @@
 	return err
 }
 
+// connect sets what reading the store takes.
+func (p *Process) connect() {
+	p.faults = map[string]*railrows.Faults{}
+	for _, table := range []string{platform.TableOperator, platform.TableInstances, TableEntries, tableNamings} {
+		p.faults[table] = &railrows.Faults{Log: raillog.Part(p.Log, "store")}
+	}
+	p.Clock = railclock.New()
+	p.Store = &platform.Store{HTTP: &platform.Caller{Timeout: p.Site.Process.Timeout}, Address: p.Site.Process.Store}
+	p.Current = &railcurrent.Current{Weights: p.Site.Bounds.Weights, Recorded: p.recorded.Load, Log: raillog.Part(p.Log, "config")}
+}
+
 // reload reads the settings again on each hang-up signal. The level of the logs changes at once; for all else that is
 // different the line says that it takes a new start. It goes on while the process stops: a hang-up that nobody takes ends it.
 func (p *Process) reload(hangups <-chan os.Signal) {
--- a/internal/command/railstatuscmd/status.go
+++ b/internal/command/railstatuscmd/status.go
@@ -11,8 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/fulmarrail/fulmarrail/internal/command/railfactory"
-	"github.com/fulmarrail/fulmarrail/internal/command/railprocess"
-	"github.com/fulmarrail/fulmarrail/internal/config/railsettings"
+	"github.com/fulmarrail/fulmarrail/internal/command/railsource"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/report/railsurvey"
 )
@@ -24,9 +23,9 @@
 
 // Options holds what the command was given.
 type Options struct {
-	Factory  *railfactory.Factory
-	Settings railsettings.Settings
-	JSON     bool
+	Factory *railfactory.Factory
+	Source  railsource.Source
+	JSON    bool
 }
 
 // NewCmdStatus returns the command; runF replaces its work in tests.
@@ -37,9 +36,10 @@
 		Short: "Show zones, endpoints, the revision in force and the rollout",
 		Long:  "Ask every process in the platform's list for its state, and show zones, endpoints, the revision in force with who is behind, and the rollout.\n\nThe settings are those of any entry.",
 		Example: `  $ fulmarrail status --settings entry-1.ini
-  $ fulmarrail status --settings entry-1.ini --json`,
+  $ fulmarrail status --settings entry-1.ini --json
+  $ fulmarrail status --site gateway.ini`,
 	}
-	railprocess.Bind(cmd, railmember.RoleEntry, &opts.Settings, opts, statusRun, runF)
+	railsource.Bind(cmd, &opts.Source, opts, statusRun, runF)
 	cmd.Flags().BoolVar(&opts.JSON, "json", false, "print the state as JSON")
 	return cmd
 }
@@ -47,7 +47,7 @@
 func statusRun(opts *Options) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	survey, err := opts.Factory.Ask(ctx, opts.Settings, func(railmember.Member) bool { return true })
+	survey, err := opts.Source.Ask(ctx, opts.Factory, func(railmember.Member) bool { return true })
 	if err != nil {
 		return err
 	}
--- a/internal/config/railcatalog/catalog.go
+++ b/internal/config/railcatalog/catalog.go
@@ -39,6 +39,35 @@
 	return railroute.Route{}, false
 }
 
+// Routes returns all routes by host, the longest prefixes first.
+func (c Catalog) Routes() []railroute.Route {
+	var list []railroute.Route
+	for _, host := range slices.Sorted(maps.Keys(c.hosts)) {
+		list = append(list, c.hosts[host]...)
+	}
+	return list
+}
+
+// Customers returns the names of all customers.
+func (c Catalog) Customers() []string {
+	var names []string
+	for _, v := range c.customers {
+		names = append(names, v.Name)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// ZonesOut returns the zones whose endpoints are to get nothing.
+func (c Catalog) ZonesOut() []string {
+	return slices.Sorted(maps.Keys(c.out))
+}
+
+// Versions returns the versions of weights that were named last, by model.
+func (c Catalog) Versions() map[string]int64 {
+	return maps.Clone(c.wanted)
+}
+
 // Customer returns the customer that holds a key.
 func (c Catalog) Customer(key string) (railcustomer.Customer, bool) {
 	v, ok := c.customers[key]
--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -2,7 +2,9 @@
 
 import (
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -135,6 +137,25 @@
 	return f.lease(best, need, soonest, now), true
 }
 
+// Sight is an endpoint as this entry sees it.
+type Sight struct {
+	Instance railinstance.Instance
+	// Running is the number of requests in flight there, from all entries as far as they tell.
+	Running int
+}
+
+// Snapshot returns all endpoints in the order of their ids.
+func (f *Fleet) Snapshot() []Sight {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []Sight
+	for _, id := range slices.Sorted(maps.Keys(f.endpoints)) {
+		e := f.endpoints[id]
+		list = append(list, Sight{Instance: e.Instance, Running: e.load.With(f.elsewhere(e.hash)).Running})
+	}
+	return list
+}
+
 // Serving returns the number of endpoints of a service that could take a request now, whatever their load.
 func (f *Fleet) Serving(need Need) int {
 	f.mu.Lock()
--- a/internal/node/railcarrier/carrier.go
+++ b/internal/node/railcarrier/carrier.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -17,6 +18,8 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/node/railpeer"
+	"github.com/fulmarrail/fulmarrail/internal/node/railreporter"
+	"github.com/fulmarrail/fulmarrail/internal/report/railagentreport"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railcollector"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railinstaller"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railstage"
@@ -37,6 +40,8 @@
 	// place among the others. Fresh agents tell of themselves before the list is read again.
 	fetchList = 3 * time.Second
 	turnList  = 6 * time.Second
+	// phaseServing is the phase of a carrier that has nothing to do.
+	phaseServing = "serving"
 )
 
 // Carrier is one agent process; its fields are set before Run.
@@ -80,8 +85,9 @@
 func (c *Carrier) Run(ctx context.Context) error {
 	c.once.Do(c.init)
 	mux := drpcmux.New()
-	if err := railproto.DRPCRegisterAgent(mux, c.peer); err != nil {
-		return errors.Wrap(err, "register the inner service")
+	reporter := &railreporter.Reporter[railagentreport.Report]{Report: c.report}
+	if err := errors.CombineErrors(railproto.DRPCRegisterAgent(mux, c.peer), railproto.DRPCRegisterNode(mux, reporter)); err != nil {
+		return errors.Wrap(err, "register the inner services")
 	}
 	go c.installer.Run(ctx)
 	go c.Socket.Receive(ctx, c.hear)
@@ -112,6 +118,24 @@
 	}
 }
 
+// report returns what operators see of the carrier and the engine beside it.
+func (c *Carrier) report() railagentreport.Report {
+	catalog, _ := c.Catalog()
+	serving := c.installer.Serving()
+	fetching, held, chunks := c.peer.Collector().Progress()
+	r := railagentreport.Report{
+		Name: c.Self.Name, Zone: c.Self.Zone, Service: c.Self.Service, Revision: uint64(catalog.Version), Serving: serving > 0,
+		Weights: strconv.FormatInt(serving, 10), Phase: phaseServing, ChunksHeld: held, ChunksTotal: chunks,
+	}
+	switch {
+	case held < chunks || chunks == 0:
+		r.Phase = "fetching version " + strconv.FormatInt(fetching, 10)
+	case fetching > serving:
+		r.Phase = "waiting for its turn to load version " + strconv.FormatInt(fetching, 10)
+	}
+	return r
+}
+
 // setPace paces weights below the link's rate, so that live answers beside them come on time; an idle engine has none.
 func (c *Carrier) setPace(idle bool) {
 	switch paced := int(linkShare * float64(c.Link)); {
--- a/internal/node/railgateway/gateway.go
+++ b/internal/node/railgateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/fulmarrail/fulmarrail/internal/burn/railburn"
 	"github.com/fulmarrail/fulmarrail/internal/config/railcatalog"
 	"github.com/fulmarrail/fulmarrail/internal/core/railsample"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railfleet"
@@ -58,6 +59,8 @@
 	Oldest func(model string) int64
 	// Due returns the next version of a model's weights whose time ends, and the time until then.
 	Due func(model string) (int64, time.Duration)
+	// Objective is the share of each route's requests, in percent, that are to be answered whole and on time.
+	Objective float64
 	// RetryShare is the share of a repeat that each request earns.
 	RetryShare float64
 	Log        *slog.Logger
@@ -68,6 +71,7 @@
 	leaving   atomic.Int64
 	running   atomic.Int64
 	patience  railpatience.Patience
+	burn      railburn.Recorder
 	admitters sync.Map
 	budgets   sync.Map
 }
--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -53,6 +53,8 @@
 	// work ends when the caller leaves or the time is up.
 	work   context.Context
 	cancel context.CancelFunc
+	// over says that the request has ended, and left that its caller had left before.
+	over, left bool
 	// unwatch ends the watch for the caller's leaving.
 	unwatch func()
 }
@@ -86,9 +88,18 @@
 	g.forward(c)
 }
 
+// callerLeft reports whether the caller left before the request ended.
+func (c *call) callerLeft() bool {
+	if c.over || c.work == nil {
+		return c.left
+	}
+	return errors.Is(c.work.Err(), context.Canceled)
+}
+
 // finish ends a call's bookkeeping; nothing of it runs any more.
 func (g *Gateway) finish(c *call) {
 	metrics.GetOrCreateHistogram(fmt.Sprintf(`fulmarrail_gateway_request_seconds{service=%q}`, c.service)).UpdateDuration(c.began)
+	c.left, c.over = c.callerLeft(), true
 	c.cancel()
 	c.unwatch()
 	g.running.Add(-1)
@@ -165,6 +176,9 @@
 		c.ctx.SetConnectionClose()
 	}
 	count(c, no.status)
+	if no.status >= fasthttp.StatusInternalServerError {
+		g.observe(c, false)
+	}
 	catalog, _ := g.Catalog()
 	g.Log.With(no.inputs...).Info("request refused", "request", c.ID, "route", c.route.Name, "customer", c.customer.Name, "status", no.status,
 		"reason", no.reason, "config", catalog.Version, "configAge", g.Age(), "listAge", g.ListAge(), "deadline", c.Wait, "later", c.later,
@@ -194,6 +208,7 @@
 
 // logAnswer logs an answer that was passed on whole, with what decided on its way: each one that was late, and a sample of the others.
 func (g *Gateway) logAnswer(c *call, a *attempt) {
+	g.observe(c, a.exchange.Header.StatusCode() < fasthttp.StatusInternalServerError)
 	late := c.first > c.route.Target || c.route.TargetGap > 0 && c.gap > c.route.TargetGap
 	leftOut := 0
 	if !late && !g.Log.Enabled(c.work, slog.LevelDebug) {
--- a/internal/node/railgateway/stream.go
+++ b/internal/node/railgateway/stream.go
@@ -14,7 +14,10 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railfleet"
 )
 
-var errGap = errors.New("the stream does not go on where it broke off")
+var (
+	errGap        = errors.New("the stream does not go on where it broke off")
+	errCallerLeft = errors.New("the caller has left")
+)
 
 // progress is how far a stream has come.
 type progress struct {
@@ -32,6 +35,9 @@
 			count(c, a.exchange.Header.StatusCode())
 		}
 		if err != nil {
+			if !errors.Is(err, errCallerLeft) {
+				g.observe(c, false)
+			}
 			metrics.GetOrCreateCounter(fmt.Sprintf(`fulmarrail_gateway_broken_streams_total{service=%q}`, c.service)).Inc()
 			g.Log.Info("stream broken", "request", c.ID, "customer", c.customer.Name, "err", err, "after", time.Since(c.began))
 			if c.conn != nil {
@@ -75,10 +81,10 @@
 	defer silence.Stop()
 	for e, last := a.first, time.Now(); ; {
 		if _, err := w.Write(e.Raw); err != nil {
-			return errors.Wrap(err, "the caller has left")
+			return errors.Mark(errors.Wrap(err, "the caller has left"), errCallerLeft)
 		}
 		if err := w.Flush(); err != nil {
-			return errors.Wrap(err, "the caller has left")
+			return errors.Mark(errors.Wrap(err, "the caller has left"), errCallerLeft)
 		}
 		if e.ID != "" {
 			p.lastID = e.ID
--- a/internal/node/railrouter/status.go
+++ b/internal/node/railrouter/status.go
@@ -1,15 +1,13 @@
 package railrouter
 
 import (
+	"github.com/fulmarrail/fulmarrail/internal/burn/railburn"
 	"github.com/fulmarrail/fulmarrail/internal/config/railrevision"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/report/railentryreport"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
 
-// burnWindows are the lengths of the burn report's windows in minutes.
-var burnWindows = []int{5, 30, 60, 6 * 60, 3 * 24 * 60}
-
 // Status returns what operators see of the entry; running is the number of its unfinished requests.
 func (r *Router) Status(running int) railentryreport.Report {
 	revision, _ := r.keeper.Current()
@@ -36,7 +34,7 @@
 func (r *Router) withObjectives(s railentryreport.Report, revision railrevision.Revision) railentryreport.Report {
 	for _, o := range revision.Spec().Objectives() {
 		s = s.WithObjective(o.Name, o.Service, o.Customer, o.Target)
-		for _, minutes := range burnWindows {
+		for _, minutes := range railburn.Windows {
 			good, bad := r.burn.Count(o.Name, minutes)
 			s = s.WithWindow(minutes, good, bad)
 		}
--- a/internal/rollout/railcollector/collector.go
+++ b/internal/rollout/railcollector/collector.go
@@ -87,6 +87,19 @@
 	return c.complete
 }
 
+// Progress returns the version that is fetched now, or was fetched last, and how many of its chunks are there.
+func (c *Collector) Progress() (version int64, held, chunks int) {
+	c.mu.Lock()
+	w := c.fetching
+	c.mu.Unlock()
+	for _, digest := range w.Manifest.Chunks {
+		if c.Store.Has(digest) {
+			held++
+		}
+	}
+	return w.Version, held, len(w.Manifest.Chunks)
+}
+
 // Fetched returns the channel that tells one reader of each version that is there whole.
 func (c *Collector) Fetched() <-chan struct{} {
 	c.init()
--- a/internal/rollout/railinstaller/installer.go
+++ b/internal/rollout/railinstaller/installer.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railcollector"
@@ -60,10 +61,17 @@
 	Stage *railstage.Stage
 	Log   *slog.Logger
 
+	// serving is the version that the engine held when it was asked last.
+	serving atomic.Int64
 	// announced is when the entries were last told of a change that is to come.
 	announced time.Time
 }
 
+// Serving returns the version that the engine held when it was asked last, or 0.
+func (n *Installer) Serving() int64 {
+	return n.serving.Load()
+}
+
 // Run fetches and installs what is wanted until ctx is done.
 func (n *Installer) Run(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/internal/rollout/railinstaller/load.go
+++ b/internal/rollout/railinstaller/load.go
@@ -71,6 +71,9 @@
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	s, err := n.Engine.State(ctx)
+	if err == nil {
+		n.serving.Store(s.Version)
+	}
 	return s, errors.Wrap(err, "read the engine's state")
 }
 
