Ask narrow relays by few, and leave half of an entry's link to its callers

Entries' links there are 40 and 200 Mbit/s (1,000 on the smaller sites), and relays gave without bound.

Change: a relay gives half of its link. Agents ask where a chunk is expected soonest, counting what they have asked for there, a relay for no more at once than comes in 150 ms, and a relay that takes longer than 90 ms for a chunk only for the chunks that they are among the first two to take; without that all asked for the rarest chunks, which it alone holds.

--- a/internal/command/railcarriercmd/carrier.go
+++ b/internal/command/railcarriercmd/carrier.go
@@ -24,8 +24,7 @@
 
 const (
 	// dialTimeout bounds an attempt to connect to another process.
-	dialTimeout     = 500 * time.Millisecond
-	bytesPerMegabit = 1e6 / 8
+	dialTimeout = 500 * time.Millisecond
 )
 
 // NewCmdCarrier returns the command.
@@ -69,7 +68,7 @@
 		},
 		Origin:  p.Origin(),
 		Entries: learner.Entries,
-		Link:    int(site.Link * bytesPerMegabit),
+		Link:    site.LinkBytes(),
 		Weights: p.Site.Bounds.Weights, Regions: p.Site.Regions, Log: p.Log.With("engine", site.Endpoint),
 		Instances: learner.Instances,
 		Notify: func(version int64, changesIn time.Duration) {
--- a/internal/config/railsite/site.go
+++ b/internal/config/railsite/site.go
@@ -14,6 +14,8 @@
 )
 
 const (
+	bytesPerMegabit = 1e6 / 8
+
 	sectionProcess = "process"
 	sectionBounds  = "bounds"
 	sectionZones   = "zones"
@@ -58,6 +60,11 @@
 	RepeatShare   float64       `key:"repeatShare" unit:"share" default:"0.2" min:"0" max:"10" help:"repeats of requests, over all entries, as a share of the requests"`
 }
 
+// LinkBytes returns the rate of the VM's link in bytes a second, or 0 where it is not known.
+func (p Process) LinkBytes() int {
+	return int(p.Link * bytesPerMegabit)
+}
+
 // Load reads a settings file; an error names file, line and key.
 func Load(path string) (Site, error) {
 	data, err := os.ReadFile(path)
--- a/internal/node/railrelay/relay.go
+++ b/internal/node/railrelay/relay.go
@@ -19,8 +19,12 @@
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
 
-// uploadSlots is the number of chunks that an entry gives at once.
-const uploadSlots = 64
+const (
+	// uploadSlots is the number of chunks that an entry gives at once.
+	uploadSlots = 64
+	// linkShare is the share of an entry's link that weights may take; callers' answers go over the same one.
+	linkShare = 0.5
+)
 
 // Relay is one entry's part in the exchange of the weights of all models; its fields are set before Run.
 type Relay struct {
@@ -39,6 +43,8 @@
 	Instances func() []railinstance.Instance
 	Entries   func() []railmember.Member
 	Named     func(model string) []railturn.Naming
+	// Link is the rate of the VM's link in bytes a second, or 0 where it is not known.
+	Link int
 	// Weights is the time in which new weights are to serve everywhere.
 	Weights time.Duration
 	// Regions holds the region of each zone.
@@ -136,6 +142,9 @@
 		Catalog: r.Catalog, Named: r.Named, Weights: r.Weights, Regions: r.Regions, Origin: r.Origin, Dialer: r.Dialer, Socket: r.Socket,
 		Rate: origin.Link, UploadSlots: uploadSlots, Log: r.Log,
 	}
+	if r.Link > 0 {
+		peer.SetPace(int(linkShare*float64(r.Link)), 0)
+	}
 	ctx, stop := context.WithCancel(r.ctx)
 	go peer.Collector().Run(ctx)
 	return &part{peer: peer, stop: stop}
--- a/internal/rollout/railpicker/holder.go
+++ b/internal/rollout/railpicker/holder.go
@@ -22,10 +22,16 @@
 	idleAfter   = 1200 * time.Millisecond
 	// goneAfter is the time without a word after which nothing is asked of an agent.
 	goneAfter = 1500 * time.Millisecond
-	// relayAsks is the number of chunks that a relay is asked for at once, and stuckAfter the time without an answer after which
-	// it is asked for no more.
-	relayAsks  = 8
+	// relayAsks is the number of chunks that a relay is asked for at once at the most, firstAsks that number before it has given
+	// any, and relayQueue the time in which those that are asked for at once are to come.
+	relayAsks, firstAsks = 8, 2
+	relayQueue           = 150 * time.Millisecond
+	// slowRelay is the time for a chunk beyond which a relay is asked by a few agents for each chunk, which pass it on.
+	slowRelay = 90 * time.Millisecond
+	// stuckAfter is the time without an answer after which a relay is asked for no more.
 	stuckAfter = 400 * time.Millisecond
+	// freshRelay is what a chunk is expected to take from a relay that has given none yet.
+	freshRelay = 10 * time.Millisecond
 )
 
 // Word is what another agent tells of itself.
@@ -115,16 +121,30 @@
 			return true
 		}
 	}
-	return len(h.asked) >= relayAsks
+	return len(h.asked) >= h.atOnce()
+}
+
+// slow reports whether a relay has more to give than its link bears, or has given nothing yet.
+func (h *holder) slow() bool {
+	return h.relay && (h.usual == 0 || h.usual > slowRelay)
+}
+
+// atOnce returns the number of chunks that a relay may be asked for at once: all agents of the region ask it.
+func (h *holder) atOnce() int {
+	if h.usual == 0 {
+		return firstAsks
+	}
+	return min(max(int(relayQueue/h.usual), 1), relayAsks)
 }
 
 // end notes how a request here has ended.
 func (h *holder) end(chunk int, outcome Outcome, took time.Duration, now time.Time) {
+	together := max(len(h.asked), 1)
 	delete(h.asked, chunk)
 	switch outcome {
 	case Came:
 		h.strikes = 0
-		h.usual = smooth(h.usual, took)
+		h.usual = smooth(h.usual, took/time.Duration(together))
 	case Failed:
 		h.held.Clear(uint(chunk)) // It says so again if it holds the chunk all the same.
 		h.avoidUntil = now.Add(firstAvoidance << h.strikes)
@@ -137,9 +157,13 @@
 // cost is what a chunk from here is expected to take; elsewhere is the time that it usually takes.
 func (h *holder) cost(elsewhere time.Duration) time.Duration {
 	cost := h.usual
-	if cost == 0 {
+	switch {
+	case cost == 0 && h.relay:
+		cost = freshRelay
+	case cost == 0:
 		cost = elsewhere
 	}
+	cost *= time.Duration(len(h.asked) + 1)
 	if h.far {
 		cost = time.Duration(farFactor * float64(cost))
 	}
--- a/internal/rollout/railpicker/pick.go
+++ b/internal/rollout/railpicker/pick.go
@@ -91,8 +91,8 @@
 	return best, ties > 0
 }
 
-// offers returns the free holder among those asked from which a chunk comes soonest, a relay before all others, or an empty name,
-// and the number of all its holders there.
+// offers returns the free holder among those asked from which a chunk comes soonest, or an empty name, and the number of all its
+// holders there.
 func (p *Picker) offers(chunk int, asked circle, now time.Time) (from string, count int) {
 	var best *holder
 	for _, h := range p.ordered {
@@ -100,16 +100,21 @@
 			continue
 		}
 		count++
-		if h.busy(now) || now.Before(h.avoidUntil) {
+		if h.busy(now) || now.Before(h.avoidUntil) || h.slow() && !p.feeds(chunk, now) {
 			continue
 		}
-		if best == nil || h.relay && !best.relay || h.relay == best.relay && h.cost(p.usual) < best.cost(p.usual) {
+		if best == nil || h.cost(p.usual) < best.cost(p.usual) {
 			from, best = h.name, h
 		}
 	}
 	return from, count
 }
 
+// feeds reports whether this agent is one of the few that take a chunk from a slow relay and pass it on.
+func (p *Picker) feeds(chunk int, now time.Time) bool {
+	return p.Relay || p.Rank(chunk) < p.Relays+feeders || p.alone(now)
+}
+
 // overdue returns the chunk that has been on its way for longest beyond what is usual, from another holder.
 func (p *Picker) overdue(now time.Time) (Pick, bool) {
 	var best Pick
--- a/internal/rollout/railpicker/picker.go
+++ b/internal/rollout/railpicker/picker.go
@@ -28,6 +28,8 @@
 	aloneAfter = 250 * time.Millisecond
 	// repeatsAtOnce is the number of holders that one chunk is asked for at the same time.
 	repeatsAtOnce = 2
+	// feeders is the number of a region's agents that take each chunk from a slow relay.
+	feeders = 2
 )
 
 // Picker is not safe for concurrent use; its fields are set before its first use.
--- a/internal/rollout/railswarm/swarm_test.go
+++ b/internal/rollout/railswarm/swarm_test.go
@@ -34,8 +34,9 @@
 	linkRate    = 912_500
 	squeezed    = 113_750
 	uploadSlots = 1
-	// relayRate is the rate of an entry's link, and relaySlots the number of chunks that it gives at once.
+	// relayRate and narrowRate are the rates of entries' links, and relaySlots the number of chunks that one gives at once.
 	relayRate  = 125_000_000
+	narrowRate = 5_000_000
 	relaySlots = 64
 	// paceShare is the share of a link that uploads take.
 	paceShare = 0.92
@@ -95,14 +96,14 @@
 	return w.join(railmember.Member{Name: fmt.Sprintf("agent-%02d", i), Role: railmember.RoleAgent, Zone: region, Region: region}, rate, complete)
 }
 
-// addRelays adds relays, whose links are those of entries.
-func (w *swarm) addRelays(n int) []*agent {
+// addRelays adds relays, whose links are those of entries; they give half of them.
+func (w *swarm) addRelays(n int, rate float64) []*agent {
 	var list []*agent
 	for i := range n {
 		region := fmt.Sprintf("region-%d", i%3)
-		a := w.join(railmember.Member{Name: fmt.Sprintf("relay-%02d", i), Role: railmember.RoleEntry, Zone: region, Region: region}, relayRate, false)
+		a := w.join(railmember.Member{Name: fmt.Sprintf("relay-%02d", i), Role: railmember.RoleEntry, Zone: region, Region: region}, rate, false)
 		a.sharing.Uploads.Slots = relaySlots
-		a.sharing.Pacer.SetPace(relayRate, 0)
+		a.sharing.Pacer.SetPace(int(rate/2), 0)
 		list = append(list, a)
 	}
 	return list
@@ -276,7 +277,7 @@
 func TestRelaysBringANewVersionToAllAsFastAsTheOriginGivesIt(t *testing.T) {
 	railvirtual.Test(t, func(t *testing.T) {
 		w := newSwarm(t)
-		took := longest(w.fetch(append(w.addRelays(6), w.addMany(0, 27, linkRate, false)...)...))
+		took := longest(w.fetch(append(w.addRelays(6, relayRate), w.addMany(0, 27, linkRate, false)...)...))
 		qt.Check(t, took < copyTime+relayedIn, qt.IsTrue, qt.Commentf("%s, one copy takes %s", took, copyTime))
 		qt.Check(t, w.drawn.Load() <= mostCopies, qt.IsTrue, qt.Commentf("%d chunks drawn", w.drawn.Load()))
 		for _, region := range []string{"region-1", "region-2"} {
@@ -285,11 +286,21 @@
 	})
 }
 
+// Where the entries' links are only a few times as wide as the agents', 99 agents have the same time as without them
+// (TestManyAgentsTakeLittleLonger); all asked them for the rarest chunks at once, and took 11 s.
+func TestRelaysOnNarrowLinksHoldUpNobody(t *testing.T) {
+	railvirtual.Test(t, func(t *testing.T) {
+		w := newSwarm(t)
+		took := longest(w.fetch(append(w.addRelays(6, narrowRate), w.addMany(0, 99, linkRate, false)...)...))
+		qt.Check(t, took < 2*copyTime, qt.IsTrue, qt.Commentf("%s, one copy takes %s", took, copyTime))
+	})
+}
+
 // Relays that die in the middle leave the agents to themselves.
 func TestAgentsGoOnWithoutRelays(t *testing.T) {
 	railvirtual.Test(t, func(t *testing.T) {
 		w := newSwarm(t)
-		dead := w.addRelays(6)
+		dead := w.addRelays(6, relayRate)
 		time.AfterFunc(copyTime/3, func() {
 			for _, a := range dead {
 				a.cut.Store(true)
@@ -307,7 +318,7 @@
 func TestRelaysThatAreGoneHoldUpNobody(t *testing.T) {
 	railvirtual.Test(t, func(t *testing.T) {
 		w := newSwarm(t)
-		relays := w.addRelays(12)
+		relays := w.addRelays(12, relayRate)
 		for _, a := range relays[:6] {
 			a.cut.Store(true)
 		}
