--- a/internal/rollout/railpicker/holder.go
+++ b/internal/rollout/railpicker/holder.go
@@ -24,7 +24,7 @@
 	goneAfter = 1500 * time.Millisecond
 	// relayAsks is the number of chunks that a relay is asked for at once at the most, firstAsks that number before it has given
 	// any, and relayQueue the time in which those that are asked for at once are to come.
-	relayAsks, firstAsks = 8, 2
+	relayAsks, firstAsks = 8, 1
 	relayQueue           = 150 * time.Millisecond
 	// slowRelay is the time for a chunk beyond which a relay is asked by a few agents for each chunk, which pass it on.
 	slowRelay = 90 * time.Millisecond
@@ -124,9 +124,19 @@
 	return len(h.asked) >= h.atOnce()
 }
 
-// slow reports whether a relay has more to give than its link bears, or has given nothing yet.
+// slow reports whether a relay has more to give than its link bears.
 func (h *holder) slow() bool {
-	return h.relay && (h.usual == 0 || h.usual > slowRelay)
+	return h.relay && h.usual > slowRelay
+}
+
+// before reports whether a chunk is to be asked for here rather than elsewhere: from a relay that is not slow, or else where it is
+// expected soonest.
+func (h *holder) before(other *holder, usual time.Duration) bool {
+	fast := h.relay && !h.slow()
+	if fast != (other.relay && !other.slow()) {
+		return fast
+	}
+	return h.cost(usual) < other.cost(usual)
 }
 
 // atOnce returns the number of chunks that a relay may be asked for at once: all agents of the region ask it.
--- a/internal/rollout/railpicker/pick.go
+++ b/internal/rollout/railpicker/pick.go
@@ -103,7 +103,7 @@
 		if h.busy(now) || now.Before(h.avoidUntil) || h.slow() && !p.feeds(chunk, now) {
 			continue
 		}
-		if best == nil || h.cost(p.usual) < best.cost(p.usual) {
+		if best == nil || h.before(best, p.usual) {
 			from, best = h.name, h
 		}
 	}
