--- a/internal/config/railspec/docs_test.go
+++ b/internal/config/railspec/docs_test.go
@@ -12,6 +12,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/config/railschema"
 	"github.com/fulmarrail/fulmarrail/internal/config/railservice"
 	"github.com/fulmarrail/fulmarrail/internal/config/railsettings"
+	"github.com/fulmarrail/fulmarrail/internal/config/railsite"
 	"github.com/fulmarrail/fulmarrail/internal/config/railzone"
 )
 
@@ -25,6 +26,8 @@
 		{"CONFIGURATION.md", "## [objective NAME]", railschema.Schema[railobjective.Objective]{}.Markdown()},
 		{"CONFIGURATION.md", "## [origin NAME]", railschema.Schema[railorigin.Origin]{}.Markdown()},
 		{"SETTINGS.md", "## [process]", railschema.Schema[railsettings.Settings]{}.Markdown()},
+		{"SETTINGS.md", "## [process] of a gateway or a carrier", railschema.Schema[railsite.Process]{}.Markdown()},
+		{"SETTINGS.md", "## [bounds]", railschema.Schema[railsite.Bounds]{}.Markdown()},
 	} {
 		t.Run(test.title, func(t *testing.T) {
 			c := qt.New(t)
