--- a/internal/command/railsource/source.go
+++ b/internal/command/railsource/source.go
@@ -18,7 +18,7 @@
 // SiteFlag names the flag for the settings of a gateway or a carrier.
 const SiteFlag = "site"
 
-// Source is safe for use once a command that it is bound to runs.
+// Source is what a command asks; it is set once the command that it is bound to runs.
 type Source struct {
 	Settings railsettings.Settings
 
--- a/internal/config/railbackend/backend.go
+++ b/internal/config/railbackend/backend.go
@@ -19,29 +19,32 @@
 // Engine describes the model engines of a service.
 type Engine struct {
 	// Model is the name of the model that the engines serve.
-	Model string
+	Model string `json:"model"`
 	// Slots is the number of requests that an engine works on at once.
-	Slots int
+	Slots int `json:"slots"`
 	// Layers is the number of the model's layers, and Chunks that of the pieces that its weights consist of.
-	Layers, Chunks int
-	ChunkBytes     int
+	Layers     int `json:"layers"`
+	Chunks     int `json:"chunks"`
+	ChunkBytes int `json:"chunkBytes"`
 	// UsualPrompt and UsualAnswer are the mean numbers of a prompt's and an answer's tokens, or 0 where they are not known.
-	UsualPrompt, UsualAnswer int
-	Timing                   Timing
+	UsualPrompt int    `json:"usualPrompt"`
+	UsualAnswer int    `json:"usualAnswer"`
+	Timing      Timing `json:"timing"`
 }
 
 // Timing holds what one pass of an engine takes.
 type Timing struct {
 	// Step is the time of one token step, and PerSequence is added to it for each request that is writing.
-	Step, PerSequence time.Duration
+	Step        time.Duration `json:"step"`
+	PerSequence time.Duration `json:"perSequence"`
 	// Stride is the number of steps of a pass that includes writers.
-	Stride int
+	Stride int `json:"stride"`
 	// ReadPerSecond is the number of prompt tokens that are read in a second.
-	ReadPerSecond float64
+	ReadPerSecond float64 `json:"readPerSecond"`
 	// MostRead is the most prompt tokens that one pass reads, or 0 where it is not known.
-	MostRead int
+	MostRead int `json:"mostRead"`
 	// PairsPerMillion is the time for a million pairs of a token and an earlier one.
-	PairsPerMillion time.Duration
+	PairsPerMillion time.Duration `json:"pairsPerMillion"`
 }
 
 // IsEngine reports whether the service's endpoints need weights.
--- a/internal/config/railroute/route.go
+++ b/internal/config/railroute/route.go
@@ -16,35 +16,35 @@
 
 // Route is one route of the configuration; it is immutable.
 type Route struct {
-	Name string
-	Host string
+	Name string `json:"name"`
+	Host string `json:"host"`
 	// Prefix begins and ends with a slash.
-	Prefix string
-	Kind   string
+	Prefix string `json:"prefix"`
+	Kind   string `json:"kind"`
 	// Timeout is the longest time that a caller is kept waiting for the end of an answer.
-	Timeout time.Duration
+	Timeout time.Duration `json:"timeout"`
 	// Target is the time to the answer, or to its first event, within which it is on time.
-	Target time.Duration
+	Target time.Duration `json:"target"`
 	// TargetGap is the longest pause between two events of an answer on time.
-	TargetGap time.Duration
+	TargetGap time.Duration `json:"targetGap"`
 	// Rank orders routes; 0 is the most urgent.
-	Rank int
+	Rank int `json:"rank"`
 	// Attempts is the number of endpoints on which one request may run.
-	Attempts int
+	Attempts int `json:"attempts"`
 	// Public routes need no customer's key.
-	Public bool
+	Public bool `json:"public"`
 	// Resumable streams may go on at another endpoint after their last event.
-	Resumable bool
+	Resumable bool `json:"resumable"`
 	// Regions are those that may serve the route; none means all.
-	Regions []string
+	Regions []string `json:"regions"`
 	// Services are those that serve the route, with their weights.
-	Services []Share
+	Services []Share `json:"services"`
 }
 
 // Share is a service's share of a route's requests.
 type Share struct {
-	Service string
-	Weight  int
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
 }
 
 // Repeatable reports whether a request may run again after it may have run.
--- a/internal/rollout/railpicker/holder.go
+++ b/internal/rollout/railpicker/holder.go
@@ -16,10 +16,8 @@
 	maxStrikes     = 5
 	// distrustFor is the time for which an agent that gave a corrupt chunk counts for nothing.
 	distrustFor = 20 * time.Second
-	// silentAfter is the time without a word after which an agent is not expected to import anything, and idleAfter the time
-	// without a new chunk after which it is not while others get on.
+	// silentAfter is the time without a word after which an agent is not expected to import anything.
 	silentAfter = 700 * time.Millisecond
-	idleAfter   = 1200 * time.Millisecond
 	// goneAfter is the time without a word after which nothing is asked of an agent.
 	goneAfter = 1500 * time.Millisecond
 	// relayAsks is the number of chunks that a relay is asked for at once at the most, firstAsks that number before it has given
@@ -57,7 +55,7 @@
 	heard, progressed time.Time
 	// claimed is when the agent first told that it is importing each of the chunks that it is importing.
 	claimed map[uint]time.Time
-	// usual is the time that a chunk from here takes, waiting for its turn included.
+	// usual is the time that a chunk from here takes, waiting for its turn included, over the number asked for at once.
 	usual time.Duration
 	// asked holds for each chunk that is asked for here since when.
 	asked      map[int]time.Time
