Relay only over links that are wide against the origin's

Change: an entry relays if its link is at least six times the origin's; entries tell the rate of their links in their rows and briefs, and the configuration gives the origin's. Where either is not known nobody relays.

--- a/internal/command/railgatewaycmd/parts.go
+++ b/internal/command/railgatewaycmd/parts.go
@@ -27,9 +27,9 @@
 		return nil, errors.Wrap(err, "read the setting inner")
 	}
 	return &railrelay.Relay{
-		Self: railmember.Member{Name: host, Role: railmember.RoleEntry, Address: site.Inner, Zone: site.Zone, Region: site.Region},
+		Self: railmember.Member{Name: host, Role: railmember.RoleEntry, Address: site.Inner, Zone: site.Zone, Region: site.Region, Link: site.LinkBytes()},
 		Port: port, Origin: g.Origin(), Dialer: &raildialer.Dialer{Key: []byte(site.SharedKey), Timeout: dialTimeout}, Socket: socket,
-		Catalog: g.Current.Get, Instances: g.listed, Entries: g.members, Named: g.Current.Namings, Weights: g.Site.Bounds.Weights, Link: site.LinkBytes(),
+		Catalog: g.Current.Get, Instances: g.listed, Entries: g.members, Named: g.Current.Namings, Weights: g.Site.Bounds.Weights,
 		Regions: g.Site.Regions, Log: g.Log,
 	}, nil
 }
--- a/internal/command/railsiteprocess/process.go
+++ b/internal/command/railsiteprocess/process.go
@@ -218,7 +218,7 @@
 			continue
 		}
 		list = append(list, railmember.Member{
-			Name: row.Key, Role: railmember.RoleEntry, Address: e.Address, Zone: e.Zone, Region: p.Site.Regions[e.Zone],
+			Name: row.Key, Role: railmember.RoleEntry, Address: e.Address, Zone: e.Zone, Region: p.Site.Regions[e.Zone], Link: e.Link,
 		})
 	}
 	p.faults[TableEntries].Report(faults)
@@ -227,7 +227,7 @@
 
 // EntryRow returns this process's row among the entries.
 func (p *Process) EntryRow() ([]byte, error) {
-	row, err := json.Marshal(entryRow{Address: p.Site.Process.Inner, Zone: p.Site.Process.Zone})
+	row, err := json.Marshal(entryRow{Address: p.Site.Process.Inner, Zone: p.Site.Process.Zone, Link: p.Site.Process.LinkBytes()})
 	return row, errors.Wrap(err, "encode the entry's row")
 }
 
@@ -235,6 +235,8 @@
 type entryRow struct {
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
+	// Link is the rate of the entry's link in bytes a second.
+	Link int `json:"link"`
 }
 
 func parseEntry(value []byte) (entryRow, error) {
--- a/internal/config/railbriefer/briefer.go
+++ b/internal/config/railbriefer/briefer.go
@@ -90,12 +90,12 @@
 	origin, _ := catalog.Origin()
 	reply.Configuration, reply.Model, reply.Layers = catalog.Version, backend.Engine.Model, int32(backend.Engine.Layers)
 	reply.Chunks, reply.ChunkBytes = int32(backend.Engine.Chunks), int32(backend.Engine.ChunkBytes)
-	reply.Origin, reply.OriginZone = origin.Origin, origin.Zone
+	reply.Origin, reply.OriginZone, reply.OriginLink = origin.Origin, origin.Zone, int64(origin.Link)
 	for _, n := range b.Current.Namings(backend.Engine.Model) {
 		reply.Versions = append(reply.Versions, &railproto.NamedVersion{Version: n.Version, ForMillis: n.For.Milliseconds()})
 	}
 	for _, m := range b.Entries() {
-		reply.Entries = append(reply.Entries, &railproto.EntryPlace{Name: m.Name, Address: m.Address, Zone: m.Zone})
+		reply.Entries = append(reply.Entries, &railproto.EntryPlace{Name: m.Name, Address: m.Address, Zone: m.Zone, Link: int64(m.Link)})
 	}
 	reply.Hash = hash(reply)
 	return reply
@@ -108,11 +108,11 @@
 	for _, text := range []string{b.GetModel(), b.GetOrigin(), b.GetOriginZone()} {
 		_, _ = d.WriteString(text + "\x00")
 	}
-	for _, n := range []int32{b.GetLayers(), b.GetChunks(), b.GetChunkBytes()} {
-		_, _ = d.WriteString(strconv.Itoa(int(n)) + "\x00")
+	for _, n := range []int64{int64(b.GetLayers()), int64(b.GetChunks()), int64(b.GetChunkBytes()), b.GetOriginLink()} {
+		_, _ = d.WriteString(strconv.FormatInt(n, 10) + "\x00")
 	}
 	for _, e := range b.GetEntries() {
-		_, _ = d.WriteString(e.GetName() + "\x00" + e.GetAddress() + "\x00" + e.GetZone() + "\x00")
+		_, _ = d.WriteString(e.GetName() + "\x00" + e.GetAddress() + "\x00" + e.GetZone() + "\x00" + strconv.FormatInt(e.GetLink(), 10) + "\x00")
 	}
 	for _, v := range b.GetVersions() {
 		_, _ = d.WriteString(strconv.FormatInt(v.GetVersion(), 10) + "\x00")
--- a/internal/config/raillearner/learner.go
+++ b/internal/config/raillearner/learner.go
@@ -178,7 +178,7 @@
 		Model: b.GetModel(), Layers: int(b.GetLayers()), Chunks: int(b.GetChunks()), ChunkBytes: int(b.GetChunkBytes()),
 	}}}
 	if b.GetOrigin() != "" {
-		backends = append(backends, railbackend.Backend{Name: originName, Origin: b.GetOrigin(), Zone: b.GetOriginZone()})
+		backends = append(backends, railbackend.Backend{Name: originName, Origin: b.GetOrigin(), Zone: b.GetOriginZone(), Link: int(b.GetOriginLink())})
 	}
 	l.Current.Set(railcatalog.Catalog{Version: b.GetConfiguration()}.WithBackends(backends).WithWanted(wanted))
 	l.setEntries(b.GetEntries())
@@ -242,6 +242,7 @@
 	for _, e := range places {
 		entries = append(entries, railmember.Member{
 			Name: e.GetName(), Role: railmember.RoleEntry, Address: e.GetAddress(), Zone: e.GetZone(), Region: l.Regions[e.GetZone()],
+			Link: int(e.GetLink()),
 		})
 	}
 	l.mu.Lock()
--- a/internal/membership/railmember/member.go
+++ b/internal/membership/railmember/member.go
@@ -16,6 +16,8 @@
 	Region  string `json:"region"`
 	// Service is the service of an agent's endpoint.
 	Service string `json:"service,omitempty"`
+	// Link is the rate of an entry's link in bytes a second, or 0 where it is not known.
+	Link int `json:"link,omitempty"`
 	// Leaving says that the platform is about to take the VM away.
 	Leaving bool `json:"leaving,omitempty"`
 }
--- a/internal/node/railcarrier/carrier.go
+++ b/internal/node/railcarrier/carrier.go
@@ -167,7 +167,9 @@
 func (c *Carrier) exchange() []railmember.Member {
 	list := c.agents(fetchList)
 	if engine, ok := c.engine(); ok && railpeer.Relayed(engine) {
-		list = append(list, railpeer.Relays(c.Entries())...)
+		catalog, _ := c.Catalog()
+		origin, _ := catalog.Origin()
+		list = append(list, railpeer.Relays(c.Entries(), origin)...)
 	}
 	return list
 }
--- a/internal/node/railpeer/members.go
+++ b/internal/node/railpeer/members.go
@@ -8,8 +8,14 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 )
 
-// mostRelayed bounds the bytes of one version that entries keep in memory to pass them on; larger weights go among the agents only.
-const mostRelayed = 16 << 20
+const (
+	// mostRelayed bounds the bytes of one version that entries keep in memory to pass them on; larger weights go among the agents
+	// only.
+	mostRelayed = 16 << 20
+	// leastRelayLink is the rate of a relay's link over that of the origin's: it gives each chunk to a few agents and a further
+	// region, beside its callers' answers.
+	leastRelayLink = 6
+)
 
 // Relayed reports whether entries pass on the weights of an engine's model.
 func Relayed(e *railbackend.Engine) bool {
@@ -17,12 +23,12 @@
 	return bytes > 0 && bytes <= mostRelayed
 }
 
-// Relays returns entries as those that pass weights on; like agents they go by the IP addresses of their VMs.
-func Relays(entries []railmember.Member) []railmember.Member {
+// Relays returns the entries whose links are wide enough to pass weights on; like agents they go by the IP addresses of their VMs.
+func Relays(entries []railmember.Member, origin railbackend.Backend) []railmember.Member {
 	var list []railmember.Member
 	for _, m := range entries {
 		host, _, err := net.SplitHostPort(m.Address)
-		if err != nil {
+		if err != nil || origin.Link <= 0 || m.Link < leastRelayLink*origin.Link {
 			continue // An entry's address is checked where it is read.
 		}
 		m.Name = host
--- a/internal/node/railrelay/relay.go
+++ b/internal/node/railrelay/relay.go
@@ -43,8 +43,6 @@
 	Instances func() []railinstance.Instance
 	Entries   func() []railmember.Member
 	Named     func(model string) []railturn.Naming
-	// Link is the rate of the VM's link in bytes a second, or 0 where it is not known.
-	Link int
 	// Weights is the time in which new weights are to serve everywhere.
 	Weights time.Duration
 	// Regions holds the region of each zone.
@@ -142,9 +140,7 @@
 		Catalog: r.Catalog, Named: r.Named, Weights: r.Weights, Regions: r.Regions, Origin: r.Origin, Dialer: r.Dialer, Socket: r.Socket,
 		Rate: origin.Link, UploadSlots: uploadSlots, Log: r.Log,
 	}
-	if r.Link > 0 {
-		peer.SetPace(int(linkShare*float64(r.Link)), 0)
-	}
+	peer.SetPace(int(linkShare*float64(r.Self.Link)), 0)
 	ctx, stop := context.WithCancel(r.ctx)
 	go peer.Collector().Run(ctx)
 	return &part{peer: peer, stop: stop}
@@ -154,6 +150,10 @@
 func (r *Relay) models() map[string]map[string]bool {
 	catalog, _ := r.Catalog()
 	models := map[string]map[string]bool{}
+	origin, _ := catalog.Origin()
+	if len(railpeer.Relays([]railmember.Member{r.Self}, origin)) == 0 {
+		return models
+	}
 	for _, b := range catalog.Backends() {
 		if !relayed(b) {
 			continue
@@ -174,6 +174,8 @@
 func (r *Relay) members(model string) []railmember.Member {
 	services := r.models()[model]
 	list := railpeer.Agents(r.Instances(), func(service string) bool { return services[service] }, r.Port)
-	relays := slices.DeleteFunc(railpeer.Relays(r.Entries()), func(m railmember.Member) bool { return m.Name == r.Self.Name })
+	catalog, _ := r.Catalog()
+	origin, _ := catalog.Origin()
+	relays := slices.DeleteFunc(railpeer.Relays(r.Entries(), origin), func(m railmember.Member) bool { return m.Name == r.Self.Name })
 	return append(append(list, relays...), r.Self) // The list of entries may not show this one yet.
 }
