--- a/internal/burn/railburn/recorder.go
+++ b/internal/burn/railburn/recorder.go
@@ -5,13 +5,14 @@
 	"time"
 
 	"github.com/fulmarrail/fulmarrail/internal/config/railobjective"
+	"github.com/fulmarrail/fulmarrail/internal/report/railentryreport"
 )
 
 // Minutes is the number of minutes that are kept.
 const Minutes = 3 * 24 * 60
 
-// Windows are the lengths of a burn report's windows in minutes.
-var Windows = [...]int{5, 30, 60, 6 * 60, Minutes}
+// windows are the lengths of a burn report's windows in minutes.
+var windows = [...]int{5, 30, 60, 6 * 60, Minutes}
 
 type bucket struct {
 	minute int64
@@ -68,6 +69,18 @@
 	return good, bad
 }
 
+// Describe returns the report with objectives and their counts.
+func (r *Recorder) Describe(report railentryreport.Report, objectives []railobjective.Objective) railentryreport.Report {
+	for _, o := range objectives {
+		report = report.WithObjective(o.Name, o.Service, o.Customer, o.Target)
+		for _, minutes := range windows {
+			good, bad := r.Count(o.Name, minutes)
+			report = report.WithWindow(minutes, good, bad)
+		}
+	}
+	return report
+}
+
 func within(measured, bound time.Duration) bool {
 	return bound <= 0 || measured <= bound
 }
--- a/internal/command/railcarriercmd/carrier.go
+++ b/internal/command/railcarriercmd/carrier.go
@@ -17,16 +17,10 @@
 	"github.com/fulmarrail/fulmarrail/internal/node/railcarrier"
 	"github.com/fulmarrail/fulmarrail/internal/store/railrows"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildatagram"
-	"github.com/fulmarrail/fulmarrail/internal/wire/raildialer"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 	"github.com/fulmarrail/fulmarrail/platform"
 )
 
-const (
-	// dialTimeout bounds an attempt to connect to another process.
-	dialTimeout = 500 * time.Millisecond
-)
-
 // NewCmdCarrier returns the command.
 func NewCmdCarrier(f *railfactory.Factory) *cobra.Command {
 	return railsiteprocess.Command(f, "carrier", "Bring weights to the engine beside the process",
@@ -39,16 +33,16 @@
 	if err != nil {
 		return errors.Wrap(err, "listen on inner")
 	}
-	host, port, err := net.SplitHostPort(site.Inner)
+	host, port, err := site.InnerPlace()
 	if err != nil {
-		return errors.Wrap(err, "read the setting inner")
+		return err
 	}
 	datagrams, err := net.ListenPacket("udp4", site.Inner)
 	if err != nil {
 		return errors.Wrap(err, "listen on inner for datagrams")
 	}
 	socket := &raildatagram.Socket{Conn: datagrams, Log: raillog.Part(p.Log, "datagrams")}
-	dialer := &raildialer.Dialer{Key: []byte(site.SharedKey), Timeout: dialTimeout}
+	dialer := p.Dialer()
 	defer func() { _ = dialer.Close() }()
 	self := railmember.Member{Name: host, Role: railmember.RoleAgent, Address: site.Inner, Zone: site.Zone, Region: site.Region, Service: site.Service}
 	learner := &raillearner.Learner{
--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -46,8 +46,6 @@
 	// keyAge is the part of the bound on revocations for which a view of the configuration is trusted.
 	keyAge        = 0.8
 	announcePause = time.Second
-	// dialTimeout bounds an attempt to connect to another process.
-	dialTimeout = 500 * time.Millisecond
 )
 
 // NewCmdGateway returns the command.
@@ -135,9 +133,9 @@
 // follow keeps copies of the store's tables.
 func (g *gateway) follow(ctx context.Context) {
 	bounds := g.Site.Bounds
-	g.config = g.FollowConfig(part(configWait, bounds.Configuration), g.refresh)
+	g.config = g.FollowConfig(railtimer.Part(configWait, bounds.Configuration), g.refresh)
 	g.Current.Named = func(model string, version int64, age time.Duration) { go g.RecordNaming(ctx, model, version, age) }
-	g.list = g.Follow(platform.TableInstances, 0, part(listPause, bounds.Drain), func(rows map[string]railrows.Row) {
+	g.list = g.Follow(platform.TableInstances, 0, railtimer.Part(listPause, bounds.Drain), func(rows map[string]railrows.Row) {
 		g.mu.Lock()
 		g.rows = rows
 		g.mu.Unlock()
@@ -245,9 +243,5 @@
 	if revocation == 0 {
 		return math.MaxInt64
 	}
-	return part(keyAge, revocation)
-}
-
-func part(share float64, of time.Duration) time.Duration {
-	return time.Duration(share * float64(of))
+	return railtimer.Part(keyAge, revocation)
 }
--- a/internal/command/railgatewaycmd/parts.go
+++ b/internal/command/railgatewaycmd/parts.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"maps"
-	"net"
 	"slices"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/fulmarrail/fulmarrail/internal/command/railsiteprocess"
 	"github.com/fulmarrail/fulmarrail/internal/config/railzone"
 	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
@@ -16,19 +13,18 @@
 	"github.com/fulmarrail/fulmarrail/internal/report/railentryreport"
 	"github.com/fulmarrail/fulmarrail/internal/store/railtable"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildatagram"
-	"github.com/fulmarrail/fulmarrail/internal/wire/raildialer"
 )
 
 // newRelay returns the part that passes weights on to agents.
 func (g *gateway) newRelay(socket *raildatagram.Socket) (*railrelay.Relay, error) {
 	site := g.Site.Process
-	host, port, err := net.SplitHostPort(site.Inner)
+	host, port, err := site.InnerPlace()
 	if err != nil {
-		return nil, errors.Wrap(err, "read the setting inner")
+		return nil, err
 	}
 	return &railrelay.Relay{
 		Self: railmember.Member{Name: host, Role: railmember.RoleEntry, Address: site.Inner, Zone: site.Zone, Region: site.Region, Link: site.LinkBytes()},
-		Port: port, Origin: g.Origin(), Dialer: &raildialer.Dialer{Key: []byte(site.SharedKey), Timeout: dialTimeout}, Socket: socket,
+		Port: port, Origin: g.Origin(), Dialer: g.Dialer(), Socket: socket,
 		Catalog: g.Current.Get, Instances: g.listed, Entries: g.members, Named: g.Current.Namings, Weights: g.Site.Bounds.Weights,
 		Regions: g.Site.Regions, Log: g.Log,
 	}, nil
--- a/internal/command/railsiteprocess/process.go
+++ b/internal/command/railsiteprocess/process.go
@@ -28,6 +28,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/store/railrows"
+	"github.com/fulmarrail/fulmarrail/internal/wire/raildialer"
 	"github.com/fulmarrail/fulmarrail/platform"
 )
 
@@ -37,6 +38,8 @@
 
 	// originConnect bounds an attempt to connect to the origin: one that was lost is made again sooner than TCP would.
 	originConnect = 250 * time.Millisecond
+	// innerConnect bounds an attempt to connect to another process of the system.
+	innerConnect = 500 * time.Millisecond
 
 	settingsFlag = "settings"
 	// settingsVariable names the settings file where no flag does.
@@ -148,6 +151,11 @@
 	return signals
 }
 
+// Dialer returns the dialer for the system's other processes.
+func (p *Process) Dialer() *raildialer.Dialer {
+	return &raildialer.Dialer{Key: []byte(p.Site.Process.SharedKey), Timeout: innerConnect}
+}
+
 // Origin returns the client of the origin of weights; it uses a connection for each call, since the origin bears few.
 func (p *Process) Origin() *platform.Origin {
 	return &platform.Origin{HTTP: &platform.Caller{Timeout: originConnect, Single: true}}
--- a/internal/command/railsiteprocess/reader.go
+++ b/internal/command/railsiteprocess/reader.go
@@ -4,11 +4,8 @@
 	"context"
 	"log/slog"
 	"maps"
-	"net"
 	"slices"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/fulmarrail/fulmarrail/internal/command/railexit"
 	"github.com/fulmarrail/fulmarrail/internal/config/railcatalog"
 	"github.com/fulmarrail/fulmarrail/internal/config/railsettings"
@@ -71,9 +68,9 @@
 	if err != nil {
 		return nil, err
 	}
-	_, port, err := net.SplitHostPort(p.Site.Process.Inner)
+	_, port, err := p.Site.Process.InnerPlace()
 	if err != nil {
-		return nil, errors.Wrap(err, "read the setting inner")
+		return nil, err
 	}
 	list := p.Entries(entries.Rows)
 	listed, _ := platform.Instances(railrows.ByKey(instances.Rows), p.Site.Regions, p.Layers)
--- a/internal/config/railsite/site.go
+++ b/internal/config/railsite/site.go
@@ -60,6 +60,12 @@
 	RepeatShare   float64       `key:"repeatShare" unit:"share" default:"0.2" min:"0" max:"10" help:"repeats of requests, over all entries, as a share of the requests"`
 }
 
+// InnerPlace returns the IP address of the process's VM and the port at which the system's processes listen on all VMs.
+func (p Process) InnerPlace() (host, port string, err error) {
+	host, port, err = net.SplitHostPort(p.Inner)
+	return host, port, errors.Wrap(err, "read the setting inner")
+}
+
 // LinkBytes returns the rate of the VM's link in bytes a second, or 0 where it is not known.
 func (p Process) LinkBytes() int {
 	return int(p.Link * bytesPerMegabit)
--- a/internal/core/railtimer/sleep.go
+++ b/internal/core/railtimer/sleep.go
@@ -17,3 +17,8 @@
 		return false
 	}
 }
+
+// Part returns a share of a time.
+func Part(share float64, of time.Duration) time.Duration {
+	return time.Duration(share * float64(of))
+}
--- a/internal/lab/railloadtrial/caller.go
+++ b/internal/lab/railloadtrial/caller.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
+	"github.com/fulmarrail/fulmarrail/internal/request/railpatience"
 	"github.com/fulmarrail/fulmarrail/internal/standin/railbatch"
 )
 
@@ -19,8 +20,9 @@
 	kind   Kind
 	entry  int
 	prompt int
-	// wait is the time for which the caller is ready to wait in all, and retry that after which it comes back.
-	wait, retry time.Duration
+	// wait is the time for which the caller is ready to wait in all, and spread tells it from others when it is to come back.
+	wait   time.Duration
+	spread float64
 }
 
 // outcome is what a caller got.
@@ -37,7 +39,7 @@
 	var o outcome
 	for range tries {
 		o = c.try(ctx, began)
-		if !o.refused || !railtimer.Sleep(ctx, min(c.retry, (c.wait-time.Since(began))/3)) {
+		if !o.refused || !railtimer.Sleep(ctx, railpatience.RetryAfter(c.wait, time.Since(began), c.spread)) {
 			break
 		}
 		c.entry = (c.entry + 1) % c.trial.Entries
--- a/internal/lab/railloadtrial/policy.go
+++ b/internal/lab/railloadtrial/policy.go
@@ -54,6 +54,8 @@
 // policy chooses for one entry; the error means that the request was refused.
 type policy interface {
 	acquire(ctx context.Context, a ask) (place, error)
+	// setEngines takes over which engines there are.
+	setEngines(indexes []int, slots int)
 }
 
 // own is the system's policy at one entry.
--- a/internal/lab/railloadtrial/trial.go
+++ b/internal/lab/railloadtrial/trial.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// retryFirst and retrySpread bound the time after which a refused caller is told to come back.
-	retryFirst  = 900 * time.Millisecond
-	retrySpread = 1100 * time.Millisecond
 	// usedUp is the most that a caller has used up of its time before it sends.
 	usedUp = 0.15
 	// promptSpread is the share by which a prompt may be longer or shorter than usual.
@@ -141,9 +138,7 @@
 		indexes[i] = i
 	}
 	for _, e := range t.entries {
-		e.(interface {
-			setEngines(indexes []int, slots int)
-		}).setEngines(indexes, t.Slots)
+		e.setEngines(indexes, t.Slots)
 	}
 }
 
@@ -162,7 +157,7 @@
 	began := time.Now()
 	for time.Since(began) < t.Length {
 		c := &caller{
-			trial: t, kind: kind, entry: random.IntN(t.Entries), retry: retryFirst + time.Duration(random.Int64N(int64(retrySpread))),
+			trial: t, kind: kind, entry: random.IntN(t.Entries), spread: random.Float64(),
 			prompt: int(float64(kind.Prompt) * (1 + promptSpread*(2*random.Float64()-1))),
 			wait:   time.Duration((1 - usedUp*random.Float64()) * float64(kind.Deadline)),
 		}
--- a/internal/membership/railmember/member.go
+++ b/internal/membership/railmember/member.go
@@ -22,13 +22,18 @@
 	Leaving bool `json:"leaving,omitempty"`
 }
 
+// IsEntry reports whether the member takes callers' requests.
+func (m Member) IsEntry() bool {
+	return m.Role == RoleEntry
+}
+
 // EntriesFirst orders members so that entries go before agents.
 func EntriesFirst(a, b Member) int {
 	return place(a) - place(b)
 }
 
 func place(m Member) int {
-	if m.Role == RoleEntry {
+	if m.IsEntry() {
 		return 0
 	}
 	return 1
--- a/internal/node/railagent/service.go
+++ b/internal/node/railagent/service.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
+	"github.com/fulmarrail/fulmarrail/internal/node/railreporter"
 	"github.com/fulmarrail/fulmarrail/internal/report/railagentreport"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
@@ -33,8 +31,7 @@
 }
 
 func (s *service) Status(context.Context, *railproto.StatusRequest) (*railproto.StatusReply, error) {
-	content, err := json.Marshal(s.agent.status())
-	return &railproto.StatusReply{Json: content}, errors.Wrap(err, "encode the status")
+	return railreporter.Reply(s.agent.status())
 }
 
 func (s *service) Execute(req *railproto.ExecuteRequest, stream railproto.DRPCAgent_ExecuteStream) error {
--- a/internal/node/railentry/service.go
+++ b/internal/node/railentry/service.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
-
-	"github.com/cockroachdb/errors"
 
+	"github.com/fulmarrail/fulmarrail/internal/node/railreporter"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
 
@@ -23,6 +21,5 @@
 }
 
 func (s *service) Status(context.Context, *railproto.StatusRequest) (*railproto.StatusReply, error) {
-	content, err := json.Marshal(s.entry.router.Status(s.entry.front.Running()))
-	return &railproto.StatusReply{Json: content}, errors.Wrap(err, "encode the status")
+	return railreporter.Reply(s.entry.router.Status(s.entry.front.Running()))
 }
--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -18,18 +18,11 @@
 	"github.com/fulmarrail/fulmarrail/internal/config/railroute"
 	"github.com/fulmarrail/fulmarrail/internal/node/railconn"
 	"github.com/fulmarrail/fulmarrail/internal/request/railenvelope"
+	"github.com/fulmarrail/fulmarrail/internal/request/railpatience"
 	"github.com/fulmarrail/fulmarrail/internal/request/railverdict"
 	"github.com/fulmarrail/fulmarrail/internal/routing/railadmitter"
 )
 
-const (
-	// retryFirst and retrySpread bound the time after which a refused caller is told to come back.
-	retryFirst  = 900 * time.Millisecond
-	retrySpread = 1100 * time.Millisecond
-	// retryPart is the part of the time that a caller has left of which it waits at the most.
-	retryPart = 3
-)
-
 // call is one caller's request on its way.
 type call struct {
 	railenvelope.Request
@@ -170,7 +163,8 @@
 	c.ctx.SetStatusCode(no.status)
 	c.ctx.SetBodyString(no.reason + "\n")
 	if no.status == fasthttp.StatusServiceUnavailable {
-		c.ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(retryAfter(c).Seconds(), 'f', 3, 64))
+		after := railpatience.RetryAfter(c.Wait, time.Since(c.began), rand.Float64())
+		c.ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
 	if g.stopping.Load() {
 		c.ctx.SetConnectionClose()
@@ -228,15 +222,6 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`fulmarrail_gateway_requests_total{service=%q,customer=%q,status="%d"}`, c.service, c.customer.Name, status)).Inc()
 }
 
-// retryAfter returns the time after which a refused caller is to come back.
-func retryAfter(c *call) time.Duration {
-	after := retryFirst + rand.N(retrySpread)
-	if c.Wait > 0 {
-		after = min(after, (c.Wait-time.Since(c.began))/retryPart)
-	}
-	return max(after, 0)
-}
-
 // limit returns the shorter of two times of which 0 means that there is none.
 func limit(a, b time.Duration) time.Duration {
 	switch {
--- a/internal/node/railgateway/report.go
+++ b/internal/node/railgateway/report.go
@@ -1,9 +1,6 @@
 package railgateway
 
 import (
-	"time"
-
-	"github.com/fulmarrail/fulmarrail/internal/burn/railburn"
 	"github.com/fulmarrail/fulmarrail/internal/config/railobjective"
 	"github.com/fulmarrail/fulmarrail/internal/config/railroute"
 	"github.com/fulmarrail/fulmarrail/internal/report/railentryreport"
@@ -24,15 +21,11 @@
 	for _, s := range g.Fleet.Snapshot() {
 		r = r.WithEndpoint(s.Instance.ID, s.Instance.Zone, s.Instance.Service, uint64(s.Instance.Revision), s.Instance.Version > 0, s.Instance.Draining, s.Running, s.Instance.Slots)
 	}
+	var objectives []railobjective.Objective
 	for _, route := range catalog.Routes() {
-		o := g.objective(route)
-		r = r.WithObjective(o.Name, o.Service, "", o.Target)
-		for _, minutes := range railburn.Windows {
-			good, bad := g.burn.Count(o.Name, minutes)
-			r = r.WithWindow(minutes, good, bad)
-		}
+		objectives = append(objectives, g.objective(route))
 	}
-	return r
+	return g.burn.Describe(r, objectives)
 }
 
 // objective returns the objective that a route's requests are answered whole and on time.
@@ -46,9 +39,5 @@
 	if c.route.Name == "" || c.callerLeft() {
 		return
 	}
-	first := c.first
-	if first == 0 {
-		first = time.Since(c.began)
-	}
-	g.burn.Observe([]railobjective.Objective{g.objective(c.route)}, c.route.Name, "", whole, first, c.gap)
+	g.burn.Observe([]railobjective.Objective{g.objective(c.route)}, c.route.Name, "", whole, c.first, c.gap)
 }
--- a/internal/node/railrelay/relay.go
+++ b/internal/node/railrelay/relay.go
@@ -49,9 +49,10 @@
 	Regions map[string]string
 	Log     *slog.Logger
 
+	once  sync.Once
+	news  chan struct{}
 	mu    sync.Mutex
-	ctx   context.Context
-	peers map[string]*part
+	parts map[string]part
 }
 
 // part is the exchange of one model's weights.
@@ -62,32 +63,48 @@
 
 // Run passes weights on until ctx is done.
 func (r *Relay) Run(ctx context.Context) {
-	r.mu.Lock()
-	r.ctx, r.peers = ctx, map[string]*part{}
-	r.mu.Unlock()
-	r.Changed()
-	<-ctx.Done()
+	r.once.Do(r.init)
+	for ctx.Err() == nil {
+		r.update(ctx)
+		select {
+		case <-r.news:
+		case <-ctx.Done():
+		}
+	}
 }
 
 // Changed tells that the configuration or a version wanted has changed.
 func (r *Relay) Changed() {
+	r.once.Do(r.init)
+	select {
+	case r.news <- struct{}{}:
+	default:
+	}
+}
+
+func (r *Relay) init() {
+	r.news = make(chan struct{}, 1)
+}
+
+// update begins and ends the exchanges as the configuration says, and tells those that go on of the change.
+func (r *Relay) update(ctx context.Context) {
 	models := r.models()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ctx == nil {
-		return
+	if r.parts == nil {
+		r.parts = map[string]part{}
 	}
-	for model, p := range r.peers {
-		if _, wanted := models[model]; !wanted {
+	for model, p := range r.parts {
+		if !models[model] {
 			p.stop()
-			delete(r.peers, model)
+			delete(r.parts, model)
 		}
 	}
 	for model := range models {
-		p := r.peers[model]
-		if p == nil {
-			p = r.begin(model)
-			r.peers[model] = p
+		p, ok := r.parts[model]
+		if !ok {
+			p = r.begin(ctx, model)
+			r.parts[model] = p
 		}
 		p.peer.Collector().Changed()
 	}
@@ -106,9 +123,9 @@
 // Manifest gives another process a manifest.
 func (r *Relay) Manifest(ctx context.Context, req *railproto.ManifestRequest) (*railproto.ManifestReply, error) {
 	r.mu.Lock()
-	p := r.peers[req.GetModel()]
+	p, ok := r.parts[req.GetModel()]
 	r.mu.Unlock()
-	if p == nil {
+	if !ok {
 		return &railproto.ManifestReply{}, nil
 	}
 	return p.peer.Manifest(ctx, req)
@@ -125,57 +142,56 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var list []*railpeer.Peer
-	for _, p := range r.peers {
+	for _, p := range r.parts {
 		list = append(list, p.peer)
 	}
 	return list
 }
 
 // begin starts the exchange of a model's weights.
-func (r *Relay) begin(model string) *part {
-	catalog, _ := r.Catalog()
-	origin, _ := catalog.Origin()
+func (r *Relay) begin(ctx context.Context, model string) part {
+	_, origin := r.configuration()
 	peer := &railpeer.Peer{
 		Self: r.Self, Members: func() []railmember.Member { return r.members(model) }, Model: func() string { return model },
 		Catalog: r.Catalog, Named: r.Named, Weights: r.Weights, Regions: r.Regions, Origin: r.Origin, Dialer: r.Dialer, Socket: r.Socket,
 		Rate: origin.Link, UploadSlots: uploadSlots, Log: r.Log,
 	}
 	peer.SetPace(int(linkShare*float64(r.Self.Link)), 0)
-	ctx, stop := context.WithCancel(r.ctx)
+	ctx, stop := context.WithCancel(ctx)
 	go peer.Collector().Run(ctx)
-	return &part{peer: peer, stop: stop}
+	return part{peer: peer, stop: stop}
 }
 
-// models returns for each model whose weights entries relay the names of the services whose engines serve it.
-func (r *Relay) models() map[string]map[string]bool {
+// configuration returns the configuration in force and the origin of weights.
+func (r *Relay) configuration() (railcatalog.Catalog, railbackend.Backend) {
 	catalog, _ := r.Catalog()
-	models := map[string]map[string]bool{}
 	origin, _ := catalog.Origin()
+	return catalog, origin
+}
+
+// models returns the models whose weights this entry relays.
+func (r *Relay) models() map[string]bool {
+	catalog, origin := r.configuration()
+	models := map[string]bool{}
 	if len(railpeer.Relays([]railmember.Member{r.Self}, origin)) == 0 {
 		return models
 	}
 	for _, b := range catalog.Backends() {
-		if !relayed(b) {
-			continue
+		if b.IsEngine() && b.Engine.Model != "" && railpeer.Relayed(b.Engine) {
+			models[b.Engine.Model] = true
 		}
-		if models[b.Engine.Model] == nil {
-			models[b.Engine.Model] = map[string]bool{}
-		}
-		models[b.Engine.Model][b.Name] = true
 	}
 	return models
 }
 
-func relayed(b railbackend.Backend) bool {
-	return b.Engine != nil && b.Engine.Model != "" && railpeer.Relayed(b.Engine)
-}
-
 // members returns the processes that exchange a model's weights.
 func (r *Relay) members(model string) []railmember.Member {
-	services := r.models()[model]
-	list := railpeer.Agents(r.Instances(), func(service string) bool { return services[service] }, r.Port)
-	catalog, _ := r.Catalog()
-	origin, _ := catalog.Origin()
+	catalog, origin := r.configuration()
+	serves := func(service string) bool {
+		b, _ := catalog.Backend(service)
+		return b.IsEngine() && b.Engine.Model == model && railpeer.Relayed(b.Engine)
+	}
+	list := railpeer.Agents(r.Instances(), serves, r.Port)
 	relays := slices.DeleteFunc(railpeer.Relays(r.Entries(), origin), func(m railmember.Member) bool { return m.Name == r.Self.Name })
 	return append(append(list, relays...), r.Self) // The list of entries may not show this one yet.
 }
--- a/internal/node/railreporter/reporter.go
+++ b/internal/node/railreporter/reporter.go
@@ -19,6 +19,11 @@
 
 // Status returns the report as JSON.
 func (r *Reporter[R]) Status(context.Context, *railproto.StatusRequest) (*railproto.StatusReply, error) {
-	content, err := json.Marshal(r.Report())
+	return Reply(r.Report())
+}
+
+// Reply returns a report as the answer to a call of Status.
+func Reply[R any](report R) (*railproto.StatusReply, error) {
+	content, err := json.Marshal(report)
 	return &railproto.StatusReply{Json: content}, errors.Wrap(err, "encode the report")
 }
--- a/internal/node/railrouter/status.go
+++ b/internal/node/railrouter/status.go
@@ -1,8 +1,6 @@
 package railrouter
 
 import (
-	"github.com/fulmarrail/fulmarrail/internal/burn/railburn"
-	"github.com/fulmarrail/fulmarrail/internal/config/railrevision"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/report/railentryreport"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
@@ -28,16 +26,5 @@
 	for _, service := range revision.Spec().Services() {
 		s.Waiting[service.Name] = r.dispatcher(service.Name).Waiting()
 	}
-	return r.withObjectives(s, revision)
-}
-
-func (r *Router) withObjectives(s railentryreport.Report, revision railrevision.Revision) railentryreport.Report {
-	for _, o := range revision.Spec().Objectives() {
-		s = s.WithObjective(o.Name, o.Service, o.Customer, o.Target)
-		for _, minutes := range railburn.Windows {
-			good, bad := r.burn.Count(o.Name, minutes)
-			s = s.WithWindow(minutes, good, bad)
-		}
-	}
-	return s
+	return r.burn.Describe(s, revision.Spec().Objectives())
 }
--- a/internal/request/railpatience/patience.go
+++ b/internal/request/railpatience/patience.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
 )
 
 const (
@@ -17,6 +19,11 @@
 	laterShare = 0.8
 	// maxKinds bounds the kinds of request that are remembered.
 	maxKinds = 4096
+	// retryFirst and retrySpread bound the time after which a refused caller is told to come back.
+	retryFirst  = 900 * time.Millisecond
+	retrySpread = 1100 * time.Millisecond
+	// retryPart is the part of the time that a caller has left of which it waits at the most.
+	retryPart = 3
 )
 
 // Patience is safe for concurrent use; the zero value knows nothing.
@@ -82,3 +89,13 @@
 	sorted := slices.Sorted(slices.Values(r.waits))
 	return sorted[int(usualQuantile*float64(len(sorted)))], true
 }
+
+// RetryAfter returns the time after which a refused caller is to come back, of which spread, below 1, tells callers apart. Wait is the
+// time that the caller was ready to wait in all, or 0 where it named none, and passed what has passed of it.
+func RetryAfter(wait, passed time.Duration, spread float64) time.Duration {
+	after := retryFirst + railtimer.Part(spread, retrySpread)
+	if wait > 0 {
+		after = min(after, (wait-passed)/retryPart)
+	}
+	return max(after, 0)
+}
--- a/internal/rollout/railcollector/collector.go
+++ b/internal/rollout/railcollector/collector.go
@@ -92,12 +92,7 @@
 	c.mu.Lock()
 	w := c.fetching
 	c.mu.Unlock()
-	for _, digest := range w.Manifest.Chunks {
-		if c.Store.Has(digest) {
-			held++
-		}
-	}
-	return w.Version, held, len(w.Manifest.Chunks)
+	return w.Version, c.held(w.Manifest), len(w.Manifest.Chunks)
 }
 
 // Fetched returns the channel that tells one reader of each version that is there whole.
--- a/internal/rollout/railcollector/fetch.go
+++ b/internal/rollout/railcollector/fetch.go
@@ -62,27 +62,28 @@
 		return false
 	}
 	whole := time.Duration(w.Manifest.Size) * time.Second / time.Duration(c.Rate)
-	first := railtarget.Target{Fetch: part(c.missing(w.Manifest), whole), Due: older.Due}
+	first := railtarget.Target{Fetch: railtimer.Part(c.missing(w.Manifest), whole), Due: older.Due}
 	second := railtarget.Target{Fetch: whole, Due: newer.Due}
 	if next.Version > 0 {
-		second.Fetch = part(c.missing(next.Manifest), whole)
+		second.Fetch = railtimer.Part(c.missing(next.Manifest), whole)
 	}
 	return first.Before(second)
 }
 
-func part(share float64, of time.Duration) time.Duration {
-	return time.Duration(share * float64(of))
-}
-
 // missing returns the share of a manifest's chunks that are not there.
 func (c *Collector) missing(m railmanifest.Manifest) float64 {
-	count := 0
+	return float64(len(m.Chunks)-c.held(m)) / float64(max(len(m.Chunks), 1))
+}
+
+// held returns the number of a manifest's chunks that are there.
+func (c *Collector) held(m railmanifest.Manifest) int {
+	n := 0
 	for _, digest := range m.Chunks {
-		if !c.Store.Has(digest) {
-			count++
+		if c.Store.Has(digest) {
+			n++
 		}
 	}
-	return float64(count) / float64(max(len(m.Chunks), 1))
+	return n
 }
 
 func (c *Collector) there(model string, wanted int64) bool {
--- a/internal/rollout/railpicker/holder.go
+++ b/internal/rollout/railpicker/holder.go
@@ -111,9 +111,6 @@
 
 // busy reports whether nothing further is to be asked for here now.
 func (h *holder) busy(now time.Time) bool {
-	if !h.relay {
-		return len(h.asked) > 0
-	}
 	for _, since := range h.asked {
 		if now.Sub(since) > stuckAfter {
 			return true
@@ -137,9 +134,12 @@
 	return h.cost(usual) < other.cost(usual)
 }
 
-// atOnce returns the number of chunks that a relay may be asked for at once: all agents of the region ask it.
+// atOnce returns the number of chunks that may be asked for here at once: all agents of the region ask a relay.
 func (h *holder) atOnce() int {
-	if h.usual == 0 {
+	switch {
+	case !h.relay:
+		return 1
+	case h.usual == 0:
 		return firstAsks
 	}
 	return min(max(int(relayQueue/h.usual), 1), relayAsks)
--- a/internal/rollout/railpicker/imports.go
+++ b/internal/rollout/railpicker/imports.go
@@ -40,8 +40,7 @@
 	case now.Sub(p.Began) < settle && p.Heard() < p.Others, p.Draws && now.Before(p.originAfter):
 		return Pick{}, false
 	}
-	var help Pick
-	least, ties := 0, 0
+	help := lot{random: p.Random}
 	for chunk := range p.Chunks {
 		from, ok := p.supplier(chunk, now)
 		if !ok {
@@ -51,22 +50,11 @@
 		if rank == 0 {
 			return Pick{Chunk: chunk, From: from}, true
 		}
-		if !p.helps(chunk, rank, now) {
-			continue
-		}
-		switch {
-		case ties > 0 && rank > least:
-			continue
-		case ties == 0 || rank < least:
-			help, least, ties = Pick{Chunk: chunk, From: from}, rank, 1
-			continue
-		}
-		ties++
-		if p.Random.IntN(ties) == 0 {
-			help = Pick{Chunk: chunk, From: from}
+		if p.helps(chunk, rank, now) {
+			help.add(Pick{Chunk: chunk, From: from}, rank)
 		}
 	}
-	return help, ties > 0
+	return help.drawn()
 }
 
 // leavesToRelays reports whether this agent imports nothing, since the region's relays get on.
--- a/internal/rollout/railpicker/pick.go
+++ b/internal/rollout/railpicker/pick.go
@@ -72,26 +72,16 @@
 
 // rarest returns a chunk that the fewest of the agents asked hold and that a free one can give.
 func (p *Picker) rarest(now time.Time, asked circle) (Pick, bool) {
-	var best Pick
-	fewest, ties := 0, 0
+	best := lot{random: p.Random}
 	for chunk := range p.Chunks {
 		if p.Has(chunk) || len(p.flights[chunk]) > 0 {
 			continue
 		}
-		from, count := p.offers(chunk, asked, now)
-		switch {
-		case from == "" || ties > 0 && count > fewest:
-			continue
-		case ties == 0 || count < fewest:
-			best, fewest, ties = Pick{Chunk: chunk, From: from}, count, 1
-			continue
-		}
-		ties++
-		if p.Random.IntN(ties) == 0 {
-			best = Pick{Chunk: chunk, From: from}
+		if from, count := p.offers(chunk, asked, now); from != "" {
+			best.add(Pick{Chunk: chunk, From: from}, count)
 		}
 	}
-	return best, ties > 0
+	return best.drawn()
 }
 
 // offers returns the free holder among those asked from which a chunk comes soonest, or an empty name, and the number of all its
--- a/internal/rollout/railswarm/job.go
+++ b/internal/rollout/railswarm/job.go
@@ -65,7 +65,7 @@
 	defer j.mu.Unlock()
 	now := time.Now()
 	j.picker.Began, j.reported = now, now
-	j.picker.Rank, j.picker.Relay = j.rank, j.swarm.Self.Role == railmember.RoleEntry
+	j.picker.Rank, j.picker.Relay = j.rank, j.swarm.Self.IsEntry()
 	j.lookAtStore(now)
 }
 
@@ -113,8 +113,6 @@
 	j.lookAtStore(now)
 	j.report(now)
 	j.picker.Draws = j.draws(now)
-	region := inRegion(j.members, j.swarm.Self.Region)
-	j.picker.Others, j.picker.Relays = len(region)-1, len(relays(region))
 	for j.swarm.ready(now) {
 		p, ok := j.picker.Next(now)
 		if !ok {
@@ -219,6 +217,8 @@
 	defer j.mu.Unlock()
 	if !slices.Equal(members, j.members) {
 		j.members, j.ranks = members, map[int]int{}
+		region := inRegion(members, j.swarm.Self.Region)
+		j.picker.Others, j.picker.Relays = len(region)-1, len(relays(region))
 		j.neighbours = j.neighbourhood()
 	}
 }
@@ -283,5 +283,5 @@
 
 // relays returns the agents that are relays.
 func relays(agents []railmember.Member) []railmember.Member {
-	return slices.DeleteFunc(slices.Clone(agents), func(m railmember.Member) bool { return m.Role != railmember.RoleEntry })
+	return slices.DeleteFunc(slices.Clone(agents), func(m railmember.Member) bool { return !m.IsEntry() })
 }
--- a/internal/rollout/railswarm/relay_test.go
+++ b/internal/rollout/railswarm/relay_test.go
@@ -60,9 +60,7 @@
 func TestTheOriginsReturnIsUsedByRelaysAlone(t *testing.T) {
 	railvirtual.Test(t, func(t *testing.T) {
 		w := newSwarm(t)
-		away, back := copyTime*8/10, copyTime*8/10+6*time.Second
-		time.AfterFunc(away, func() { w.stopped.Store(true) })
-		time.AfterFunc(back, func() { w.stopped.Store(false) })
+		away, back := w.leaveOrigin()
 		took := longest(w.fetch(append(w.addRelays(6, relayRate), w.addMany(0, 27, linkRate, false)...)...))
 		left := copyTime - away
 		qt.Check(t, took < back+left+relayedIn, qt.IsTrue, qt.Commentf("%s, the origin was back after %s", took, back))
--- a/internal/rollout/railswarm/swarm_test.go
+++ b/internal/rollout/railswarm/swarm_test.go
@@ -290,12 +290,18 @@
 	})
 }
 
+// leaveOrigin lets the origin go away for six seconds before it has given all, and returns when it goes and when it is back.
+func (w *swarm) leaveOrigin() (away, back time.Duration) {
+	away, back = copyTime*8/10, copyTime*8/10+6*time.Second
+	time.AfterFunc(away, func() { w.stopped.Store(true) })
+	time.AfterFunc(back, func() { w.stopped.Store(false) })
+	return away, back
+}
+
 func TestTheOriginsReturnIsUsedAtOnceAndEachChunkIsDrawnOnce(t *testing.T) {
 	railvirtual.Test(t, func(t *testing.T) {
 		w := newSwarm(t)
-		away, back := copyTime*8/10, copyTime*8/10+6*time.Second
-		time.AfterFunc(away, func() { w.stopped.Store(true) })
-		time.AfterFunc(back, func() { w.stopped.Store(false) })
+		_, back := w.leaveOrigin()
 		took := longest(w.fetch(w.addMany(0, 27, linkRate, false)...))
 		qt.Check(t, took < back+copyTime, qt.IsTrue, qt.Commentf("%s, the origin was back after %s", took, back))
 		qt.Check(t, w.drawn.Load() <= mostCopies, qt.IsTrue, qt.Commentf("%d chunks drawn", w.drawn.Load()))
--- a/internal/rollout/railswarm/talk.go
+++ b/internal/rollout/railswarm/talk.go
@@ -61,7 +61,7 @@
 	j.talk.outsideHeard[from.Region] = now
 	j.picker.Hear(railpicker.Word{
 		Name: from.Name, Outside: outside, Far: from.Zone != j.swarm.Self.Zone, Neighbour: !outside && j.isNeighbour(from.Name),
-		Relay: from.Role == railmember.RoleEntry,
+		Relay: from.IsEntry(),
 		Held:  held, Importing: decode(inventory.GetImporting()),
 	}, now)
 	pause := answerPause
@@ -172,7 +172,7 @@
 	neighbours := map[string]bool{}
 	for at, m := range ring {
 		distance := (at - self + len(ring)) % len(ring)
-		near := isPowerOfTwo(distance) || isPowerOfTwo(len(ring)-distance) || m.Role == railmember.RoleEntry || j.swarm.Self.Role == railmember.RoleEntry
+		near := isPowerOfTwo(distance) || isPowerOfTwo(len(ring)-distance) || m.IsEntry() || j.swarm.Self.IsEntry()
 		neighbours[m.Name] = len(ring) <= allNeighbours || near
 	}
 	return neighbours
@@ -199,7 +199,7 @@
 	return &railproto.Inventory{
 		Agent: self.Name, Zone: self.Zone, Region: self.Region, Manifest: j.key,
 		Held: encode(j.picker.Held(), len(j.manifest.Chunks)), Importing: encode(j.picker.Importing(), len(j.manifest.Chunks)),
-		Relay: self.Role == railmember.RoleEntry,
+		Relay: self.IsEntry(),
 	}
 }
 
--- a/internal/routing/railadmitter/admitter.go
+++ b/internal/routing/railadmitter/admitter.go
@@ -73,7 +73,8 @@
 			return l, nil
 		}
 	}
-	denial := &Denial{Reason: ErrBusy, Serving: a.Fleet.Serving(need), Waiting: a.ahead(rank), Expected: a.wait(now, rank)}
+	ahead := a.ahead(rank)
+	denial := &Denial{Reason: ErrBusy, Serving: a.Fleet.Serving(need), Waiting: ahead, Expected: a.wait(now, ahead)}
 	nobody := denial.Serving == 0 && !now.Before(latest)
 	if nobody {
 		denial.Reason = ErrNoEndpoint
@@ -187,9 +188,8 @@
 	return n
 }
 
-// wait predicts the wait behind those that go first, from the places granted lately.
-func (a *Admitter) wait(now time.Time, rank int) time.Duration {
-	ahead := a.ahead(rank)
+// wait predicts the wait behind a number of requests that go first, from the places granted lately.
+func (a *Admitter) wait(now time.Time, ahead int) time.Duration {
 	a.forget(now)
 	if ahead == 0 || len(a.grants) == 0 {
 		return 0
--- a/internal/routing/railterms/terms.go
+++ b/internal/routing/railterms/terms.go
@@ -1,6 +1,10 @@
 package railterms
 
-import "time"
+import (
+	"time"
+
+	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
+)
 
 // Try says what is known of a caller's request.
 type Try uint8
@@ -34,16 +38,12 @@
 
 // For returns the terms now of a request that came at a time and whose answer is on time within a target.
 func For(try Try, target time.Duration, came, now time.Time) Terms {
-	latest := came.Add(part(waiting, target))
+	latest := came.Add(railtimer.Part(waiting, target))
 	switch {
 	case try == Later:
-		return Terms{Latest: now, Within: part(spare, target)}
+		return Terms{Latest: now, Within: railtimer.Part(spare, target)}
 	case try == Again || now.After(latest):
-		return Terms{Latest: now.Add(part(waiting, target)), Within: target}
+		return Terms{Latest: now.Add(railtimer.Part(waiting, target)), Within: target}
 	}
-	return Terms{Latest: latest, Within: part(onTime-waiting, target)}
-}
-
-func part(share float64, of time.Duration) time.Duration {
-	return time.Duration(share * float64(of))
+	return Terms{Latest: latest, Within: railtimer.Part(onTime-waiting, target)}
 }
--- a/internal/standin/railbatch/engine_test.go
+++ b/internal/standin/railbatch/engine_test.go
@@ -12,14 +12,20 @@
 	"github.com/fulmarrail/fulmarrail/internal/standin/railbatch"
 )
 
+// startEngine returns an engine that works until ctx is done.
+func startEngine(ctx context.Context) *railbatch.Engine {
+	e := &railbatch.Engine{
+		Timing: railbackend.Timing{Step: 10 * time.Millisecond, Stride: 5, ReadPerSecond: 10_000}, Slots: 2, Chunk: 1000,
+	}
+	go e.Run(ctx)
+	return e
+}
+
 func TestAnAnswerTakesItsPassesAndThoseOfTheOthersPrompts(t *testing.T) {
 	railvirtual.Test(t, func(t *testing.T) {
-		e := &railbatch.Engine{
-			Timing: railbackend.Timing{Step: 10 * time.Millisecond, Stride: 5, ReadPerSecond: 10_000}, Slots: 2, Chunk: 1000,
-		}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		go e.Run(ctx)
+		e := startEngine(ctx)
 		began := time.Now()
 		var first, longest time.Duration
 		last := began
@@ -45,12 +51,9 @@
 
 func TestACallerThatLeftIsToldNothingMore(t *testing.T) {
 	railvirtual.Test(t, func(t *testing.T) {
-		e := &railbatch.Engine{
-			Timing: railbackend.Timing{Step: 10 * time.Millisecond, Stride: 5, ReadPerSecond: 10_000}, Slots: 2, Chunk: 1000,
-		}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		go e.Run(ctx)
+		e := startEngine(ctx)
 		leaves, leave := context.WithTimeout(ctx, 105*time.Millisecond) // In the middle of the pass that would write the first token.
 		defer leave()
 		told := 0
