Cancel a request whose response nobody wants although its endpoint is silent

A caller left its stream, and the engine went on until its next event; a plain request whose context was canceled was followed until its deadline. Cause: the forwarder took the cut of its own canceled call for an interruption and attached to the request again, with a context that is not canceled. The agent then counted it as a follower, so that it did not end the call either. Now the forwarder tells the agent at once that the response is no longer wanted, as it does when a response can't be delivered.

TestCanceledRequestEndsAtOnceThoughItsEndpointIsSilent failed before: it attached, waited until one second after the deadline and sent no cancel.

--- a/internal/retry/railforwarder/forwarder.go
+++ b/internal/retry/railforwarder/forwarder.go
@@ -40,7 +40,7 @@
 )
 
 var (
-	// ErrCallerDisconnected means that the response could not be delivered to the caller.
+	// ErrCallerDisconnected means that the response could not be delivered to the caller, or is no longer wanted.
 	ErrCallerDisconnected = errors.New("the caller has left")
 	errInterrupted        = errors.New("the answer was cut")
 	errRejected           = errors.New("the request was refused")
@@ -89,7 +89,7 @@
 
 // Forward runs a request and passes the data frames and the end frame of the response to deliver. The verdict covers all attempts.
 // The returned frame is the final frame of the last attempt, or nil if there is none. It holds the reason if the verdict is not Ran.
-// The error matches ErrCallerDisconnected if deliver failed.
+// The error matches ErrCallerDisconnected if deliver failed, or if ctx was canceled while an endpoint had the request.
 func (f *Forwarder) Forward(ctx context.Context, req railrequest.Request, deliver func(endpoint string, frame *railproto.Frame) error) (railverdict.Verdict, *railproto.Frame, error) {
 	verdict := railverdict.NotRun
 	var finalFrame *railproto.Frame
@@ -215,9 +215,12 @@
 	return verdict, err
 }
 
-// resume requests the rest of an interrupted response from the same incarnation. If the request is unknown there, it is revoked,
-// which proves that it has not run and never will.
+// resume requests the rest of an interrupted response from the same incarnation, unless the response is no longer wanted. If the request
+// is unknown there, it is revoked, which proves that it has not run and never will.
 func (f *Forwarder) resume(ctx context.Context, req railrequest.Request, a *attempt, deliver func(string, *railproto.Frame) error, err error) error {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return errors.Mark(err, ErrCallerDisconnected)
+	}
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), req.Deadline.Add(attachGrace))
 	defer cancel()
 	for range attachAttempts {
