Answer requests that an entry has read before it stops

Callers of an entry that was stopped as planned could get a closed connection in place of an answer, in two ways. A request that was still running or waiting when the drain's time was over was cut, orders among them. And a request that had arrived on a kept connection was dropped with a reset, which can also cost the response before it.

Causes: the drain returned an error at its timeout and the process ended; the HTTP library closes a connection after its response while it is shutting down, whether or not the next request is there, and an idle one without looking at what has arrived.

Now connections are those of railconn, as in the gateway: they are closed when they are idle and nothing has arrived, and the drain waits until the responses are written, not until the requests have ended. Two seconds before the end of the drain, requests that still run are interrupted: they get 503 (not run), 504 (may have run) or the final event of their stream.

--- /dev/null
+++ b/internal/node/railentry/drain.go
@@ -0,0 +1,90 @@
+package railentry
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
+	"github.com/fulmarrail/fulmarrail/internal/node/railconn"
+)
+
+const (
+	drainPollInterval = 20 * time.Millisecond
+	// lastResponsesTime is the part at the end of the drain for the responses to requests that are still running then, but at most
+	// lastResponsesShare of the drain. Telling an agent that a call is canceled takes up to one second of it.
+	lastResponsesTime  = 2 * time.Second
+	lastResponsesShare = 0.1
+	// closeTime is the time for which callers' connections may take to end once they are closed for sending.
+	closeTime = time.Second
+)
+
+// handle serves one HTTP request. During a drain, its response announces the end of its connection, also if the request came before.
+func (e *Entry) handle(ctx *fasthttp.RequestCtx) {
+	if conn, ok := ctx.Conn().(*railconn.Conn); ok {
+		conn.MarkAnswering()
+	}
+	e.front.Handle(ctx)
+	if e.router.Stopping() {
+		ctx.SetConnectionClose()
+	}
+}
+
+// trackState records on a caller's connection that the server turns to a request or has answered it.
+func trackState(c net.Conn, state fasthttp.ConnState) {
+	conn, ok := c.(*railconn.Conn)
+	switch {
+	case !ok:
+	case state == fasthttp.StateActive:
+		conn.MarkReceiving()
+	case state == fasthttp.StateIdle:
+		conn.MarkAnswered()
+	}
+}
+
+// drain fails the readiness check, rejects new requests, closes connections as they become idle and waits until all responses have been
+// written. Shortly before the timeout it interrupts the requests that are still running, whose responses say so.
+func (e *Entry) drain(ctx context.Context, server *fasthttp.Server, callers *railconn.Listener, timeout time.Duration) error {
+	deadline := time.Now().Add(timeout)
+	e.router.StopAccepting()
+	e.Log.Info("entry draining, waiting for requests in flight", "running", callers.Answering(), "idle", callers.Drain())
+	allAnswered := func() bool { return callers.Answering() == 0 }
+	interrupted := 0
+	if !waitUntil(ctx, deadline.Add(-min(lastResponsesTime, railtimer.Scale(lastResponsesShare, timeout))), allAnswered) {
+		interrupted = e.front.Running()
+	}
+	// Without running requests, this affects only those that were accepted at the moment of the stop.
+	e.front.Interrupt()
+	if !waitUntil(ctx, time.Now().Add(lastResponsesTime), allAnswered) {
+		return errors.Newf("drain did not complete: %d requests have no response", callers.Answering())
+	}
+	waitUntil(ctx, time.Now().Add(closeTime), func() bool { return server.GetOpenConnectionsCount() == 0 })
+	if err := shutdown(ctx, server, deadline); err != nil {
+		return errors.Wrap(err, "drain did not complete")
+	}
+	if interrupted > 0 {
+		return errors.Newf("%d requests were ended by the end of the drain", interrupted)
+	}
+	e.Log.Info("entry drained, no request was interrupted")
+	return nil
+}
+
+// shutdown closes the listener and waits until the deadline for connections on which a request is being received.
+func shutdown(ctx context.Context, server *fasthttp.Server, deadline time.Time) error {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	return server.ShutdownWithContext(ctx)
+}
+
+// waitUntil waits until a condition holds. It returns false if the deadline passes or ctx is done first.
+func waitUntil(ctx context.Context, deadline time.Time, condition func() bool) bool {
+	for !condition() {
+		if time.Until(deadline) <= 0 || !railtimer.Sleep(ctx, drainPollInterval) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/node/railentry/entry.go
+++ b/internal/node/railentry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/config/railfolder"
 	"github.com/fulmarrail/fulmarrail/internal/core/raillog"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
+	"github.com/fulmarrail/fulmarrail/internal/node/railconn"
 	"github.com/fulmarrail/fulmarrail/internal/node/railfront"
 	"github.com/fulmarrail/fulmarrail/internal/node/railrouter"
 	"github.com/fulmarrail/fulmarrail/internal/store/railstore"
@@ -66,12 +67,14 @@
 	}
 	listener := &raillistener.Listener{Key: e.SharedKey, Handler: mux, Log: e.Log}
 	server := &fasthttp.Server{
-		Handler: e.front.Handle, MaxRequestBodySize: maxBodyBytes, Concurrency: maxConnections, NoDefaultServerHeader: true,
+		Handler: e.handle, MaxRequestBodySize: maxBodyBytes, Concurrency: maxConnections, NoDefaultServerHeader: true,
 		ReadBufferSize: maxHeaderBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, Logger: discardLogger{}, CloseOnShutdown: true,
+		ConnState: trackState,
 	}
+	callers := &railconn.Listener{Listener: e.CallerListener}
 	failed := make(chan error, 2)
 	wg.Go(func() { failed <- listener.Run(workCtx, e.InternalListener) })
-	wg.Go(func() { failed <- server.Serve(e.CallerListener) })
+	wg.Go(func() { failed <- server.Serve(callers) })
 	wg.Go(func() { e.router.Run(workCtx) })
 	e.Log.Info("entry started", "name", e.Self.Name, "zone", e.Self.Zone)
 	select {
@@ -80,7 +83,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	return e.drain(workCtx, server, drainTimeout)
+	return e.drain(workCtx, server, callers, drainTimeout)
 }
 
 // Revision returns the number of the entry's current revision, or 0 if it has none.
@@ -103,23 +106,6 @@
 	})
 }
 
-// drain fails the readiness check, rejects new requests and waits for requests in flight.
-func (e *Entry) drain(ctx context.Context, server *fasthttp.Server, timeout time.Duration) error {
-	e.router.StopAccepting()
-	e.Log.Info("entry draining, waiting for requests in flight", "running", e.front.Running())
-	drainCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	err := e.front.Drain(drainCtx)
-	if shutdownErr := server.ShutdownWithContext(drainCtx); err == nil && shutdownErr != nil {
-		err = shutdownErr
-	}
-	if err != nil {
-		return errors.Wrap(err, "drain did not complete")
-	}
-	e.Log.Info("entry drained, no request was interrupted")
-	return nil
-}
-
 // discardLogger drops the HTTP library's log lines about broken connections.
 type discardLogger struct{}
 
--- a/internal/node/railfront/front.go
+++ b/internal/node/railfront/front.go
@@ -26,10 +26,12 @@
 	headerEndpoint = "Fulmarrail-Endpoint"
 	headerWeights  = "Fulmarrail-Weights"
 
-	frameBuffer       = 64
-	drainPollInterval = 20 * time.Millisecond
+	frameBuffer = 64
 )
 
+// errStopping means that the entry has stopped before the response was complete.
+var errStopping = errors.New("this entry stops before the answer is complete")
+
 // Front handles callers' HTTP requests. Its exported fields must be set before first use.
 type Front struct {
 	// Revision returns the current revision, or false if there is none.
@@ -43,6 +45,11 @@
 	Observe func(req railrequest.Request, verdict railverdict.Verdict, firstToken, betweenTokens time.Duration)
 	Log     *slog.Logger
 
+	once sync.Once
+	// workCtx is done once interrupt was called.
+	workCtx   context.Context
+	interrupt context.CancelCauseFunc
+
 	mu       sync.Mutex
 	inFlight int
 }
@@ -88,18 +95,14 @@
 	return f.inFlight
 }
 
-// Drain waits until no request is in flight. It returns an error if ctx is done first.
-func (f *Front) Drain(ctx context.Context) error {
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	for f.Running() > 0 {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return errors.Newf("%d requests still run", f.Running())
-		}
-	}
-	return nil
+// Interrupt ends the running requests, and later ones at once. Their responses say that the entry stops. It can't be undone.
+func (f *Front) Interrupt() {
+	f.init()
+	f.interrupt(errStopping)
+}
+
+func (f *Front) init() {
+	f.once.Do(func() { f.workCtx, f.interrupt = context.WithCancelCause(context.Background()) })
 }
 
 func (f *Front) serveReadiness(ctx *fasthttp.RequestCtx) {
@@ -116,7 +119,8 @@
 
 // serve forwards a request and writes its response. An engine's response is streamed; any other is written once it is complete.
 func (f *Front) serve(ctx *fasthttp.RequestCtx, req railrequest.Request, service railservice.Service) {
-	workCtx, cancel := context.WithDeadline(context.Background(), req.Deadline)
+	f.init()
+	workCtx, cancel := context.WithDeadline(f.workCtx, req.Deadline)
 	frames := make(chan endpointFrame, frameBuffer)
 	done := make(chan result, 1)
 	go func() {
@@ -128,6 +132,9 @@
 				return workCtx.Err()
 			}
 		})
+		if errors.Is(context.Cause(workCtx), errStopping) {
+			err = errStopping
+		}
 		done <- result{verdict: verdict, finalFrame: finalFrame, err: err}
 		close(frames)
 	}()
--- a/internal/node/railfront/front_test.go
+++ b/internal/node/railfront/front_test.go
@@ -42,14 +42,22 @@
 
 // newClient returns a client of a new front that forwards its requests to forward.
 func newClient(c *qt.C, rejectionReason string, forward func(req railrequest.Request, s sink) (railverdict.Verdict, *railproto.Frame, error)) *fasthttp.Client {
+	client, _ := newFront(c, rejectionReason, func(_ context.Context, req railrequest.Request, s sink) (railverdict.Verdict, *railproto.Frame, error) {
+		return forward(req, s)
+	})
+	return client
+}
+
+// newFront returns a new front that forwards its requests to forward, and a client of it.
+func newFront(c *qt.C, rejectionReason string, forward func(ctx context.Context, req railrequest.Request, s sink) (railverdict.Verdict, *railproto.Frame, error)) (*fasthttp.Client, *railfront.Front) {
 	emptyFolder := railfolder.Folder{Stamp: 1}
 	revision, _, err := railrevision.Revision{}.Next(emptyFolder.WithFile(railfile.File{Name: "10.ini", Stamp: 1, Content: configFile}))
 	c.Assert(err, qt.IsNil)
 	front := &railfront.Front{
 		Revision:        func() (railrevision.Revision, bool) { return revision, true },
 		RejectionReason: func(railservice.Service) string { return rejectionReason },
-		Forward: func(_ context.Context, req railrequest.Request, s sink) (railverdict.Verdict, *railproto.Frame, error) {
-			return forward(req, s)
+		Forward: func(ctx context.Context, req railrequest.Request, s func(string, *railproto.Frame) error) (railverdict.Verdict, *railproto.Frame, error) {
+			return forward(ctx, req, s)
 		},
 		Observe: func(railrequest.Request, railverdict.Verdict, time.Duration, time.Duration) {},
 		Log:     slog.New(slog.DiscardHandler),
@@ -58,7 +66,7 @@
 	server := &fasthttp.Server{Handler: front.Handle}
 	go func() { _ = server.Serve(lis) }()
 	c.Cleanup(func() { _ = server.Shutdown() })
-	return &fasthttp.Client{Dial: func(string) (net.Conn, error) { return lis.Dial() }}
+	return &fasthttp.Client{Dial: func(string) (net.Conn, error) { return lis.Dial() }}, front
 }
 
 func send(c *qt.C, client *fasthttp.Client, method, path, body string, headers ...string) (status int, response string, h *fasthttp.ResponseHeader) {
@@ -194,3 +202,41 @@
 		})
 	}
 }
+
+// Guards against requests that get no answer, and streams that get no final event, since the entry's drain is over.
+func TestInterruptedRequestsSayThatTheEntryStops(t *testing.T) {
+	data := &railproto.Frame{Kind: railproto.FrameKind_FRAME_KIND_DATA, Data: []byte(`{"token":"t"}`), WeightsDigest: "w"}
+	for _, test := range []struct {
+		name, path string
+		frames     []*railproto.Frame
+		verdict    railverdict.Verdict
+		status     int
+		want       string
+	}{
+		{"order that waits", "/orders/x", nil, railverdict.NotRun, 503, `"verdict":"notRun"`},
+		{"order that runs", "/orders/x", nil, railverdict.MayHaveRun, 504, `"verdict":"mayHaveRun"`},
+		{"stream that has not begun", "/chat/x", nil, railverdict.MayHaveRun, 504, `"verdict":"mayHaveRun"`},
+		{"stream that has begun", "/chat/x", []*railproto.Frame{data}, railverdict.MayHaveRun, 200, "event: error\ndata: {\"reason\":\"this entry stops"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			started := make(chan struct{})
+			client, front := newFront(c, "", func(ctx context.Context, _ railrequest.Request, s sink) (railverdict.Verdict, *railproto.Frame, error) {
+				for _, f := range test.frames {
+					c.Check(s("e", f), qt.IsNil)
+				}
+				close(started)
+				<-ctx.Done()
+				return test.verdict, nil, ctx.Err()
+			})
+			go func() {
+				<-started
+				front.Interrupt()
+			}()
+			status, body, _ := send(c, client, "POST", test.path, "{}", "Fulmarrail-Customer", "castle")
+			c.Check(status, qt.Equals, test.status)
+			c.Check(body, qt.Contains, test.want)
+			c.Check(body, qt.Contains, "this entry stops")
+		})
+	}
+}
--- a/internal/node/railfront/reject.go
+++ b/internal/node/railfront/reject.go
@@ -32,7 +32,7 @@
 	case r.verdict == railverdict.NotRun:
 		status = fasthttp.StatusServiceUnavailable
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfter(r.err))
-	case errors.Is(r.err, context.DeadlineExceeded):
+	case errors.Is(r.err, context.DeadlineExceeded), errors.Is(r.err, errStopping):
 		status = fasthttp.StatusGatewayTimeout
 	}
 	reject(ctx, status, r.verdict, failureReason(r))
--- a/internal/node/railrouter/router.go
+++ b/internal/node/railrouter/router.go
@@ -93,6 +93,11 @@
 	r.stopping.Store(true)
 }
 
+// Stopping reports whether StopAccepting was called.
+func (r *Router) Stopping() bool {
+	return r.stopping.Load()
+}
+
 // Revision returns the current revision, or false if there is none.
 func (r *Router) Revision() (railrevision.Revision, bool) {
 	r.init()
