Answer every request before the grace period of a gateway ends

Cause: the drain waited for requests in flight until the process had to end, and nothing compared a request's deadline with that moment. New requests were taken for 2.5 s however short the grace period was, and endpoints were handed the caller's whole time.

Evidence: TestEndOfDrainAnswersRequestsThatStillRun, TestEndOfDrainRejectsQueuedRequestAsNotRun and TestDrainAcceptsOnlyRequestsThatFit close all connections where the process would end.

Why the fix works: all requests run in a context that is canceled 0.2 s before the drain's timeout. Its cause decides the final response: 503 if the request has not run, else 504; only a response that has begun is broken off. In the drain an endpoint is handed no more time than is left, and a request of whose time less than half is left is rejected at once as not run. The drain also waits up to 1 s for connections on which a request is about to arrive, so that the process doesn't end between its last byte and its rejection.

The requests of the older drain tests now carry a deadline of 5 s, as the drain of 5 s would reject those that have the route's 20 s. What these tests check is unchanged.

--- a/internal/node/railconn/conn.go
+++ b/internal/node/railconn/conn.go
@@ -22,6 +22,9 @@
 // lingerTimeout is how long input is discarded after the end of the connection has been sent, unless the caller closes it sooner.
 const lingerTimeout = time.Second
 
+// newRequestTime is the time for which a request that is being received, or the first one on a connection, is awaited.
+const newRequestTime = time.Second
+
 // past is a deadline that interrupts a read.
 var past = time.Unix(1, 0)
 
@@ -40,6 +43,8 @@
 	buffered []byte
 	readErr  error
 	state    connState
+	// stateSince is the time of the last change of state.
+	stateSince time.Time
 	// draining is set if the connection is to be closed when it is idle.
 	draining bool
 }
@@ -151,7 +156,7 @@
 	if c.state != connIdle {
 		return false
 	}
-	c.state = connReceiving
+	c.state, c.stateSince = connReceiving, time.Now()
 	if c.draining {
 		_ = c.SetReadDeadline(time.Time{}) // On a closed connection, the next read fails anyway.
 	}
@@ -215,8 +220,15 @@
 	return c.state == connAnswering
 }
 
+// isPending reports whether a response is due on the connection, or a request may still arrive in full.
+func (c *Conn) isPending(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state == connAnswering || c.state == connReceiving && now.Sub(c.stateSince) < newRequestTime
+}
+
 func (c *Conn) setState(state connState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state = state
+	c.state, c.stateSince = state, time.Now()
 }
--- a/internal/node/railconn/listener.go
+++ b/internal/node/railconn/listener.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 )
 
 // Listener wraps accepted connections in Conn and tracks the open ones. Its exported field must be set before first use.
@@ -22,7 +23,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := &Conn{Conn: conn, draining: l.draining}
+	c := &Conn{Conn: conn, draining: l.draining, stateSince: time.Now()}
 	c.onClose = func() { l.remove(c) }
 	if l.conns == nil {
 		l.conns = map[*Conn]bool{}
@@ -58,6 +59,18 @@
 	return n
 }
 
+// Pending returns the number of open connections on which a response is due, or which were opened, or began to receive a request, less than
+// newRequestTime ago.
+func (l *Listener) Pending() int {
+	n := 0
+	for _, c := range l.openConns() {
+		if c.isPending(time.Now()) {
+			n++
+		}
+	}
+	return n
+}
+
 func (l *Listener) openConns() []*Conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/node/railgateway/deployment_test.go
+++ b/internal/node/railgateway/deployment_test.go
@@ -124,6 +124,12 @@
 
 // newCustomDeployment is newDeployment with a gateway that customize may change before it runs.
 func newCustomDeployment(t *testing.T, customize func(*railgateway.Gateway), endpoints ...*endpoint) *deployment {
+	t.Helper()
+	return newDrainableDeployment(t, 5*time.Second, customize, endpoints...)
+}
+
+// newDrainableDeployment is newCustomDeployment with a gateway that waits up to drainTimeout for requests in flight.
+func newDrainableDeployment(t *testing.T, drainTimeout time.Duration, customize func(*railgateway.Gateway), endpoints ...*endpoint) *deployment {
 	t.Helper()
 	d := &deployment{catalog: newCatalog(), stopped: make(chan error, 1)}
 	callers, ready := listen(t), listen(t)
@@ -155,7 +161,7 @@
 	customize(d.gateway)
 	ctx, stop := context.WithCancel(context.Background())
 	d.stop = stop
-	go func() { d.stopped <- d.gateway.Run(ctx, 5*time.Second) }()
+	go func() { d.stopped <- d.gateway.Run(ctx, drainTimeout) }()
 	t.Cleanup(stop)
 	return d
 }
--- /dev/null
+++ b/internal/node/railgateway/drain_end_test.go
@@ -0,0 +1,171 @@
+package railgateway_test
+
+import (
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmarrail/fulmarrail/internal/node/railgateway"
+)
+
+// processListener closes all its connections when the process would end, as the kernel does.
+type processListener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (l *processListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns = append(l.conns, conn)
+	return conn, nil
+}
+
+func (l *processListener) endProcess() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, conn := range l.conns {
+		_ = conn.Close()
+	}
+}
+
+// newEndingDeployment returns a deployment whose process ends when its drain has, and a channel that is closed once the drain has dealt with the
+// open connections.
+func newEndingDeployment(t *testing.T, drainTimeout time.Duration, e *endpoint) (*deployment, <-chan struct{}) {
+	t.Helper()
+	draining := make(chan struct{})
+	var lis *processListener
+	d := newDrainableDeployment(t, drainTimeout, func(g *railgateway.Gateway) {
+		lis = &processListener{Listener: g.CallerListener}
+		g.CallerListener = lis
+		g.Log = slog.New(messageHandler{Handler: slog.DiscardHandler, prefix: drainMessage, seen: draining, once: &sync.Once{}})
+	}, e)
+	drained, ended := d.stopped, make(chan error, 1)
+	go func() {
+		err := <-drained
+		lis.endProcess()
+		ended <- err
+	}()
+	d.stopped = ended
+	return d, draining
+}
+
+// respondNever returns a handler that calls first, then closes started and waits until the request is canceled.
+func respondNever(started chan<- struct{}, first handler) handler {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // The server detects a closed connection only after the body has been read.
+		first(w, r)
+		started <- struct{}{}
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// Guards against requests that are cut without an answer, since they still run when the grace period ends.
+func TestEndOfDrainAnswersRequestsThatStillRun(t *testing.T) {
+	nothing := func(http.ResponseWriter, *http.Request) {}
+	for name, c := range map[string]struct {
+		path   string
+		first  handler
+		status int
+	}{
+		"unsafe":                    {"/unsafe/x", nothing, http.StatusGatewayTimeout},
+		"safe":                      {"/safe/x", nothing, http.StatusGatewayTimeout},
+		"stream that has not begun": {"/stream/x", nothing, http.StatusGatewayTimeout},
+		"response without its end": {"/unsafe/x", withHeader(sealHeader, "seal", func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "some")
+			_ = http.NewResponseController(w).Flush()
+		}), http.StatusGatewayTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			started := make(chan struct{}, 1)
+			near := &endpoint{name: "near", handlers: sequence(respondNever(started, c.first))}
+			d, _ := newEndingDeployment(t, time.Second, near)
+			responses := make(chan response, 1)
+			go func() { responses <- d.call(t, c.path, validKey) }()
+			<-started
+			d.stop()
+			got := <-responses
+			qt.Check(t, got.err, qt.IsNil)
+			qt.Check(t, got.status, qt.Equals, c.status)
+			qt.Check(t, got.close, qt.IsTrue)
+			qt.Check(t, <-d.stopped, qt.ErrorMatches, "drain timed out, 1 requests got no response of an endpoint")
+		})
+	}
+}
+
+// Guards against a request that waits for an endpoint when the grace period ends, and gets no answer although it has not run.
+func TestEndOfDrainRejectsQueuedRequestAsNotRun(t *testing.T) {
+	const most = 20 // More than an endpoint holds.
+	started := make(chan struct{}, most)
+	near := &endpoint{name: "near", handlers: sequence(respondNever(started, func(http.ResponseWriter, *http.Request) {}))}
+	d, _ := newEndingDeployment(t, time.Second, near)
+	d.instances[0].Slots = 1
+	d.gateway.Fleet.SetInstances(d.instances)
+	responses := make(chan response, most)
+	sent := 0
+	for ; d.gateway.Report().QueuedRequests["desk"] == 0 && sent < most; sent++ {
+		go func() { responses <- d.call(t, "/unsafe/x", validKey) }()
+		time.Sleep(50 * time.Millisecond)
+	}
+	d.stop()
+	statuses := map[int]int{}
+	for range sent {
+		got := <-responses
+		qt.Check(t, got.err, qt.IsNil)
+		statuses[got.status]++
+	}
+	qt.Check(t, statuses, qt.DeepEquals, map[int]int{http.StatusGatewayTimeout: sent - 1, http.StatusServiceUnavailable: 1})
+	qt.Check(t, near.requests(), qt.HasLen, sent-1)
+}
+
+// Guards against requests that are accepted late in the grace period, and against endpoints that are handed more time than is left of it.
+func TestDrainAcceptsOnlyRequestsThatFit(t *testing.T) {
+	for name, c := range map[string]struct {
+		deadline string
+		status   int
+	}{
+		"fits":                    {"1000", http.StatusOK},
+		"may end after the drain": {"5500", http.StatusOK},
+		"needs far more":          {"19000", http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const drainTimeout = 4 * time.Second
+			near := &endpoint{name: "near", handlers: sequence(respondOK)}
+			d, draining := newEndingDeployment(t, drainTimeout, near)
+			d.stop()
+			<-draining
+			req, err := http.NewRequest(http.MethodPost, d.url+"/unsafe/x", nil)
+			qt.Assert(t, err, qt.IsNil)
+			req.Host = "host.example"
+			req.Header.Set(idHeader, "id-1")
+			req.Header.Set("X-Fulmarrail-Request-Deadline", c.deadline)
+			req.Header.Set("Authorization", "Token "+validKey)
+			resp, err := http.DefaultTransport.RoundTrip(req)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, resp.Body.Close(), qt.IsNil)
+			qt.Check(t, resp.StatusCode, qt.Equals, c.status)
+			for _, header := range near.requests() {
+				handed, err := strconv.Atoi(header.Get("X-Fulmarrail-Request-Deadline"))
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, time.Duration(handed)*time.Millisecond < drainTimeout, qt.IsTrue, qt.Commentf("%d ms", handed))
+			}
+			qt.Check(t, len(near.requests()) == 1, qt.Equals, c.status == http.StatusOK)
+			qt.Check(t, <-d.stopped, qt.IsNil)
+		})
+	}
+}
--- a/internal/node/railgateway/drain_test.go
+++ b/internal/node/railgateway/drain_test.go
@@ -119,7 +119,7 @@
 }
 
 func requestTo(path, id string) string {
-	return "GET " + path + " HTTP/1.1\r\nHost: host.example\r\n" + idHeader + ": " + id + "\r\nAuthorization: Token " + validKey + "\r\n\r\n"
+	return "GET " + path + " HTTP/1.1\r\nHost: host.example\r\n" + idHeader + ": " + id + "\r\nX-Fulmarrail-Request-Deadline: 5000\r\nAuthorization: Token " + validKey + "\r\n\r\n"
 }
 
 func (d *drainDeployment) write(t *testing.T, data string) {
--- a/internal/node/railgateway/forward.go
+++ b/internal/node/railgateway/forward.go
@@ -291,7 +291,7 @@
 func (g *Gateway) newRequest(c *call, lease *railfleet.Lease, progress *streamProgress) *fasthttp.Request {
 	req := fasthttp.AcquireRequest()
 	c.upstream.CopyTo(req)
-	params := railheader.Attempt{Instance: lease.Instance.ID, Customer: c.customer.Name, Timeout: time.Until(c.deadline)}
+	params := railheader.Attempt{Instance: lease.Instance.ID, Customer: c.customer.Name, Timeout: time.Until(g.drainState.limit(c.deadline))}
 	if lease.Instance.WeightsVersion > 0 {
 		params.WeightsVersion = lease.Instance.WeightsVersion
 	}
@@ -324,7 +324,7 @@
 		return railfleet.Misdirected
 	case errors.Is(err, errRejected):
 		return railfleet.Rejected
-	case errors.Is(err, errServerError), errors.Is(err, errWeightsExpired), c.workCtx.Err() != nil && errors.Is(c.workCtx.Err(), context.Canceled):
+	case errors.Is(err, errServerError), errors.Is(err, errWeightsExpired), errors.Is(c.workCtx.Err(), context.Canceled):
 		return railfleet.Answered
 	}
 	return railfleet.Failed
--- a/internal/node/railgateway/gateway.go
+++ b/internal/node/railgateway/gateway.go
@@ -29,11 +29,7 @@
 	maxHeaderBytes = 32 << 10
 	maxBodyBytes   = 8 << 20
 	// idleTimeout is longer than any caller keeps an idle connection, so that callers close theirs first.
-	idleTimeout       = 10 * time.Minute
-	drainPollInterval = 20 * time.Millisecond
-	// balancerRemovalDelay is the time after which the load balancer sends no new connections to an entry that is not ready. It
-	// checks readiness once a second and acts on two equal results in a row.
-	balancerRemovalDelay = 2500 * time.Millisecond
+	idleTimeout = 10 * time.Minute
 	// onTimeLogsPerSecond is the number of on-time responses that are logged each second.
 	onTimeLogsPerSecond = 5
 )
@@ -71,9 +67,7 @@
 
 	onTimeSampler    raillogsampler.Sampler
 	malformedSampler raillogsampler.Sampler
-	stopping         atomic.Bool
-	// drainStartNanos is the time at which the drain started, in nanoseconds since the Unix epoch.
-	drainStartNanos atomic.Int64
+	drainState       drainState
 	// inFlight is the number of requests that are being handled. Their responses are written in full only after that.
 	inFlight      atomic.Int64
 	retryDetector railretrydetector.RetryDetector
@@ -85,9 +79,10 @@
 	responseMemory railmemory.Pool
 }
 
-// Run serves callers until ctx is done, then waits up to drainTimeout for requests in flight. It returns an error if serving fails
-// or if requests are still in flight after drainTimeout.
+// Run serves callers until ctx is done, then waits up to drainTimeout for requests in flight. Those that are left shortly before that get
+// their final response from the entry. It returns an error if serving fails or if the drain did not complete all requests.
 func (g *Gateway) Run(ctx context.Context, drainTimeout time.Duration) error {
+	g.drainState.init()
 	g.onTimeSampler.PerSecond = onTimeLogsPerSecond
 	g.responseMemory.MaxBytes = maxResponseMemory
 	g.malformedSampler.PerSecond = malformedLogsPerSecond
@@ -122,12 +117,6 @@
 	}
 }
 
-// rejectsNew reports whether the drain has outlasted balancerRemovalDelay, when a new request might not complete before the
-// process stops.
-func (g *Gateway) rejectsNew() bool {
-	return g.stopping.Load() && time.Since(time.Unix(0, g.drainStartNanos.Load())) > balancerRemovalDelay
-}
-
 // Wake grants leases to queued requests as far as endpoints have capacity.
 func (g *Gateway) Wake() {
 	g.admitters.Range(func(_, a any) bool {
@@ -136,22 +125,6 @@
 	})
 }
 
-// drain fails the readiness check, closes connections as they become idle and waits until all responses have been written.
-func (g *Gateway) drain(listener *railconn.Listener, timeout time.Duration) error {
-	start := time.Now()
-	g.drainStartNanos.Store(start.UnixNano())
-	g.stopping.Store(true)
-	g.Log.Info("gateway draining, waiting for requests in flight", "running", listener.Answering(), "idle", listener.Drain())
-	for time.Since(start) < timeout {
-		if time.Since(start) > balancerRemovalDelay && listener.Answering() == 0 {
-			g.Log.Info("gateway drained, no request was interrupted")
-			return nil
-		}
-		time.Sleep(drainPollInterval)
-	}
-	return errors.Newf("drain timed out with %d requests in flight", listener.Answering())
-}
-
 func (g *Gateway) readiness(ctx *fasthttp.RequestCtx) {
 	if reason := g.unreadyReason(); string(ctx.Path()) != g.ReadyPath || reason != "" {
 		ctx.Error(reason, fasthttp.StatusServiceUnavailable)
@@ -164,7 +137,7 @@
 func (g *Gateway) unreadyReason() string {
 	catalog, known := g.Catalog()
 	switch {
-	case g.stopping.Load():
+	case g.drainState.draining.Load():
 		return "the entry is about to stop"
 	case !known:
 		return "no configuration is known yet"
--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -47,9 +47,9 @@
 	likelyRetry bool
 	// retriedOnFailure is set once the request has been retried because an endpoint returned a server error.
 	retriedOnFailure bool
-	// workCtx is canceled when the caller disconnects or the deadline passes.
+	// workCtx is canceled when the caller disconnects, the deadline passes or the drain ends. Its cause tells which.
 	workCtx context.Context
-	cancel  context.CancelFunc
+	cancel  func(cause error)
 	// finished is set when the request has ended, and disconnected if its caller had disconnected before that.
 	finished, disconnected bool
 	// stopWatch stops watching the caller's connection for a disconnect.
@@ -71,7 +71,7 @@
 // handle serves one request. During a drain, the response announces the end of its connection, also if the request came before.
 func (g *Gateway) handle(ctx *fasthttp.RequestCtx) {
 	g.serve(ctx)
-	if g.stopping.Load() {
+	if g.drainState.draining.Load() {
 		ctx.SetConnectionClose()
 	}
 }
@@ -88,12 +88,22 @@
 	g.inFlight.Add(1)
 	ctx.Request.CopyTo(&c.upstream)
 	removeHopByHopHeaders(&c.upstream.Header)
-	c.workCtx, c.cancel = context.WithDeadline(context.Background(), c.deadline)
+	c.begin(g.drainState.ctx)
+	g.forward(c)
+}
+
+// begin sets the context in which the request runs and watches its caller's connection.
+func (c *call) begin(parent context.Context) {
+	ctx, cancel := context.WithCancelCause(parent)
+	workCtx, stop := context.WithDeadline(ctx, c.deadline)
+	c.workCtx, c.cancel = workCtx, func(cause error) {
+		cancel(cause)
+		stop()
+	}
 	c.stopWatch = func() {}
 	if c.conn != nil {
-		c.stopWatch = c.conn.Watch(c.cancel)
+		c.stopWatch = c.conn.Watch(func() { c.cancel(errCallerDisconnected) })
 	}
-	g.forward(c)
 }
 
 // callerDisconnected reports whether the caller disconnected before the request ended.
@@ -101,14 +111,14 @@
 	if c.finished || c.workCtx == nil {
 		return c.disconnected
 	}
-	return errors.Is(c.workCtx.Err(), context.Canceled)
+	return errors.Is(context.Cause(c.workCtx), errCallerDisconnected)
 }
 
 // finish records the request's duration, releases its resources and removes it from the count in flight.
 func (g *Gateway) finish(c *call) {
 	metrics.GetOrCreateHistogram(fmt.Sprintf(`fulmarrail_gateway_request_seconds{service=%q}`, c.service)).UpdateDuration(c.start)
 	c.disconnected, c.finished = c.callerDisconnected(), true
-	c.cancel()
+	c.cancel(nil)
 	c.stopWatch()
 	g.inFlight.Add(-1)
 }
@@ -116,7 +126,7 @@
 // admit sets a request's route, customer, service and deadline, and whether it is likely to be a retry. It returns a rejection if the
 // request can't be accepted.
 func (g *Gateway) admit(c *call) *rejection {
-	if g.rejectsNew() {
+	if g.drainState.rejects(0) {
 		return &rejection{status: fasthttp.StatusServiceUnavailable, reason: "the entry is about to stop"}
 	}
 	catalog, known := g.Catalog()
@@ -136,7 +146,11 @@
 		return rejected
 	}
 	c.service = route.PickService(rand.Float64())
-	c.deadline = c.start.Add(minPositive(c.Timeout, route.Timeout))
+	requestTime := minPositive(c.Timeout, route.Timeout)
+	if g.drainState.rejects(requestTime) {
+		return &rejection{status: fasthttp.StatusServiceUnavailable, reason: "the entry is about to stop"}
+	}
+	c.deadline = c.start.Add(requestTime)
 	c.likelyRetry = g.retryDetector.Observe(route.Name, c.customer.Name, c.Timeout)
 	return nil
 }
@@ -218,13 +232,15 @@
 // rejectUnanswered responds to a request that no endpoint answered. The status depends on whether the request may have run.
 func (g *Gateway) rejectUnanswered(c *call, verdict railverdict.Verdict, err error) {
 	rejected := &rejection{status: fasthttp.StatusBadGateway, reason: "the endpoint did not answer"}
-	switch {
+	switch cause := context.Cause(c.workCtx); {
 	case verdict == railverdict.NotRun:
 		rejected = &rejection{
 			status: fasthttp.StatusServiceUnavailable, reason: "the request has not run: " + errors.UnwrapAll(err).Error(), logAttrs: rejectionAttrs(err),
 			retryAfter: cmp.Or(quarantineTime(err), pauseTime(c, err)), quarantined: quarantineTime(err) > 0,
 		}
-	case errors.Is(c.workCtx.Err(), context.DeadlineExceeded):
+	case errors.Is(cause, errStopping):
+		rejected = &rejection{status: fasthttp.StatusGatewayTimeout, reason: "the entry stops, and the request may have run"}
+	case errors.Is(cause, context.DeadlineExceeded):
 		rejected = &rejection{status: fasthttp.StatusGatewayTimeout, reason: "the time is up, and the request may have run"}
 	}
 	g.reject(c, rejected)
--- a/internal/node/railgateway/report.go
+++ b/internal/node/railgateway/report.go
@@ -11,7 +11,7 @@
 func (g *Gateway) Report() railentryreport.Report {
 	catalog, _ := g.Catalog()
 	r := railentryreport.Report{
-		Revision: uint64(catalog.Version), ConfirmedAgeMillis: g.ConfigAge().Milliseconds(), Leaving: g.stopping.Load(), Running: int(g.inFlight.Load()),
+		Revision: uint64(catalog.Version), ConfirmedAgeMillis: g.ConfigAge().Milliseconds(), Leaving: g.drainState.draining.Load(), Running: int(g.inFlight.Load()),
 		Isolated: g.unreadyReason() != "", QueuedRequests: map[string]int{},
 	}
 	g.admitters.Range(func(service, a any) bool {
