--- a/internal/command/railsiteprocess/process.go
+++ b/internal/command/railsiteprocess/process.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"log/slog"
 	"net"
-	"net/netip"
 	"os"
 	"os/signal"
 	"reflect"
@@ -25,6 +24,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/core/raillog"
 	"github.com/fulmarrail/fulmarrail/internal/core/raillogsink"
 	"github.com/fulmarrail/fulmarrail/internal/core/railsignal"
+	"github.com/fulmarrail/fulmarrail/internal/membership/railaddress"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/store/railreplica"
@@ -265,7 +265,11 @@
 	if err := json.Unmarshal(value, &e); err != nil {
 		return e, err
 	}
-	_, err := netip.ParseAddrPort(e.Address)
+	if e.Link < 0 {
+		return e, errors.Newf("field link is %d", e.Link)
+	}
+	address, err := railaddress.Parse(e.Address)
+	e.Address = address
 	return e, errors.Wrap(err, "parse the field address")
 }
 
