--- a/internal/command/railsiteprocess/wanted_versions.go
+++ b/internal/command/railsiteprocess/wanted_versions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -26,6 +27,8 @@
 	settleDelay = time.Second
 	// recordTolerance is the difference between two times of a version up to which the recorded one is kept.
 	recordTolerance = 20 * time.Millisecond
+	// maxWantedAtMillis is the longest time in milliseconds that a time.Duration holds.
+	maxWantedAtMillis = math.MaxInt64 / int64(time.Millisecond)
 )
 
 // wantedVersion is one row of the table.
@@ -172,5 +175,8 @@
 	if value.WantedAtMillis, err = strconv.ParseInt(string(row.Value), 10, 64); err != nil {
 		err = json.Unmarshal(row.Value, &value)
 	}
+	if err == nil && (version <= 0 || value.WantedAtMillis < -maxWantedAtMillis || value.WantedAtMillis > maxWantedAtMillis) {
+		err = errors.Newf("version %d or time %d is out of range", version, value.WantedAtMillis)
+	}
 	return wantedVersion{model: model, version: version, wantedAt: time.Duration(value.WantedAtMillis) * time.Millisecond, guessed: value.Guessed}, err
 }
