Report how many requests the end of a drain has ended

The drain could report that its deadline was exceeded in place of the requests that it had ended, if a caller kept its connection open for as long as the entry waits for that (one second, both). Seen once in TestRequestsThatOutlastTheDrainAreAnswered, beside load: the responses were all there, the error was the other one. Which of the two holds no longer depends on that race.

--- a/internal/node/railentry/drain.go
+++ b/internal/node/railentry/drain.go
@@ -62,11 +62,12 @@
 		return errors.Newf("drain did not complete: %d requests have no response", callers.Answering())
 	}
 	waitUntil(ctx, time.Now().Add(closeTime), func() bool { return server.GetOpenConnectionsCount() == 0 })
-	if err := shutdown(ctx, server, deadline); err != nil {
-		return errors.Wrap(err, "drain did not complete")
-	}
-	if interrupted > 0 {
+	err := shutdown(ctx, server, deadline)
+	switch {
+	case interrupted > 0:
 		return errors.Newf("%d requests were ended by the end of the drain", interrupted)
+	case err != nil:
+		return errors.Wrap(err, "drain did not complete")
 	}
 	e.Log.Info("entry drained, no request was interrupted")
 	return nil
