Send no queued request when the drain of a gateway ends

What callers saw: of the requests that are left at the end of the grace period, one that waited for an endpoint could be sent to it with a deadline of 1 ms, and got a 504 in place of a 503 that says that it has not run.

Cause: requests are canceled one after the other then. The first to go frees capacity, which the queue grants at once to a request that is about to be canceled.

Evidence: TestEndOfDrainRejectsQueuedRequestAsNotRun failed in one of four runs: four requests at the endpoint in place of three, the last one handed 1 ms.

Why the fix works: the drain's context is done before the first request is canceled, and a lease that is granted afterwards is given back.

--- a/internal/node/railgateway/forward.go
+++ b/internal/node/railgateway/forward.go
@@ -174,6 +174,11 @@
 			pass.Release()
 			return nil, err
 		}
+		if g.drainState.ctx.Err() != nil {
+			pass.Release()
+			lease.Done(railfleet.Answered)
+			return nil, errStopping // Another request has just been canceled, which this one must not follow.
+		}
 		if pass.Begin() {
 			return &attempt{lease: lease, pass: pass}, nil
 		}
