Keep a response at its silent endpoint until another one goes on with it

What callers saw: streams that were reset, and requests that got a 502, although their engine was at work. When many engines fell silent for more than a second at the same time, it happened to all their streams at once; beside a change of the configuration, to those whose key or service it dropped.

Cause: after 1.3 s without an event (or without a response, 3 x the target for a plain one) the gateway canceled the attempt and looked for another endpoint afterwards. If none had room, the retry budget was spent, the key, service or endpoints were gone from the configuration, or the new attempt failed, nobody could give the response any more: the only endpoint that could had been told to stop. A pause of that length is no failure of an endpoint. The time that a caller took to read an event counted as its endpoint's silence, too.

Evidence: on the code before, TestSilenceEndsNoResponseThatOnlyItsEndpointCanGive fails in each of its 11 cases in the middle of a stream, TestSilenceOfManyEndpointsEndsNoStream, TestSlowSafeRequestIsAnsweredIfOthersCannot in both cases, and TestSlowCallerIsNoSilentEndpoint.

Why the fix works: silence starts a search for another attempt, while the silent one stays open. If its endpoint goes on, the search is canceled. If the other attempt is the first to go on, in a stream with the event that follows the last one relayed, it takes over and only then the silent one is closed; a lock decides, so events of two runs never mix. If no attempt can take over, the silent one goes on until the deadline, and the search is repeated after the same time. Both are canceled when the caller leaves. The search stops while an event is written to the caller.

Since two attempts may run at the same time now, a request's attempts are counted in one place, over all resumes of its stream (TestResumesCountAgainstAttemptsOfRoute, which failed before: a stream on three endpoints where its route allows two); endpoints that have ended since don't count. A retry for which no endpoint could be granted goes back to the budget.

--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -45,8 +45,7 @@
 	sendDelay, firstDelay, maxGap time.Duration
 	// likelyRetry is set if the request is probably a retry by a caller that was rejected before.
 	likelyRetry bool
-	// retriedOnFailure is set once the request has been retried because an endpoint returned a server error.
-	retriedOnFailure bool
+	tries       tries
 	// workCtx is canceled when the caller disconnects, the deadline passes or the drain ends. Its cause tells which.
 	workCtx context.Context
 	cancel  func(cause error)
--- a/internal/node/railgateway/stream.go
+++ b/internal/node/railgateway/stream.go
@@ -12,20 +12,15 @@
 
 	"github.com/fulmarrail/fulmarrail/internal/endpoint/railexchange"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railfleet"
+	"github.com/fulmarrail/fulmarrail/internal/request/railverdict"
 )
 
 var (
 	errEventGap           = errors.New("the stream does not go on where it broke off")
+	errEndpointEnded      = errors.New("the response has no length, and its endpoint has ended")
 	errCallerDisconnected = errors.New("the caller has left")
 )
 
-// streamProgress is the state from which a broken stream can be resumed.
-type streamProgress struct {
-	lastEventID string
-	// tried holds the IDs of the instances at which an attempt to serve the stream failed.
-	tried map[string]bool
-}
-
 // stream relays a stream to the caller event by event. If the route allows it, a broken stream is resumed at another endpoint; else
 // the caller's connection is reset.
 func (g *Gateway) stream(c *call, a *attempt) {
@@ -52,39 +47,55 @@
 // relayStream relays a stream, resuming it at other endpoints where that is allowed. It returns nil once the complete stream has been
 // relayed.
 func (g *Gateway) relayStream(c *call, a *attempt, w *bufio.Writer) error {
-	p := &streamProgress{tried: map[string]bool{}}
+	lastEventID := ""
 	for {
-		err := g.relayEvents(c, a, w, p)
+		watch := g.watchSilence(c.workCtx, c, a, 0)
+		err := g.relayEvents(c, a, w, watch, &lastEventID)
 		if err == nil {
 			a.close(railfleet.Answered)
 			g.logResponse(c, a)
 			return nil
 		}
-		p.tried[a.lease.Instance.ID] = true
-		if c.workCtx.Err() == nil && errors.Is(err, railexchange.ErrTruncated) {
-			a.checkEngine(c)
-		}
-		a.close(leaseOutcome(c, err))
-		if c.workCtx.Err() != nil || !c.route.Resumable || p.lastEventID == "" || !errors.Is(err, railexchange.ErrTruncated) {
+		g.failStream(c, a, err)
+		if a, err = g.resume(c, watch, lastEventID, err); err != nil {
 			return err
 		}
-		g.Log.Info("stream is taken up elsewhere", "request", c.ID, "endpoint", a.lease.Instance.ID, "lastEvent", p.lastEventID, "parts", c.SharedParts, "err", err)
-		resumed, _, resumeErr := g.dispatch(c, p)
-		if resumeErr != nil {
-			return errors.CombineErrors(resumeErr, err)
+	}
+}
+
+// failStream closes the attempt of a stream that broke off.
+func (g *Gateway) failStream(c *call, a *attempt, err error) {
+	if a.ctx.Err() == nil && errors.Is(err, railexchange.ErrTruncated) {
+		a.checkEngine(c)
+	}
+	c.tries.fail(a.lease.Instance, railverdict.MayHaveRun)
+	a.close(leaseOutcome(c, err))
+}
+
+// resume returns the attempt at which a stream goes on that broke off with an error: the one that has taken over already, or a new one.
+func (g *Gateway) resume(c *call, watch *silenceWatch, lastEventID string, err error) (*attempt, error) {
+	next := watch.failed()
+	if next == nil {
+		if c.workCtx.Err() != nil || !c.route.Resumable || lastEventID == "" || !errors.Is(err, railexchange.ErrTruncated) {
+			return nil, err
 		}
-		if !resumed.isStream || !isNextEventID(p.lastEventID, resumed.firstEvent.ID) {
-			resumed.close(railfleet.Failed)
-			return errEventGap
+		found, resumeErr := g.dispatch(c.workCtx, c, lastEventID)
+		if resumeErr != nil {
+			return nil, errors.CombineErrors(resumeErr, err)
 		}
-		a = resumed
+		next = found
 	}
+	if !next.continues(lastEventID) {
+		next.close(railfleet.Failed)
+		return nil, errEventGap
+	}
+	g.Log.Info("stream is taken up elsewhere", "request", c.ID, "endpoint", next.lease.Instance.ID, "lastEvent", lastEventID, "parts", c.SharedParts, "err", err)
+	return next, nil
 }
 
-// relayEvents relays the events of one attempt. It returns nil at the end of a complete response.
-func (g *Gateway) relayEvents(c *call, a *attempt, w *bufio.Writer, p *streamProgress) error {
-	timer := time.AfterFunc(time.Until(c.deadline), a.cancel)
-	defer timer.Stop()
+// relayEvents relays the events of one attempt. It returns nil at the end of a complete response. lastEventID is set to the ID of the last
+// event that was relayed.
+func (g *Gateway) relayEvents(c *call, a *attempt, w *bufio.Writer, watch *silenceWatch, lastEventID *string) error {
 	begun := time.Now()
 	for e, lastEventAt := a.firstEvent, begun; ; {
 		if _, err := w.Write(e.Raw); err != nil {
@@ -94,27 +105,50 @@
 			return errors.Mark(errors.Wrap(err, "the caller has left"), errCallerDisconnected)
 		}
 		if e.ID != "" {
-			p.lastEventID = e.ID
+			*lastEventID = e.ID
 		}
-		if c.route.Resumable {
-			timer.Reset(min(streamIdleTimeout, time.Until(c.deadline)))
+		if c.route.Resumable && *lastEventID != "" {
+			watch.patience = streamIdleTimeout
 		}
 		var err error
-		e, err = a.events.Next()
+		e, err = a.nextEvent(c, watch, *lastEventID)
 		c.maxGap = max(c.maxGap, time.Since(lastEventAt))
 		lastEventAt = time.Now()
-		if err != nil && (!errors.Is(err, io.EOF) || a.endedWithEngine(c)) {
-			return errors.Mark(err, railexchange.ErrTruncated)
+		isEnd := errors.Is(err, io.EOF)
+		if err != nil && !isEnd {
+			return err
 		}
-		if err != nil || time.Since(begun) > successfulStreamTime {
+		if isEnd || time.Since(begun) > successfulStreamTime {
 			a.recordSuccess()
 		}
-		if err != nil {
+		if isEnd {
 			return nil
 		}
 	}
 }
 
+// nextEvent returns the next event, io.EOF at the end of a complete response, or an error if the response broke off or another attempt has taken
+// over. The time that the caller takes to read an event does not count as the endpoint's silence.
+func (a *attempt) nextEvent(c *call, watch *silenceWatch, lastEventID string) (railexchange.Event, error) {
+	watch.wait(lastEventID)
+	e, err := a.events.Next()
+	if errors.Is(err, io.EOF) && a.endedWithEngine(c) {
+		err = errEndpointEnded
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		return e, errors.Mark(a.markCause(c, err), railexchange.ErrTruncated)
+	}
+	if watch.wentOn() != nil {
+		return e, errors.Mark(errReplaced, railexchange.ErrTruncated)
+	}
+	return e, err
+}
+
+// continues reports whether an attempt goes on with the event that follows the one with the given ID.
+func (a *attempt) continues(lastEventID string) bool {
+	return a.isStream && isNextEventID(lastEventID, a.firstEvent.ID)
+}
+
 // isNextEventID reports whether next is the numeric event ID that directly follows last.
 func isNextEventID(last, next string) bool {
 	a, err := strconv.ParseInt(last, 10, 64)
--- a/internal/retry/railbudget/budget.go
+++ b/internal/retry/railbudget/budget.go
@@ -33,3 +33,10 @@
 	b.withdrawn++
 	return true
 }
+
+// Return gives back a retry that was withdrawn and not made.
+func (b *Budget) Return() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.withdrawn--
+}
