Send no further requests to an endpoint that is silent

Since responses are kept at silent endpoints, an endpoint that had fallen silent for good no longer counted as failed until its requests had ended elsewhere, so that request after request was sent there until the list showed it as gone. Now a search for another endpoint counts as a failure for the choice of endpoints, as the end of the attempt did before, while the request itself stays.

TestSilentEndpointGetsNoFurtherRequestsForAWhile states it; there was no such call before.

--- a/internal/membership/railfleet/fleet_test.go
+++ b/internal/membership/railfleet/fleet_test.go
@@ -276,6 +276,22 @@
 	})
 }
 
+// Guards against sending request after request to an endpoint that is silent, since those that it has are kept there.
+func TestSilentEndpointGetsNoFurtherRequestsForAWhile(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		f, req := newFleet(1, engine("1"))
+		l, ok := f.Reserve(req)
+		qt.Assert(t, ok, qt.IsTrue)
+		l.Silent()
+		_, ok = f.Reserve(req)
+		qt.Check(t, ok, qt.IsFalse)
+		time.Sleep(time.Second)
+		_, ok = f.Reserve(req)
+		qt.Check(t, ok, qt.IsTrue)
+		qt.Check(t, f.Snapshot()[0].InFlight, qt.Equals, 2)
+	})
+}
+
 func TestOwnZoneIsPreferredAtEqualLoad(t *testing.T) {
 	remote := engine("2")
 	remote.Zone, remote.Region = otherZone, otherZone
--- a/internal/membership/railfleet/lease.go
+++ b/internal/membership/railfleet/lease.go
@@ -82,6 +82,17 @@
 	}
 }
 
+// Silent records that the endpoint has not gone on with the request for longer than usual. The request stays there, but for some time
+// others are sent elsewhere, as after a failure.
+func (l *Lease) Silent() {
+	f := l.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !l.done {
+		l.endpoint.recordOutcome(Failed, time.Now())
+	}
+}
+
 func (l *Lease) markStarted() bool {
 	f := l.fleet
 	f.mu.Lock()
--- a/internal/node/railgateway/forward.go
+++ b/internal/node/railgateway/forward.go
@@ -242,7 +242,7 @@
 // watchSilence returns a watch that looks for an attempt to take over from another.
 func (g *Gateway) watchSilence(ctx context.Context, c *call, a *attempt, patience time.Duration) *silenceWatch {
 	return &silenceWatch{
-		ctx: ctx, patience: patience, giveUp: func() { a.cancel(errReplaced) },
+		ctx: ctx, patience: patience, silent: a.lease.Silent, giveUp: func() { a.cancel(errReplaced) },
 		search: func(ctx context.Context, lastEventID string) (*attempt, error) {
 			found, err := g.dispatch(ctx, c, lastEventID)
 			if err == nil && lastEventID != "" && !found.continues(lastEventID) {
--- a/internal/node/railgateway/standby.go
+++ b/internal/node/railgateway/standby.go
@@ -17,8 +17,8 @@
 	patience time.Duration
 	// search returns an attempt that goes on after the event with the given ID, or with a response of its own if it is empty.
 	search func(ctx context.Context, lastEventID string) (*attempt, error)
-	// giveUp ends the silent attempt.
-	giveUp func()
+	// silent is called when a search begins, and giveUp ends the silent attempt.
+	silent, giveUp func()
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -105,6 +105,7 @@
 	w.standby = s
 	lastEventID := w.lastEventID
 	w.mu.Unlock()
+	w.silent()
 	found, err := w.search(ctx, lastEventID)
 	if !w.finishSearch(s, found, err) && found != nil {
 		found.close(railfleet.Answered)
