Log and count how each request at a gateway has ended

What was missing: the logs told that a stream broke or that a request was refused, but not whether the caller had left, the deadline had passed, the process was about to stop or a response just failed. The hypotheses of the incident could not be told apart by them.

ending.go is the one place now that knows the ways in which a request that was received in full can end (answered, refused, unknown, broken, callerLeft) and the three events by which the entry ends its work (caller, deadline, stop). The lines of refusals and broken streams have both (ended, cause), and fulmarrail_gateway_request_ends_total counts all requests by them.

--- /dev/null
+++ b/internal/node/railgateway/attempt.go
@@ -0,0 +1,234 @@
+package railgateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/fulmarrail/fulmarrail/internal/config/railroute"
+	"github.com/fulmarrail/fulmarrail/internal/endpoint/railexchange"
+	"github.com/fulmarrail/fulmarrail/internal/limit/railquarantine"
+	"github.com/fulmarrail/fulmarrail/internal/membership/railfleet"
+	"github.com/fulmarrail/fulmarrail/internal/request/railheader"
+	"github.com/fulmarrail/fulmarrail/internal/request/railverdict"
+)
+
+const (
+	// streamIdleTimeout is the longest wait for a stream's next event before another endpoint is sought that can resume the stream.
+	streamIdleTimeout = 1300 * time.Millisecond
+	// plainTimeoutFactor is the multiple of the route's target latency that a response other than a stream may take before the
+	// request is sent to another endpoint too.
+	plainTimeoutFactor = 3
+)
+
+// attempt is one attempt to run a request at an endpoint.
+type attempt struct {
+	lease *railfleet.Lease
+	// pass is the permission to run a request with these parts of the prompt.
+	pass         *railquarantine.Pass
+	exchange     *railexchange.Exchange
+	responseInfo railheader.Response
+	// ctx is canceled with the reason for which the entry ends the attempt.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// sentAt is the time at which the request was sent.
+	sentAt     time.Time
+	events     *railexchange.Events
+	firstEvent railexchange.Event
+	isStream   bool
+	body       []byte
+}
+
+// close ends the attempt and releases its lease.
+func (a *attempt) close(outcome railfleet.Outcome) {
+	a.cancel(nil)
+	if a.exchange != nil {
+		a.exchange.Close()
+	}
+	a.pass.Release()
+	a.lease.Done(outcome)
+}
+
+// runAttempt makes one attempt, and others while its endpoint is silent. It returns the first that goes on.
+func (g *Gateway) runAttempt(parent context.Context, c *call, a *attempt, lastEventID string) (*attempt, error) {
+	ctx, cancel := context.WithCancelCause(parent)
+	a.ctx, a.cancel, a.sentAt = ctx, cancel, time.Now()
+	c.tries.begin(a.lease.Instance)
+	if !a.lease.StartBy.IsZero() {
+		expiry := time.AfterFunc(time.Until(a.lease.StartBy), func() { cancel(errWeightsExpired) })
+		defer expiry.Stop()
+	}
+	watch := g.watchSilence(parent, c, a, startPatience(c))
+	watch.wait(lastEventID)
+	verdict, err := g.exchange(c, a, lastEventID)
+	var successor *attempt
+	if err == nil {
+		successor = watch.wentOn()
+	}
+	if err == nil && successor == nil {
+		return a, nil
+	}
+	g.fail(c, a, verdict, err)
+	if successor == nil {
+		successor = watch.failed()
+	}
+	if successor != nil {
+		return successor, nil
+	}
+	return nil, err
+}
+
+// watchSilence returns a watch that looks for an attempt to take over from another.
+func (g *Gateway) watchSilence(ctx context.Context, c *call, a *attempt, patience time.Duration) *silenceWatch {
+	return &silenceWatch{
+		ctx: ctx, patience: patience, giveUp: func() { a.cancel(errReplaced) },
+		search: func(ctx context.Context, lastEventID string) (*attempt, error) {
+			found, err := g.dispatch(ctx, c, lastEventID)
+			if err == nil && lastEventID != "" && !found.continues(lastEventID) {
+				g.fail(c, found, railverdict.MayHaveRun, errEventGap)
+				err = errEventGap
+			}
+			g.Log.Info("silent endpoint", "request", c.ID, "endpoint", a.lease.Instance.ID, "lastEvent", lastEventID, "search", err, "after", time.Since(c.start))
+			return found, err
+		},
+	}
+}
+
+// exchange sends the request and reads the response: a stream up to its first event, any other in full. The verdict covers this attempt only.
+func (g *Gateway) exchange(c *call, a *attempt, lastEventID string) (railverdict.Verdict, error) {
+	req := g.newRequest(c, a.lease, lastEventID)
+	exchange, verdict, err := railexchange.Start(a.ctx, a.lease.Instance.Address, req)
+	fasthttp.ReleaseRequest(req)
+	a.exchange = exchange
+	if err != nil {
+		return verdict, a.markCause(c, err)
+	}
+	a.responseInfo = g.Translator.ParseResponse(&exchange.Header)
+	g.recordSelfReport(a)
+	verdict, err = g.readResponse(c, a)
+	return verdict, a.markCause(c, err)
+}
+
+// markCause marks the error of an attempt that the entry has canceled with the reason.
+func (a *attempt) markCause(c *call, err error) error {
+	if err != nil && a.ctx.Err() != nil && c.workCtx.Err() == nil {
+		return errors.Mark(err, context.Cause(a.ctx))
+	}
+	return err
+}
+
+// fail closes an attempt that is of no use, and records why.
+func (g *Gateway) fail(c *call, a *attempt, verdict railverdict.Verdict, err error) {
+	if err == nil {
+		err = errReplaced
+	}
+	if a.ctx.Err() == nil && verdict == railverdict.MayHaveRun && !isAnswer(err) {
+		a.checkEngine(c)
+	}
+	c.tries.fail(a.lease.Instance, verdict)
+	a.close(leaseOutcome(c, err))
+	g.logFailedAttempt(c, a.lease, verdict, err)
+}
+
+// isAnswer reports whether an attempt failed although the endpoint has answered.
+func isAnswer(err error) bool {
+	return errors.IsAny(err, errWrongResponse, errServerError, errRejected, errUnprovenRefusal, errEventGap)
+}
+
+// readResponse checks a response's headers, and reads a stream up to its first event and any other response completely.
+func (g *Gateway) readResponse(c *call, a *attempt) (railverdict.Verdict, error) {
+	if verdict, err := checkHeader(c, a); err != nil {
+		return verdict, err
+	}
+	if c.route.Kind == railroute.KindStreaming && a.exchange.Header.StatusCode() < fasthttp.StatusMultipleChoices {
+		return a.readFirstEvent()
+	}
+	body, err := a.exchange.ReadAll(maxResponseBytes, &g.responseMemory)
+	a.body = body
+	if err == nil && a.endedWithEngine(c) {
+		err = railexchange.ErrTruncated
+	}
+	if err != nil {
+		return railverdict.MayHaveRun, err
+	}
+	a.lease.Started()
+	a.recordSuccess()
+	return railverdict.Ran, nil
+}
+
+// checkHeader returns an error unless a response's header is that of an answer to the request which its caller may get.
+func checkHeader(c *call, a *attempt) (railverdict.Verdict, error) {
+	switch status := a.exchange.Header.StatusCode(); {
+	case a.responseInfo.RequestID != "" && a.responseInfo.RequestID != c.ID, a.responseInfo.ContentEncoded:
+		return railverdict.MayHaveRun, errWrongResponse
+	case a.responseInfo.NotRun:
+		if status == fasthttp.StatusMisdirectedRequest {
+			return railverdict.NotRun, errors.Mark(errRejected, errMisdirected)
+		}
+		return railverdict.NotRun, errRejected
+	case promisesNotRun(status):
+		return railverdict.MayHaveRun, errUnprovenRefusal
+	case status < fasthttp.StatusMultipleChoices && !a.responseInfo.Sealed:
+		return railverdict.MayHaveRun, errWrongResponse
+	case status >= fasthttp.StatusInternalServerError && c.route.Kind == railroute.KindSafe && c.route.MaxAttempts > 1 && c.tries.takeServerErrorRetry():
+		return railverdict.MayHaveRun, errServerError
+	}
+	return railverdict.Ran, nil
+}
+
+func (a *attempt) readFirstEvent() (railverdict.Verdict, error) {
+	a.isStream = true
+	a.events = railexchange.NewEvents(a.exchange)
+	var err error
+	if a.firstEvent, err = a.events.Next(); err != nil {
+		return railverdict.MayHaveRun, errors.Mark(err, railexchange.ErrTruncated)
+	}
+	a.lease.Started()
+	return railverdict.Ran, nil
+}
+
+// newRequest returns the request to send to a lease's endpoint. The caller must release it.
+func (g *Gateway) newRequest(c *call, lease *railfleet.Lease, lastEventID string) *fasthttp.Request {
+	req := fasthttp.AcquireRequest()
+	c.upstream.CopyTo(req)
+	params := railheader.Attempt{Instance: lease.Instance.ID, Customer: c.customer.Name, Timeout: time.Until(g.drainState.limit(c.deadline))}
+	if lease.Instance.WeightsVersion > 0 {
+		params.WeightsVersion = lease.Instance.WeightsVersion
+	}
+	params.LastEventID = lastEventID
+	g.Translator.WriteAttempt(&req.Header, params)
+	req.Header.SetConnectionClose()
+	return req
+}
+
+// startPatience returns the time for which a response may not start before another endpoint is sought, or 0 for no limit.
+func startPatience(c *call) time.Duration {
+	switch {
+	case !c.route.Idempotent() || c.route.MaxAttempts < 2:
+		return 0
+	case c.route.Kind == railroute.KindStreaming:
+		return max(streamIdleTimeout, 2*c.route.TargetLatency)
+	}
+	return plainTimeoutFactor * c.route.TargetLatency
+}
+
+// leaseOutcome returns the outcome to report for the endpoint of a failed attempt. Disconnected callers, expired weights and server
+// errors do not count as failures of the endpoint.
+func leaseOutcome(c *call, err error) railfleet.Outcome {
+	switch {
+	case errors.Is(err, errMisdirected):
+		return railfleet.Misdirected
+	case errors.Is(err, errRejected):
+		return railfleet.Rejected
+	case errors.IsAny(err, errServerError, errWeightsExpired, errNotNeeded), errors.Is(c.workCtx.Err(), context.Canceled):
+		return railfleet.Answered
+	}
+	return railfleet.Failed
+}
+
+func (g *Gateway) logFailedAttempt(c *call, lease *railfleet.Lease, verdict railverdict.Verdict, err error) {
+	g.Log.Info("attempt failed", "request", c.ID, "endpoint", lease.Instance.ID, "zone", lease.Instance.Zone,
+		"row", lease.Instance.RowVersion, "weights", lease.Instance.WeightsVersion, "startWithin", lease.StartWithin(), "verdict", verdict, "parts", c.SharedParts, "err", err, "after", time.Since(c.start))
+}
--- a/internal/node/railgateway/deployment_test.go
+++ b/internal/node/railgateway/deployment_test.go
@@ -271,6 +271,11 @@
 	if parts != "" {
 		req.Header.Set(promptHeader, parts)
 	}
+	return roundTrip(req)
+}
+
+// roundTrip sends a request and reads its response.
+func roundTrip(req *http.Request) response {
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		return response{err: err} // An aborted connection may lose the response's header too.
--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -21,7 +21,6 @@
 	"github.com/fulmarrail/fulmarrail/internal/node/railconn"
 	"github.com/fulmarrail/fulmarrail/internal/request/railheader"
 	"github.com/fulmarrail/fulmarrail/internal/request/railretrydetector"
-	"github.com/fulmarrail/fulmarrail/internal/request/railverdict"
 	"github.com/fulmarrail/fulmarrail/internal/routing/railadmitter"
 )
 
@@ -51,6 +50,8 @@
 	cancel  func(cause error)
 	// finished is set when the request has ended, and disconnected if its caller had disconnected before that.
 	finished, disconnected bool
+	// cause is why the request's work was ended, once it has ended.
+	cause endCause
 	// stopWatch stops watching the caller's connection for a disconnect.
 	stopWatch func()
 }
@@ -91,37 +92,6 @@
 	g.forward(c)
 }
 
-// begin sets the context in which the request runs and watches its caller's connection.
-func (c *call) begin(parent context.Context) {
-	ctx, cancel := context.WithCancelCause(parent)
-	workCtx, stop := context.WithDeadline(ctx, c.deadline)
-	c.workCtx, c.cancel = workCtx, func(cause error) {
-		cancel(cause)
-		stop()
-	}
-	c.stopWatch = func() {}
-	if c.conn != nil {
-		c.stopWatch = c.conn.Watch(func() { c.cancel(errCallerDisconnected) })
-	}
-}
-
-// callerDisconnected reports whether the caller disconnected before the request ended.
-func (c *call) callerDisconnected() bool {
-	if c.finished || c.workCtx == nil {
-		return c.disconnected
-	}
-	return errors.Is(context.Cause(c.workCtx), errCallerDisconnected)
-}
-
-// finish records the request's duration, releases its resources and removes it from the count in flight.
-func (g *Gateway) finish(c *call) {
-	metrics.GetOrCreateHistogram(fmt.Sprintf(`fulmarrail_gateway_request_seconds{service=%q}`, c.service)).UpdateDuration(c.start)
-	c.disconnected, c.finished = c.callerDisconnected(), true
-	c.cancel(nil)
-	c.stopWatch()
-	g.inFlight.Add(-1)
-}
-
 // admit sets a request's route, customer, service and deadline, and whether it is likely to be a retry. It returns a rejection if the
 // request can't be accepted.
 func (g *Gateway) admit(c *call) *rejection {
@@ -201,7 +171,7 @@
 		g.observe(c, false)
 	}
 	catalog, _ := g.Catalog()
-	g.Log.With(rejected.logAttrs...).Info("request refused", "request", c.ID, "route", c.route.Name, "customer", c.customer.Name, "status", rejected.status,
+	g.Log.With(rejected.logAttrs...).Info("request refused", "request", c.ID, "ended", g.recordEnd(c, endingOf(rejected.status)), "cause", c.endCause(), "route", c.route.Name, "customer", c.customer.Name, "status", rejected.status,
 		"reason", rejected.reason, "config", catalog.Version, "configAge", g.ConfigAge(), "listAge", g.EndpointListAge(), "deadline", c.Timeout, "later", c.likelyRetry,
 		"after", time.Since(c.start))
 }
@@ -228,23 +198,6 @@
 	return quarantined.Remaining
 }
 
-// rejectUnanswered responds to a request that no endpoint answered. The status depends on whether the request may have run.
-func (g *Gateway) rejectUnanswered(c *call, verdict railverdict.Verdict, err error) {
-	rejected := &rejection{status: fasthttp.StatusBadGateway, reason: "the endpoint did not answer"}
-	switch cause := context.Cause(c.workCtx); {
-	case verdict == railverdict.NotRun:
-		rejected = &rejection{
-			status: fasthttp.StatusServiceUnavailable, reason: "the request has not run: " + errors.UnwrapAll(err).Error(), logAttrs: rejectionAttrs(err),
-			retryAfter: cmp.Or(quarantineTime(err), pauseTime(c, err)), quarantined: quarantineTime(err) > 0,
-		}
-	case errors.Is(cause, errStopping):
-		rejected = &rejection{status: fasthttp.StatusGatewayTimeout, reason: "the entry stops, and the request may have run"}
-	case errors.Is(cause, context.DeadlineExceeded):
-		rejected = &rejection{status: fasthttp.StatusGatewayTimeout, reason: "the time is up, and the request may have run"}
-	}
-	g.reject(c, rejected)
-}
-
 // logResponse logs a complete response with the inputs of its routing decision: every late one, and a sample of the others.
 func (g *Gateway) logResponse(c *call, a *attempt) {
 	g.observe(c, a.exchange.Header.StatusCode() < fasthttp.StatusInternalServerError)
--- a/internal/node/railgateway/silence_test.go
+++ b/internal/node/railgateway/silence_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarrail/fulmarrail/internal/config/railcatalog"
+	"github.com/fulmarrail/fulmarrail/internal/config/railroute"
 )
 
 const (
@@ -155,11 +156,7 @@
 
 // withShortTarget sets a target latency after which another endpoint is sought soon.
 func withShortTarget(c railcatalog.Catalog) railcatalog.Catalog {
-	routes := c.Routes()
-	for i := range routes {
-		routes[i].TargetLatency = 300 * time.Millisecond
-	}
-	return c.WithRoutes(routes)
+	return c.WithRoutes(mapRoutes(c, func(r *railroute.Route) { r.TargetLatency = 300 * time.Millisecond }))
 }
 
 // Guards against a response of a safe request that is given up because its endpoint is slow, although no other endpoint can give one.
--- a/internal/node/railgateway/stream.go
+++ b/internal/node/railgateway/stream.go
@@ -29,17 +29,18 @@
 		defer g.finish(c)
 		err := g.relayStream(c, a, w)
 		if err == nil {
+			g.recordEnd(c, endAnswered)
 			countRequest(c, a.exchange.Header.StatusCode())
+			return
 		}
-		if err != nil {
-			if !errors.Is(err, errCallerDisconnected) {
-				g.observe(c, false)
-			}
-			metrics.GetOrCreateCounter(fmt.Sprintf(`fulmarrail_gateway_broken_streams_total{service=%q}`, c.service)).Inc()
-			g.Log.Info("stream broken", "request", c.ID, "customer", c.customer.Name, "err", err, "after", time.Since(c.start))
-			if c.conn != nil {
-				c.conn.Abort()
-			}
+		if errors.Is(err, errCallerDisconnected) {
+			c.cancel(errCallerDisconnected)
+		}
+		g.observe(c, false)
+		metrics.GetOrCreateCounter(fmt.Sprintf(`fulmarrail_gateway_broken_streams_total{service=%q}`, c.service)).Inc()
+		g.Log.Info("stream broken", "request", c.ID, "customer", c.customer.Name, "ended", g.recordEnd(c, endBroken), "cause", c.endCause(), "err", err, "after", time.Since(c.start))
+		if c.conn != nil {
+			c.conn.Abort()
 		}
 	})
 }
