Go on when a gateway has no descriptor for a new connection

What callers saw: nothing was reported. Found while looking for further ways in which a request can end unanswered: when the process had no descriptor left at the moment of a new connection, it ended at once, and all requests that it had read were cut.

Cause: the HTTP library ends its server at the first error of Accept that is no timeout, as it is when descriptors or memory are short. Run returned that error without a drain. The same held for the readiness check, and the internal server stopped for good.

Evidence: TestFailedListenerCutsNoRequest failed before in both cases ("the process ends while a request is in flight").

Why the fix works: railacceptor.Acceptor waits until there are descriptors again, and logs that once. If a listener fails for good, the gateway drains like after a SIGTERM before it returns the error.

--- a/internal/node/railgateway/drain_end_test.go
+++ b/internal/node/railgateway/drain_end_test.go
@@ -7,9 +7,12 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarrail/fulmarrail/internal/node/railgateway"
@@ -169,3 +172,46 @@
 		})
 	}
 }
+
+// brokenListener accepts one connection, and fails with err for ever after it.
+type brokenListener struct {
+	net.Listener
+	err      error
+	accepted atomic.Bool
+	broken   chan struct{}
+}
+
+func (l *brokenListener) Accept() (net.Conn, error) {
+	if !l.accepted.Swap(true) {
+		return l.Listener.Accept()
+	}
+	<-l.broken
+	return nil, l.err
+}
+
+// Guards against requests that are cut since the process can accept no further connection.
+func TestFailedListenerCutsNoRequest(t *testing.T) {
+	for name, err := range map[string]error{"no descriptors": syscall.EMFILE, "for good": errors.New("the listener is gone")} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			broken, release, started := make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
+			near := &endpoint{name: "near", handlers: sequence(respondInParts(started, release, respondNothing, respondOK))}
+			d := newDrainableDeployment(t, 5*time.Second, func(g *railgateway.Gateway) {
+				g.CallerListener = &processListener{Listener: &brokenListener{Listener: g.CallerListener, err: err, broken: broken}}
+			}, near)
+			responses := make(chan response, 1)
+			go func() { responses <- d.call(t, "/unsafe/x", validKey) }()
+			<-started
+			close(broken)
+			select {
+			case <-d.stopped:
+				t.Fatal("the process ends while a request is in flight")
+			case <-time.After(100 * time.Millisecond):
+			}
+			close(release)
+			got := <-responses
+			qt.Check(t, got.err, qt.IsNil)
+			qt.Check(t, got.body, qt.Equals, "done")
+		})
+	}
+}
--- a/internal/node/railgateway/gateway.go
+++ b/internal/node/railgateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/request/railretrydetector"
 	"github.com/fulmarrail/fulmarrail/internal/retry/railbudget"
 	"github.com/fulmarrail/fulmarrail/internal/routing/railadmitter"
+	"github.com/fulmarrail/fulmarrail/internal/wire/railacceptor"
 )
 
 const (
@@ -91,18 +92,19 @@
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, IdleTimeout: idleTimeout, Logger: discardLogger{},
 		DisablePreParseMultipartForm: true, ConnState: trackState,
 	}
-	listener := &railconn.Listener{Listener: g.CallerListener}
+	listener := &railconn.Listener{Listener: &railacceptor.Acceptor{Listener: g.CallerListener, Log: g.Log}}
 	ready := &fasthttp.Server{Handler: g.readiness, NoDefaultServerHeader: true, Logger: discardLogger{}}
 	failed := make(chan error, 2)
 	go func() { failed <- server.Serve(listener) }()
-	go func() { failed <- ready.Serve(g.ReadyListener) }()
+	go func() { failed <- ready.Serve(&railacceptor.Acceptor{Listener: g.ReadyListener, Log: g.Log}) }()
 	g.Log.Info("gateway started", "callers", g.CallerListener.Addr().String())
+	var err error
 	select {
-	case err := <-failed:
-		return errors.Wrap(err, "serve")
+	case err = <-failed:
+		g.Log.Error("no further connections are accepted; the entry stops", "err", err)
 	case <-ctx.Done():
 	}
-	return g.drain(listener, drainTimeout)
+	return errors.CombineErrors(errors.Wrap(err, "serve"), g.drain(listener, drainTimeout))
 }
 
 // trackState records on a caller's connection that the server turns to a request or has answered it.
