--- a/internal/node/railgateway/drain_end_test.go
+++ b/internal/node/railgateway/drain_end_test.go
@@ -204,8 +204,8 @@
 			<-started
 			close(broken)
 			select {
-			case <-d.stopped:
-				t.Fatal("the process ends while a request is in flight")
+			case err := <-d.stopped:
+				t.Fatalf("the process ends while a request is in flight: %v", err)
 			case <-time.After(100 * time.Millisecond):
 			}
 			close(release)
