--- a/internal/node/railgateway/drain_end_test.go
+++ b/internal/node/railgateway/drain_end_test.go
@@ -15,6 +15,8 @@
 	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 
+	"github.com/fulmarrail/fulmarrail/internal/config/railcatalog"
+	"github.com/fulmarrail/fulmarrail/internal/config/railroute"
 	"github.com/fulmarrail/fulmarrail/internal/node/railgateway"
 )
 
@@ -142,14 +144,17 @@
 		status   int
 	}{
 		"fits":                    {"1000", http.StatusOK},
-		"may end after the drain": {"5500", http.StatusOK},
-		"needs far more":          {"19000", http.StatusServiceUnavailable},
+		"may end after the drain": {"21000", http.StatusOK},
+		"needs far more":          {"60000", http.StatusServiceUnavailable},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			const drainTimeout = 4 * time.Second
+			const drainTimeout = 20 * time.Second
 			near := &endpoint{name: "near", handlers: sequence(respondOK)}
 			d, draining := newEndingDeployment(t, drainTimeout, near)
+			d.changeCatalog(func(c railcatalog.Catalog) railcatalog.Catalog {
+				return c.WithRoutes(mapRoutes(c, func(r *railroute.Route) { r.Timeout = time.Minute }))
+			})
 			d.stop()
 			<-draining
 			req, err := http.NewRequest(http.MethodPost, d.url+"/unsafe/x", nil)
