--- a/internal/standin/railplatform/platform.go
+++ b/internal/standin/railplatform/platform.go
@@ -87,6 +87,16 @@
 	p.responseLoss = probability
 }
 
+// Restore replaces the rows by a copy of what they were some time ago.
+func (p *Platform) Restore(age time.Duration) {
+	p.tables.Restore(age)
+}
+
+// Era returns the number of times that the table service was restored from an older copy.
+func (p *Platform) Era() int64 {
+	return p.tables.Era()
+}
+
 // Get returns a row's value and version.
 func (p *Platform) Get(ctx context.Context, key string) ([]byte, int64, error) {
 	if err := p.admitCall(ctx, false); err != nil {
