Keep rows that a returning store lacks or has in an older state

After an outage, or a restore from an older copy, callers were refused since nearly all engines were missing in the store: their rows had lapsed or were lost, and were back within two seconds. A copy also shows engines as ready that have left since, and zones as in service that were taken out.

A follower took each read of the store for the truth. Now it keeps, for two seconds after the store's return, rows that the store lacks, and takes a row of a restored copy that is in a state it has seen replaced for stale until the row is written again. The store's clock drops what it knew from before a restore.

--- a/internal/store/railreplica/change_age_test.go
+++ b/internal/store/railreplica/change_age_test.go
@@ -32,6 +32,8 @@
 	changedAt                   time.Time
 	maxChangeAge, actualAge     time.Duration
 	changesSeen                 int
+	// tablesRead is the number of reads of a whole table.
+	tablesRead int
 }
 
 // apply applies a change of the store's state, if any.
@@ -46,6 +48,7 @@
 func (s *distantStore) Table(ctx context.Context, table string) (railreplica.Page, error) {
 	s.mu.Lock()
 	unreachable, responseDelay := s.unreachable, s.responseDelay
+	s.tablesRead++
 	s.mu.Unlock()
 	if unreachable {
 		return railreplica.Page{}, errors.New("unreachable")
@@ -75,6 +78,13 @@
 	return page, err
 }
 
+// tableReads returns the number of reads of a whole table.
+func (s *distantStore) tableReads() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tablesRead
+}
+
 // change changes the followed table.
 func (s *distantStore) change(t *testing.T) {
 	s.apply(func(s *distantStore) { s.changedAt = time.Now() })
--- a/internal/store/railreplica/follower.go
+++ b/internal/store/railreplica/follower.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -14,14 +13,21 @@
 	"github.com/fulmarrail/fulmarrail/internal/core/railsignal"
 	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
 	"github.com/fulmarrail/fulmarrail/internal/store/railstoreclock"
+	"github.com/fulmarrail/fulmarrail/internal/store/railversion"
 )
 
 const (
 	minRetryInterval = 100 * time.Millisecond
-	maxRetryInterval = time.Second
+	// maxRetryInterval, with its randomization, lets a follower notice the store's return within a second.
+	maxRetryInterval = 650 * time.Millisecond
 	// pollJitter is the largest deviation of the delay between two requests from PollDelay, as a share of it. It spreads the requests of
 	// processes that have started together.
 	pollJitter = 0.2
+	// minLapseTime is the shortest outage of the store after which rows may be missing only since their writers could not renew them.
+	minLapseTime = 2 * time.Second
+	// ReturnGrace is the time after the store's return from an outage, or from a restore, within which living writers have written the rows
+	// again that it lacks.
+	ReturnGrace = 2 * time.Second
 )
 
 // ErrHistoryGone means that the store no longer has the changes since a version, so that the whole table has to be read again.
@@ -85,7 +91,7 @@
 	mu          sync.Mutex
 	confirmedAt time.Duration
 	loaded      bool
-	rows        map[string]Row
+	rows        rowSet
 	version     int64
 	// pageAt is the store's clock as of the last page.
 	pageAt time.Duration
@@ -137,7 +143,7 @@
 func (f *Follower) Rows() map[string]Row {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return maps.Clone(f.rows)
+	return f.rows.view()
 }
 
 // Age returns the time since the replica was last known to be current. It returns false before the first successful read.
@@ -168,24 +174,35 @@
 	if !f.isLoaded() {
 		return f.readAll(ctx, start)
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.Wait+f.Timeout)
+	wait := f.pollWait(start)
+	ctx, cancel := context.WithTimeout(ctx, wait+f.Timeout)
 	defer cancel()
-	page, err := f.Source.Changes(ctx, f.Table, f.Version(), f.Wait)
+	page, err := f.Source.Changes(ctx, f.Table, f.Version(), wait)
 	if errors.Is(err, ErrHistoryGone) {
-		f.Log.Info("change history no longer available; reading the whole table", "table", f.Table, "after", f.Version())
+		f.Log.Info("change history is not available; reading the whole table", "table", f.Table, "after", railversion.String(f.Version()))
 		return f.readAll(ctx, start)
 	}
 	if err != nil {
 		return err
 	}
 	confirmedAt := start
-	if len(page.Rows) == 0 {
-		confirmedAt += f.Wait // The store responds without rows only after the full wait.
+	if len(page.Rows) == 0 && f.Now()-start >= wait {
+		confirmedAt += wait // The store has waited for a change until then.
 	}
 	f.apply(page, confirmedAt, false)
 	return nil
 }
 
+// pollWait returns the long polling time of a request that is sent now. It ends when kept rows expire.
+func (f *Follower) pollWait(now time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if expiry, ok := f.rows.nextExpiry(now); ok {
+		return min(f.Wait, expiry)
+	}
+	return f.Wait
+}
+
 func (f *Follower) readAll(ctx context.Context, start time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, f.Timeout)
 	defer cancel()
@@ -200,22 +217,31 @@
 // apply applies a page that was current at the given time. A full page replaces the replica.
 func (f *Follower) apply(page Page, confirmedAt time.Duration, full bool) {
 	f.mu.Lock()
-	f.observe(page, confirmedAt)
+	now := f.Now()
+	restored := f.loaded && railversion.Era(page.Version) != railversion.Era(f.version)
+	f.observe(page, confirmedAt, restored)
+	if f.loaded && (restored || now-f.confirmedAt >= f.Wait+minLapseTime) {
+		f.rows.graceEnd = now + ReturnGrace
+	}
 	if full {
-		f.rows = map[string]Row{}
+		f.rows.replace(page.Rows, restored, now)
+		f.version = page.Version
 	}
 	for _, row := range page.Rows {
-		if row.Removed {
-			delete(f.rows, row.Key)
-			continue
+		if !full {
+			f.rows.change(row, now)
 		}
-		f.rows[row.Key] = row
 	}
 	f.version = max(f.version, page.Version)
 	f.loaded = true
-	rows := maps.Clone(f.rows)
+	changed := f.rows.expire(now) || full || len(page.Rows) > 0
+	rows := f.rows.view()
+	kept := len(f.rows.kept)
 	f.mu.Unlock()
-	if full || len(page.Rows) > 0 {
+	if restored {
+		f.Log.Warn("store was restored from an older copy", "table", f.Table, "version", railversion.String(page.Version), "kept", kept)
+	}
+	if changed {
 		f.OnChange(rows)
 	}
 	f.mu.Lock()
@@ -224,8 +250,9 @@
 }
 
 // observe updates the store's clock and the longest time for which the changes in a page may have been in the store: they were made
-// after the last page, and after any page of another follower whose version is lower.
-func (f *Follower) observe(page Page, confirmedAt time.Duration) {
+// after the last page, and after any page of another follower whose version is lower. The clock of a store that was restored since the last
+// page may have been set back.
+func (f *Follower) observe(page Page, confirmedAt time.Duration, restored bool) {
 	if f.Clock == nil {
 		f.Clock = &railstoreclock.Clock{Local: f.Now}
 	}
@@ -237,7 +264,10 @@
 	}
 	changedAfter := max(f.pageAt, f.Clock.WrittenAfter(oldestChange))
 	f.Clock.Observe(page.Version, page.Now, confirmedAt)
-	if f.loaded {
+	switch {
+	case restored:
+		f.maxChangeAge = f.Now() - f.confirmedAt
+	case f.loaded:
 		f.maxChangeAge = max(f.Clock.Now()-changedAfter, 0)
 	}
 	f.pageAt = page.Now
@@ -264,7 +294,7 @@
 func (f *Follower) logRecovery() {
 	if f.storeLost {
 		f.storeLost = false
-		f.Log.Info("store regained", "table", f.Table, "version", f.Version())
+		f.Log.Info("store regained", "table", f.Table, "version", railversion.String(f.Version()))
 		if f.Recovered != nil {
 			f.Recovered.Notify()
 		}
--- a/internal/store/railreplica/follower_test.go
+++ b/internal/store/railreplica/follower_test.go
@@ -24,6 +24,8 @@
 	hang    bool
 	// historyGone makes the next call of Changes return ErrHistoryGone.
 	historyGone bool
+	// early makes Changes return at once although there is no change.
+	early bool
 }
 
 func (s *fakeSource) Table(context.Context, string) (railreplica.Page, error) {
@@ -34,7 +36,7 @@
 
 func (s *fakeSource) Changes(ctx context.Context, _ string, _ int64, wait time.Duration) (railreplica.Page, error) {
 	page, hang, err := s.next()
-	if err != nil || len(page.Rows) > 0 {
+	if err != nil || len(page.Rows) > 0 || s.isEarly() {
 		return page, err
 	}
 	if hang {
@@ -65,6 +67,12 @@
 	return page, s.hang, nil
 }
 
+func (s *fakeSource) isEarly() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.early
+}
+
 // update changes the source's responses.
 func (s *fakeSource) update(change func(*fakeSource)) {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/store/railreplica/rowset.go
@@ -0,0 +1,157 @@
+package railreplica
+
+import (
+	"bytes"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/fulmarrail/fulmarrail/internal/store/railversion"
+)
+
+const (
+	// replacedTTL is the time for which replaced states of rows are remembered. It is longer than the age of the copies from which a store
+	// is restored.
+	replacedTTL = time.Minute
+	// maxReplaced is the number of replaced states that are remembered for a row.
+	maxReplaced = 32
+)
+
+// rowSet holds a table's rows as the store has them, and what is known better than the store has it after an outage or a restore. Its
+// times are times since boot.
+type rowSet struct {
+	rows map[string]Row
+	// kept holds the rows whose state in the store is missing or older than what was read before.
+	kept map[string]keptRow
+	// replaced holds the states of each row that later ones have replaced, oldest first.
+	replaced map[string][]replacedRow
+	// graceEnd is the time until which rows that the store lacks are kept.
+	graceEnd time.Duration
+}
+
+// keptRow is a row that holds in place of the store's until a time. If it is removed, the store's row is hidden.
+type keptRow struct {
+	Row
+	until time.Duration
+}
+
+// replacedRow is a state of a row, and the time at which a later one was read.
+type replacedRow struct {
+	Row
+	at time.Duration
+}
+
+// view returns the rows by key.
+func (s *rowSet) view() map[string]Row {
+	view := make(map[string]Row, len(s.rows)+len(s.kept))
+	maps.Copy(view, s.rows)
+	for key, kept := range s.kept {
+		if kept.Removed {
+			delete(view, key)
+		} else {
+			view[key] = kept.Row
+		}
+	}
+	return view
+}
+
+// get returns a row, or false if there is none.
+func (s *rowSet) get(key string) (Row, bool) {
+	if kept, ok := s.kept[key]; ok {
+		return kept.Row, !kept.Removed
+	}
+	row, ok := s.rows[key]
+	return row, ok
+}
+
+// replace applies a read of the whole table. If the store was restored from a copy since the last read, rows in a state that a later one has
+// replaced are stale.
+func (s *rowSet) replace(rows []Row, restored bool, now time.Duration) {
+	known, next := s.view(), ByKey(rows)
+	maps.DeleteFunc(s.kept, func(key string, _ keptRow) bool { return !sameState(s.rows[key], next[key]) })
+	if s.kept == nil {
+		s.kept = map[string]keptRow{}
+	}
+	for key, row := range known {
+		if _, ok := next[key]; !ok && now < s.graceEnd {
+			s.kept[key] = keptRow{Row: row, until: s.graceEnd}
+		}
+	}
+	if restored {
+		s.keepNewerStates(known, next, now)
+	}
+	for key, row := range s.rows {
+		if _, kept := s.kept[key]; !kept && !sameState(row, next[key]) {
+			s.rememberReplaced(row, now)
+		}
+	}
+	s.rows = next
+}
+
+// keepNewerStates keeps the known states of the rows that a restored copy has in a state which they have replaced.
+func (s *rowSet) keepNewerStates(known, copied map[string]Row, now time.Duration) {
+	for key, row := range copied {
+		current, ok := known[key]
+		if !ok {
+			current = Row{Key: key, Removed: true}
+		}
+		if !bytes.Equal(current.Value, row.Value) && s.wasReplaced(row) {
+			s.kept[key] = keptRow{Row: current, until: now + replacedTTL}
+		}
+	}
+}
+
+// change applies a change of a row. Until graceEnd, a row that is removed is kept.
+func (s *rowSet) change(row Row, now time.Duration) {
+	current, known := s.get(row.Key)
+	if known {
+		s.rememberReplaced(current, now)
+	}
+	delete(s.kept, row.Key)
+	if !row.Removed {
+		s.rows[row.Key] = row
+		return
+	}
+	delete(s.rows, row.Key)
+	if known && now < s.graceEnd {
+		s.kept[row.Key] = keptRow{Row: current, until: s.graceEnd}
+	}
+}
+
+// expire drops the kept rows whose time is over, and reports whether there were any. It also forgets old replaced states.
+func (s *rowSet) expire(now time.Duration) bool {
+	n := len(s.kept)
+	maps.DeleteFunc(s.kept, func(_ string, kept keptRow) bool { return now >= kept.until })
+	maps.DeleteFunc(s.replaced, func(_ string, states []replacedRow) bool { return now-states[len(states)-1].at > replacedTTL })
+	return len(s.kept) < n
+}
+
+// nextExpiry returns the time until the next kept row expires, or false if none is kept.
+func (s *rowSet) nextExpiry(now time.Duration) (time.Duration, bool) {
+	first, found := time.Duration(0), false
+	for _, kept := range s.kept {
+		if !found || kept.until < first {
+			first, found = kept.until, true
+		}
+	}
+	return max(first-now, 0), found
+}
+
+func (s *rowSet) rememberReplaced(row Row, now time.Duration) {
+	if s.replaced == nil {
+		s.replaced = map[string][]replacedRow{}
+	}
+	states := append(s.replaced[row.Key], replacedRow{Row: row, at: now})
+	s.replaced[row.Key] = slices.Clone(states[max(len(states)-maxReplaced, 0):])
+}
+
+// sameState reports whether two reads of a row show the same state. Restores don't count.
+func sameState(a, b Row) bool {
+	return railversion.Number(a.Version) == railversion.Number(b.Version) && bytes.Equal(a.Value, b.Value)
+}
+
+// wasReplaced reports whether a row of a restored copy is in a state that was read before and replaced by a later one. The copy's rows have
+// the numbers that they had before.
+func (s *rowSet) wasReplaced(row Row) bool {
+	return slices.ContainsFunc(s.replaced[row.Key], func(r replacedRow) bool { return sameState(r.Row, row) })
+}
--- a/internal/store/railstoreclock/clock.go
+++ b/internal/store/railstoreclock/clock.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/fulmarrail/fulmarrail/internal/store/railversion"
 )
 
 const (
@@ -70,8 +72,8 @@
 	return at
 }
 
-// addObservation adds an observation unless a later response is known already, which may have overtaken it. If the store's clock has
-// been set back, all earlier observations are dropped.
+// addObservation adds an observation unless a later response is known already, which may have overtaken it. If the store was restored or
+// its clock has been set back, all earlier observations are dropped, since they don't tell when rows were written.
 func (c *Clock) addObservation(o observation) {
 	n := len(c.observations)
 	if n == 0 {
@@ -80,7 +82,7 @@
 	}
 	newest := &c.observations[n-1]
 	switch {
-	case o.version > newest.version && o.at < newest.at:
+	case railversion.Era(o.version) > railversion.Era(newest.version), o.version > newest.version && o.at < newest.at:
 		c.observations = append(c.observations[:0], o)
 	case o.version < newest.version || o.at < newest.at:
 	case o.version == newest.version:
--- a/internal/store/railstoreclock/clock_test.go
+++ b/internal/store/railstoreclock/clock_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarrail/fulmarrail/internal/store/railstoreclock"
+	"github.com/fulmarrail/fulmarrail/internal/store/railversion"
 )
 
 const second = time.Second
@@ -35,6 +36,18 @@
 	qt.Check(t, c.WrittenAfter(21), qt.Equals, second)
 }
 
+// Guards against taking a row of a restored copy for written after the store's responses from before the restore.
+func TestRestoredRowHasNoKnownTime(t *testing.T) {
+	c, setLocal := newClock()
+	c.Observe(railversion.New(1, 50), second, time.Hour)
+	setLocal(time.Hour + 3*second)
+	c.Observe(railversion.New(2, 40), 4*second, time.Hour+3*second)
+	qt.Check(t, c.WrittenAfter(railversion.New(2, 30)), qt.Equals, time.Duration(0), qt.Commentf("a row of the copy"))
+	qt.Check(t, c.WrittenAfter(railversion.New(2, 45)), qt.Equals, 4*second)
+	c.Observe(railversion.New(1, 51), 5*second, time.Hour+3*second)
+	qt.Check(t, c.WrittenAfter(railversion.New(2, 45)), qt.Equals, 4*second, qt.Commentf("a response from before the restore comes late"))
+}
+
 // An estimate that is too low would give too low an age.
 func TestNowIsNeverTooLow(t *testing.T) {
 	const local, offset = time.Hour, 7 * second // The store's clock shows the local time less an hour plus the offset.
--- a/internal/store/railversion/version.go
+++ b/internal/store/railversion/version.go
@@ -1,5 +1,7 @@
 package railversion
 
+import "strconv"
+
 const (
 	// numberBits is the number of bits of a version that hold the store's number.
 	numberBits = 40
@@ -20,3 +22,12 @@
 func Number(version int64) int64 {
 	return version & numberMask
 }
+
+// String returns a version for logs: the store's number, preceded by the era and a colon if the store has one.
+func String(version int64) string {
+	number := strconv.FormatInt(Number(version), 10)
+	if Era(version) == 0 {
+		return number
+	}
+	return strconv.FormatInt(Era(version), 10) + ":" + number
+}
