Take zones and weights from a catalog with an older configuration

While a store that was restored from a copy still held an older configuration, a zone that was taken out of service stayed in service, and a version of weights was not fetched: the whole catalog was rejected for its older configuration, also what the operators had changed since. Now only routes, services and customers of the newer configuration stay. TestOlderConfigurationStillBringsZonesAndWeights failed before.

--- a/internal/config/railactiveconfig/config.go
+++ b/internal/config/railactiveconfig/config.go
@@ -55,13 +55,16 @@
 	guessed bool
 }
 
-// Set puts a catalog in force unless it is older than the present one, and reports whether it did.
+// Set puts a catalog in force and reports whether it did so as a whole. Of a catalog with an older configuration than the present one, which
+// a store may hold for a while after it was restored from a copy, only the zones out of service and the wanted versions are taken.
 func (c *Config) Set(catalog railcatalog.Catalog) bool {
 	changeAge := c.maxChangeAge()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.known && catalog.Version < c.catalog.Version {
 		c.Log.Warn("ignoring older configuration", "version", catalog.Version, "inForce", c.catalog.Version)
+		c.catalog = c.catalog.WithZonesOut(catalog.ZonesOut()).WithWantedVersions(catalog.WantedVersions())
+		c.recordNewVersions(c.catalog, changeAge)
 		return false
 	}
 	if catalog.Version != c.catalog.Version {
--- a/internal/config/railactiveconfig/config_test.go
+++ b/internal/config/railactiveconfig/config_test.go
@@ -44,6 +44,21 @@
 	qt.Check(t, got.Version, qt.Equals, int64(7))
 }
 
+// Guards against changes of zones and weights that are ignored while a store that was restored from a copy still holds an older configuration.
+func TestOlderConfigurationStillBringsZonesAndWeights(t *testing.T) {
+	c := newConfig()
+	c.Set(catalog(7, 1))
+	c.Set(catalog(6, 2).WithZonesOut([]string{"z"}))
+	got, _ := c.Get()
+	qt.Check(t, got.Version, qt.Equals, int64(7))
+	qt.Check(t, got.ZoneOut("z"), qt.IsTrue)
+	qt.Check(t, c.WantedVersions("m"), qt.HasLen, 2)
+	c.Set(catalog(6, 1))
+	got, _ = c.Get()
+	qt.Check(t, got.ZoneOut("z"), qt.IsFalse)
+	qt.Check(t, c.WantedVersions("m"), qt.HasLen, 2, qt.Commentf("a version that was wanted stays known"))
+}
+
 func TestEachWantedVersionHasItsOwnDeadline(t *testing.T) {
 	railvirtualtime.Test(t, func(t *testing.T) {
 		c := newConfig()
