Write rows of this deployment again after the store was restored

What a gateway had written to the store in the seconds before a restore was gone and was not written again: entries that had started shortly before were not found by the others, so that all took too large a share of each endpoint, and nobody knew any more when a version of weights had become wanted.

--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -47,6 +47,9 @@
 	// keyTrustFraction is the maximum age of a configuration that may accept customers' keys, as a fraction of the setting revocation.
 	keyTrustFraction  = 0.8
 	publishRetryDelay = time.Second
+	// rewriteSpread is the time over which the entries spread their writes after a restore of the store. It is less than the time for which
+	// followers keep rows that are missing.
+	rewriteSpread = railreplica.ReturnGrace / 4
 )
 
 // NewCmdGateway returns the command "gateway".
--- a/internal/command/railgatewaycmd/parts.go
+++ b/internal/command/railgatewaycmd/parts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 
 	"github.com/fulmarrail/fulmarrail/internal/command/railsiteprocess"
@@ -12,6 +13,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/node/railrelay"
 	"github.com/fulmarrail/fulmarrail/internal/report/railentryreport"
 	"github.com/fulmarrail/fulmarrail/internal/store/railtable"
+	"github.com/fulmarrail/fulmarrail/internal/store/railversion"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildatagram"
 )
 
@@ -45,24 +47,36 @@
 	return r
 }
 
-// publishEntryRow writes this entry's row to the store, so that other processes can find it. It retries until it succeeds or ctx is
-// done.
+// publishEntryRow writes this entry's row to the store, so that other processes can find it, and again after each restore of the store. It
+// returns once ctx is done.
 func (g *gateway) publishEntryRow(ctx context.Context) {
 	row, err := g.EntryRow()
 	if err != nil {
 		g.Log.Error("failed to encode this entry's row; other processes can't find this entry", "err", err)
 		return
 	}
+	for {
+		version, ok := g.writeEntryRow(ctx, row)
+		if !ok || !g.Store.AwaitRestore(ctx, railversion.Era(version)) {
+			return
+		}
+		g.Log.Info("store was restored; writing this entry's row again", "era", g.Store.Era())
+		railtimer.Sleep(ctx, rand.N(rewriteSpread))
+	}
+}
+
+// writeEntryRow writes this entry's row and returns its version. It retries until it succeeds, or returns false if ctx is done first.
+func (g *gateway) writeEntryRow(ctx context.Context, row []byte) (int64, bool) {
 	for {
 		requestCtx, cancel := context.WithTimeout(ctx, g.Site.Process.CallTimeout)
-		_, err := g.Store.Change(requestCtx, railtable.Put(railsiteprocess.TableEntries, g.Site.Process.Name, row))
+		version, err := g.Store.Change(requestCtx, railtable.Put(railsiteprocess.TableEntries, g.Site.Process.Name, row))
 		cancel()
 		if err == nil {
-			return
+			return version, true
 		}
 		g.Log.Warn("failed to write this entry's row; retrying", "err", err)
 		if !railtimer.Sleep(ctx, publishRetryDelay) {
-			return
+			return 0, false
 		}
 	}
 }
--- a/internal/command/railsiteprocess/wanted_versions.go
+++ b/internal/command/railsiteprocess/wanted_versions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"time"
@@ -24,6 +25,8 @@
 	readTimeout         = 300 * time.Millisecond
 	// settleDelay is the time within which the processes that know a version have recorded what they know of it.
 	settleDelay = time.Second
+	// maxCopyAge is the age up to which a copy from which the store is restored may lack a record.
+	maxCopyAge = time.Minute
 	// recordTolerance is the difference between two times of a version up to which the recorded one is kept.
 	recordTolerance = 20 * time.Millisecond
 )
@@ -60,18 +63,33 @@
 }
 
 // ShareWantedVersion exchanges with the other processes, through the store, when a version of weights became wanted. It retries until
-// that succeeds, and a process that has only guessed looks for a record until the rollout time is over. It returns early if ctx is
-// done.
+// that succeeds, and a process that has only guessed looks for a record until the rollout time is over. If the store is restored while a
+// copy may lack the record, it does so again. It returns early if ctx is done.
 func (p *Process) ShareWantedVersion(ctx context.Context, model string, version int64, age time.Duration, guessed bool) {
-	own := wantedVersion{model: model, version: version, wantedAt: p.StoreClock.Now() - age, guessed: guessed}
+	ctx, cancel := context.WithTimeout(ctx, max(p.Site.Bounds.RolloutTime, maxCopyAge))
+	defer cancel()
+	wantedSince := p.Clock.Now() - age
+	for era := p.Store.Era(); ; era = p.Store.Era() {
+		p.shareWantedVersion(ctx, wantedVersion{model: model, version: version, guessed: guessed}, wantedSince)
+		if !p.Store.AwaitRestore(ctx, era) {
+			return
+		}
+		railtimer.Sleep(ctx, rand.N(settleDelay)) // Spreads the writes of all processes.
+	}
+}
+
+// shareWantedVersion exchanges what this process knows, or guesses, of a version until all agree. wantedSince is a time since boot.
+func (p *Process) shareWantedVersion(ctx context.Context, own wantedVersion, wantedSince time.Duration) {
 	retry := newRetryBackoff()
 	for settled := false; ; {
+		age := p.Clock.Now() - wantedSince
+		own.wantedAt = p.StoreClock.Now() - age
 		recorded, err := p.exchangeWantedVersion(ctx, own)
 		switch {
 		case errors.Is(err, railtable.ErrConflict): // Another process has just written the row.
 		case err != nil:
 			p.Log.Warn("failed to share when a version of weights became wanted; retrying", "row", tableWantedVersions+"/"+own.key(), "err", err)
-		case settled && !recorded.guessed, p.StoreClock.Now()-own.wantedAt > p.Site.Bounds.RolloutTime:
+		case settled && !recorded.guessed, age > p.Site.Bounds.RolloutTime:
 			return
 		}
 		delay := settleDelay
--- a/internal/command/railsiteprocess/wanted_versions_test.go
+++ b/internal/command/railsiteprocess/wanted_versions_test.go
@@ -22,10 +22,16 @@
 
 // startTestStore serves a stand-in of the platform's store and returns its address.
 func startTestStore(t *testing.T) string {
+	t.Helper()
+	return serveTestStore(t, &railplatform.Platform{})
+}
+
+// serveTestStore serves a stand-in of the platform's store and returns its address.
+func serveTestStore(t *testing.T, standin *railplatform.Platform) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	server := &fasthttp.Server{Handler: (&railplatform.Platform{}).Handle}
+	server := &fasthttp.Server{Handler: standin.Handle}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = listener.Close() })
 	return listener.Addr().String()
@@ -103,6 +109,33 @@
 	}
 }
 
+// Guards against a process that starts after the store was restored from a copy without the records, and guesses a time that others know.
+func TestRecordIsWrittenAgainAfterRestore(t *testing.T) {
+	const known = 20 * time.Minute
+	standin := &railplatform.Platform{}
+	store := serveTestStore(t, standin)
+	p := newTestProcess(t, store)
+	p.Config.RecordWantedVersion(testModel, 2, known, false)
+	go p.ShareWantedVersion(t.Context(), testModel, 2, known, false)
+	awaitRecord := func() {
+		t.Helper()
+		for {
+			row, err := p.Store.Row(t.Context(), tableWantedVersions, testModel+"/2")
+			qt.Assert(t, err, qt.IsNil)
+			if row.Version > 0 {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	awaitRecord()
+	standin.Restore(time.Hour)
+	awaitRecord()
+	started := newTestProcess(t, store)
+	started.RestoreWantedVersions()
+	started.checkAge(t, known)
+}
+
 // Guards against two processes that only guess and settle for the lower guess.
 func TestOlderGuessHoldsUntilRequestTimeIsKnown(t *testing.T) {
 	const low, high, known = 5 * time.Minute, 20 * time.Minute, 10 * time.Minute
