--- a/internal/store/railreplica/rowset.go
+++ b/internal/store/railreplica/rowset.go
@@ -141,8 +141,11 @@
 	if s.replaced == nil {
 		s.replaced = map[string][]replacedRow{}
 	}
-	states := append(s.replaced[row.Key], replacedRow{Row: row, at: now})
-	s.replaced[row.Key] = slices.Clone(states[max(len(states)-maxReplaced, 0):])
+	states := s.replaced[row.Key]
+	if len(states) == maxReplaced {
+		states = slices.Delete(states, 0, 1)
+	}
+	s.replaced[row.Key] = append(states, replacedRow{Row: row, at: now})
 }
 
 // sameState reports whether two reads of a row show the same state. Restores don't count.
