--- a/internal/command/railsiteprocess/wanted_versions_test.go
+++ b/internal/command/railsiteprocess/wanted_versions_test.go
@@ -116,21 +116,20 @@
 	store := serveTestStore(t, standin)
 	p := newTestProcess(t, store)
 	p.Config.RecordWantedVersion(testModel, 2, known, false)
+	_, readsBefore := standin.CallCounts()
 	go p.ShareWantedVersion(t.Context(), testModel, 2, known, false)
-	awaitRecord := func() {
-		t.Helper()
-		for {
-			row, err := p.Store.Row(t.Context(), tableWantedVersions, testModel+"/2")
-			qt.Assert(t, err, qt.IsNil)
-			if row.Version > 0 {
-				return
-			}
-			time.Sleep(10 * time.Millisecond)
-		}
+	for reads := readsBefore; reads < readsBefore+2; _, reads = standin.CallCounts() { // The process reads the record once more after it has written it.
+		time.Sleep(10 * time.Millisecond)
 	}
-	awaitRecord()
 	standin.Restore(time.Hour)
-	awaitRecord()
+	for {
+		row, err := p.Store.Row(t.Context(), tableWantedVersions, testModel+"/2")
+		qt.Assert(t, err, qt.IsNil)
+		if row.Version > 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
 	started := newTestProcess(t, store)
 	started.RestoreWantedVersions()
 	started.checkAge(t, known)
