Abandon requests from before an outage once the store is back

For up to two seconds after the store's return an entry refused all requests that need a key ("the store is out of reach"), though it read other tables again: its request for the configuration was from before the outage or the restore, and its response never came, so that it waited for the whole long poll and the timeout.

A follower that finds the store back, or restored, now wakes also those that wait for a response, and the client's long poll ends with its context.

--- a/internal/store/railreplica/follower.go
+++ b/internal/store/railreplica/follower.go
@@ -30,6 +30,9 @@
 	ReturnGrace = 2 * time.Second
 )
 
+// errInterrupted means that another follower has found the store back, so that a response to the present request may never come.
+var errInterrupted = errors.New("the request was abandoned since the store is back")
+
 // ErrHistoryGone means that the store no longer has the changes since a version, so that the whole table has to be read again.
 var ErrHistoryGone = errors.New("the store no longer has the requested change history")
 
@@ -62,7 +65,7 @@
 	// Table returns a consistent snapshot of all rows of a table.
 	Table(ctx context.Context, table string) (Page, error)
 	// Changes returns the rows changed after a version. If there are none, it waits for the next change, for at most the given
-	// time. It returns ErrHistoryGone if the store no longer has these changes.
+	// time. It returns ErrHistoryGone if the store does not have these changes, and the error of ctx as soon as that is done.
 	Changes(ctx context.Context, table string, after int64, wait time.Duration) (Page, error)
 }
 
@@ -81,8 +84,8 @@
 	// Clock relates the store's versions and clock to the local clock. Followers of the same store may share it. If it is nil, the
 	// follower has one of its own.
 	Clock *railstoreclock.Clock
-	// Recovered is notified when the store responds again after an outage, so that all followers that share it retry immediately.
-	// It may be nil.
+	// Recovered is notified when the store responds again after an outage or was restored, so that all followers that share it send a request
+	// immediately, also those that wait for the response to another one. It may be nil.
 	Recovered *railsignal.Signal
 	// OnChange is called with all rows after the table has been read for the first time and after each change.
 	OnChange func(rows map[string]Row)
@@ -106,7 +109,11 @@
 	retry.Reset()
 	for ctx.Err() == nil {
 		recovered := f.recoverySignal()
-		if err := f.poll(ctx); err != nil {
+		err := f.interruptiblePoll(ctx, recovered)
+		if errors.Is(err, errInterrupted) {
+			continue
+		}
+		if err != nil {
 			f.logLoss(ctx, err)
 			f.waitForRetry(ctx, recovered, retry.NextBackOff())
 			continue
@@ -134,6 +141,30 @@
 	}
 }
 
+// interruptiblePoll is like poll, but returns errInterrupted if the store responds to another follower again before it responds to this one.
+func (f *Follower) interruptiblePoll(ctx context.Context, recovered <-chan struct{}) error {
+	pollCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	interrupted := make(chan struct{})
+	go func() {
+		select {
+		case <-recovered:
+			close(interrupted)
+			cancel()
+		case <-pollCtx.Done():
+		}
+	}()
+	err := f.poll(pollCtx)
+	select {
+	case <-interrupted:
+		if err != nil {
+			return errInterrupted
+		}
+	default:
+	}
+	return err
+}
+
 // Refresh updates the replica once and returns the error, if any. It works without Run.
 func (f *Follower) Refresh(ctx context.Context) error {
 	return f.poll(ctx)
@@ -240,6 +271,7 @@
 	f.mu.Unlock()
 	if restored {
 		f.Log.Warn("store was restored from an older copy", "table", f.Table, "version", railversion.String(page.Version), "kept", kept)
+		f.notifyRecovery()
 	}
 	if changed {
 		f.OnChange(rows)
@@ -295,8 +327,12 @@
 	if f.storeLost {
 		f.storeLost = false
 		f.Log.Info("store regained", "table", f.Table, "version", railversion.String(f.Version()))
-		if f.Recovered != nil {
-			f.Recovered.Notify()
-		}
+		f.notifyRecovery()
+	}
+}
+
+func (f *Follower) notifyRecovery() {
+	if f.Recovered != nil {
+		f.Recovered.Notify()
 	}
 }
--- a/internal/store/railreplica/follower_test.go
+++ b/internal/store/railreplica/follower_test.go
@@ -173,3 +173,26 @@
 		qt.Check(t, known, qt.IsTrue)
 	})
 }
+
+// Guards against a follower that waits for the response to a request from before an outage, which never comes, while others read the store
+// again: the configuration was too old for keys, and callers were refused, for up to two seconds after the store's return.
+func TestFollowerAbandonsRequestWhenStoreRespondsToAnother(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		var recovered railsignal.Signal
+		s := &fakeSource{table: railreplica.Page{Version: 1}}
+		var r rowsRecorder
+		f := startFollower(t, s, r.store, &recovered)
+		time.Sleep(1500 * time.Millisecond)
+		s.update(func(s *fakeSource) { s.hang = true })
+		time.Sleep(time.Second) // The follower waits for a response that does not come.
+		s.update(func(s *fakeSource) {
+			s.hang = false
+			s.changes = []railreplica.Page{{Rows: []railreplica.Row{row("a", 10)}, Version: 10}}
+		})
+		recovered.Notify()
+		time.Sleep(time.Millisecond)
+		qt.Check(t, r.load(), qt.HasLen, 1)
+		age, _ := f.Age()
+		qt.Check(t, age <= time.Millisecond, qt.IsTrue, qt.Commentf("age %s", age))
+	})
+}
