Keep the known entries while the store lists none

A carrier that reads the store itself, since no entry answers, forgot all entries if the store had just been restored from a copy without their rows, and then read its configuration from the store at each turn. TestClientKeepsEntriesThatTheStoreLacks failed before.

--- a/internal/config/railconfigclient/client.go
+++ b/internal/config/railconfigclient/client.go
@@ -221,7 +221,9 @@
 	}
 	c.mu.Lock()
 	knownBefore := len(c.entries)
-	c.entries = entries
+	if len(entries) > 0 { // A store that was restored from an older copy may lack them for a moment.
+		c.entries = entries
+	}
 	c.mu.Unlock()
 	if knownBefore == 0 && len(entries) > 0 {
 		return true
--- a/internal/config/railconfigclient/client_test.go
+++ b/internal/config/railconfigclient/client_test.go
@@ -47,6 +47,8 @@
 	storedCatalog railcatalog.Catalog
 	storeReads    int
 	storeDown     bool
+	// entriesLost is set if the store was restored from a copy without the entries' rows.
+	entriesLost bool
 	config        *railactiveconfig.Config
 	client        *railconfigclient.Client
 }
@@ -167,6 +169,9 @@
 	if c.storeDown {
 		return nil, errors.New("store is unavailable")
 	}
+	if c.entriesLost {
+		return nil, nil
+	}
 	return c.members(), nil
 }
 
