Don't take the delay between two polls for an outage of the store

Callers saw (in the test): requests still went to an endpoint up to one poll and two seconds after the list had shown that it had left, with a store that had been in reach all the while.

Cause: a follower keeps rows that vanish for two seconds if the replica was last confirmed two seconds ago or more. The list of endpoints is read every 0.4 of the setting drain, give or take a fifth; from a drain of 4.2 s on that is two seconds by itself, so that each read looked like the end of an outage. With a drain of 5 s, an endpoint that left could get requests 2.4 + 2 + 2.4 s later.

An outage now needs more than an old confirmation: a request that failed or was abandoned since, or a response that took that long itself.

--- a/internal/store/railreplica/follower.go
+++ b/internal/store/railreplica/follower.go
@@ -23,8 +23,6 @@
 	// pollJitter is the largest deviation of the delay between two requests from PollDelay, as a share of it. It spreads the requests of
 	// processes that have started together.
 	pollJitter = 0.2
-	// minLapseTime is the shortest outage of the store after which rows may be missing only since their writers could not renew them.
-	minLapseTime = 2 * time.Second
 	// ReturnGrace is the time after the store's return from an outage, or from a restore, within which living writers have written the rows
 	// again that it lacks.
 	ReturnGrace = 2 * time.Second
@@ -100,7 +98,9 @@
 	pageAt time.Duration
 	// maxChangeAge is the longest time for which the changes in the last page may have been in the store.
 	maxChangeAge time.Duration
-	storeLost    bool
+	// unanswered is set if a request has failed or was abandoned since the last response.
+	unanswered bool
+	storeLost  bool
 }
 
 // Run keeps the replica up to date until ctx is done.
@@ -110,6 +110,9 @@
 	for ctx.Err() == nil {
 		recovered := f.recoverySignal()
 		err := f.interruptiblePoll(ctx, recovered)
+		if err != nil {
+			f.setUnanswered()
+		}
 		if errors.Is(err, errInterrupted) {
 			continue
 		}
@@ -251,9 +254,10 @@
 	now := f.Now()
 	restored := f.loaded && railversion.Era(page.Version) != railversion.Era(f.version)
 	f.observe(page, confirmedAt, restored)
-	if f.loaded && (restored || now-f.confirmedAt >= f.Wait+minLapseTime) {
+	if restored || f.endsOutage(confirmedAt, now) {
 		f.rows.graceEnd = now + ReturnGrace
 	}
+	f.unanswered = false
 	if full {
 		f.rows.replace(page.Rows, restored, now)
 		f.version = page.Version
--- /dev/null
+++ b/internal/store/railreplica/grace_test.go
@@ -0,0 +1,47 @@
+package railreplica_test
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmarrail/fulmarrail/internal/lab/railvirtualtime"
+	"github.com/fulmarrail/fulmarrail/internal/store/railreplica"
+)
+
+// readTime is enough for a read of a store that responds at once.
+const readTime = 10 * time.Millisecond
+
+// replicateEvery is like replicate, with a delay between two requests.
+func (s *distantStore) replicateEvery(t *testing.T, pollDelay time.Duration) func() map[string]railreplica.Row {
+	t.Helper()
+	start := time.Now()
+	var r rowsRecorder
+	f := &railreplica.Follower{
+		Source: s, Table: "t", PollDelay: pollDelay, Timeout: time.Second, Now: func() time.Duration { return time.Since(start) },
+		OnChange: r.store, Log: slog.New(slog.DiscardHandler),
+	}
+	go f.Run(t.Context())
+	return r.load
+}
+
+// Guards against sending to an endpoint that has left, since the replica takes the delay between two of its own requests for an outage.
+func TestReplicaDropsRemovedRowOfReachableStore(t *testing.T) {
+	for _, pollDelay := range []time.Duration{200 * time.Millisecond, 800 * time.Millisecond, 2 * time.Second, 4 * time.Second} {
+		t.Run(pollDelay.String(), func(t *testing.T) {
+			railvirtualtime.Test(t, func(t *testing.T) {
+				s := &distantStore{}
+				rows := s.replicateEvery(t, pollDelay)
+				for range 10 {
+					s.write(t, "leaving", "1")
+					time.Sleep(2 * pollDelay)
+					s.write(t, "leaving", "")
+					time.Sleep(pollDelay + pollDelay/5 + readTime)
+					qt.Check(t, rows(), qt.HasLen, 0)
+				}
+			})
+		})
+	}
+}
