Read the store when kept rows expire, not up to a poll later

Callers saw (in the test): after an outage, requests still went to an endpoint that had left up to 0.96 s beyond the two seconds for which its row is kept.

Cause: kept rows are dropped when a response is applied. Long polls end when the first kept row expires, but the list of endpoints is read without waiting, 0.64 to 0.96 s apart. With up to a second until the return is noticed, a row could hold until 3.94 s after it, when a machine whose own way to the store had been away has been in touch again since 3 s, so that an engine that has left meanwhile may get requests against DRAIN.

The delay between two polls now ends with the first kept row, as the long poll does.

--- a/internal/store/railreplica/follower.go
+++ b/internal/store/railreplica/follower.go
@@ -123,7 +123,7 @@
 		}
 		retry.Reset()
 		f.logRecovery()
-		railtimer.Sleep(ctx, railtimer.Scale(1+pollJitter*(2*rand.Float64()-1), f.PollDelay))
+		railtimer.Sleep(ctx, f.untilExpiry(railtimer.Scale(1+pollJitter*(2*rand.Float64()-1), f.PollDelay)))
 	}
 }
 
@@ -208,7 +208,7 @@
 	if !f.isLoaded() {
 		return f.readAll(ctx, start)
 	}
-	wait := f.pollWait(start)
+	wait := f.untilExpiry(f.Wait)
 	ctx, cancel := context.WithTimeout(ctx, wait+f.Timeout)
 	defer cancel()
 	page, err := f.Source.Changes(ctx, f.Table, f.Version(), wait)
@@ -227,16 +227,6 @@
 	return nil
 }
 
-// pollWait returns the long polling time of a request that is sent now. It ends when kept rows expire.
-func (f *Follower) pollWait(now time.Duration) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if expiry, ok := f.rows.nextExpiry(now); ok {
-		return min(f.Wait, expiry)
-	}
-	return f.Wait
-}
-
 func (f *Follower) readAll(ctx context.Context, start time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, f.Timeout)
 	defer cancel()
--- a/internal/store/railreplica/grace_test.go
+++ b/internal/store/railreplica/grace_test.go
@@ -11,8 +11,12 @@
 	"github.com/fulmarrail/fulmarrail/internal/store/railreplica"
 )
 
-// readTime is enough for a read of a store that responds at once.
-const readTime = 10 * time.Millisecond
+const (
+	// noticeTime is the longest time after which a follower notices that the store is back.
+	noticeTime = time.Second
+	// readTime is enough for a read of a store that responds at once.
+	readTime = 10 * time.Millisecond
+)
 
 // replicateEvery is like replicate, with a delay between two requests.
 func (s *distantStore) replicateEvery(t *testing.T, pollDelay time.Duration) func() map[string]railreplica.Row {
@@ -45,3 +49,24 @@
 		})
 	}
 }
+
+// Guards against sending to an endpoint that has left for longer than the grace after an outage, since the replica drops the row only with its
+// next request after that.
+func TestReplicaDropsLapsedRowWhenGraceEnds(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		s := &distantStore{}
+		rows := s.replicateEvery(t, 800*time.Millisecond)
+		for range 10 {
+			s.write(t, "gone", "1")
+			time.Sleep(2 * time.Second)
+			s.apply(func(s *distantStore) { s.unreachable = true })
+			time.Sleep(2 * outage)
+			s.write(t, "gone", "")
+			s.apply(func(s *distantStore) { s.unreachable = false })
+			time.Sleep(noticeTime)
+			qt.Check(t, rows(), qt.HasLen, 1)
+			time.Sleep(railreplica.ReturnGrace + readTime)
+			qt.Check(t, rows(), qt.HasLen, 0)
+		}
+	})
+}
--- a/internal/store/railreplica/outage.go
+++ b/internal/store/railreplica/outage.go
@@ -18,3 +18,13 @@
 	defer f.mu.Unlock()
 	f.unanswered = true
 }
+
+// untilExpiry returns a time for which the follower may wait, but at most the time until kept rows expire.
+func (f *Follower) untilExpiry(wait time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if expiry, ok := f.rows.nextExpiry(f.Now()); ok {
+		return min(wait, expiry)
+	}
+	return wait
+}
