Keep lapsed rows through a second outage shortly after the first

Callers saw (in the test): an endpoint whose row had lapsed in an outage was gone with the first response after the next one, although it could not have written its row again before.

Cause: a kept row holds until a time that is set at the first return. An outage that begins within the grace lets it pass; the next return gives a new grace to rows that vanish from then on, but not to those that are missing already.

Each return now extends the time of the rows that were still kept at the last response before it.

--- a/internal/store/railreplica/follower.go
+++ b/internal/store/railreplica/follower.go
@@ -245,7 +245,7 @@
 	restored := f.loaded && railversion.Era(page.Version) != railversion.Era(f.version)
 	f.observe(page, confirmedAt, restored)
 	if restored || f.endsOutage(confirmedAt, now) {
-		f.rows.graceEnd = now + ReturnGrace
+		f.rows.startGrace(f.confirmedAt, now+ReturnGrace)
 	}
 	f.unanswered = false
 	if full {
--- a/internal/store/railreplica/grace_test.go
+++ b/internal/store/railreplica/grace_test.go
@@ -70,3 +70,26 @@
 		}
 	})
 }
+
+// Guards against refusing nearly all requests after two outages shortly after each other: the rows that have lapsed in the first one can't be
+// written again in the second one.
+func TestReplicaKeepsLapsedRowThroughNextOutage(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		s := &distantStore{}
+		rows := s.replicateEvery(t, 800*time.Millisecond)
+		s.write(t, "back", "1")
+		time.Sleep(2 * time.Second)
+		for i := range 2 {
+			s.apply(func(s *distantStore) { s.unreachable = true })
+			time.Sleep(2 * outage)
+			if i == 0 {
+				s.write(t, "back", "")
+			}
+			s.apply(func(s *distantStore) { s.unreachable = false })
+			time.Sleep(noticeTime)
+			qt.Check(t, rows(), qt.HasLen, 1)
+		}
+		time.Sleep(railreplica.ReturnGrace + readTime)
+		qt.Check(t, rows(), qt.HasLen, 0)
+	})
+}
--- a/internal/store/railreplica/rowset.go
+++ b/internal/store/railreplica/rowset.go
@@ -64,6 +64,17 @@
 	return row, ok
 }
 
+// startGrace starts the time within which rows that the store lacks are kept. It extends that of rows that were still kept when the store was
+// last known to respond: their writers could not write them since.
+func (s *rowSet) startGrace(lastResponse, end time.Duration) {
+	s.graceEnd = end
+	for key, kept := range s.kept {
+		if _, listed := s.rows[key]; !listed && lastResponse < kept.until {
+			s.kept[key] = keptRow{Row: kept.Row, until: max(kept.until, end)}
+		}
+	}
+}
+
 // replace applies a read of the whole table. If the store was restored from a copy since the last read, rows in a state that a later one has
 // replaced are stale.
 func (s *rowSet) replace(rows []Row, restored bool, now time.Duration) {
