Accept a store that counts its eras from any number

Callers saw (in the test): with a header Store-Era of 8,388,608 or more, for example a time in seconds, each poll for changes ended as if the store had been restored, and the whole table was read in its place, without pause; an entry would have written its row again twice a second or more, since the era of its write never was the store's.

Cause: a version has 23 bits for the era. What did not fit was cut off in versions, but not in the era that they were compared with.

Evidence: TestStoreMayCountErasFromAnyNumber fails before this change for 2^23, 1,765,000,000 and 1,765,000,000,000.

--- a/internal/store/railversion/version.go
+++ b/internal/store/railversion/version.go
@@ -6,6 +6,8 @@
 	// numberBits is the number of bits of a version that hold the store's number.
 	numberBits = 40
 	numberMask = 1<<numberBits - 1
+	// eraMask covers the remaining bits but for the sign.
+	eraMask = 1<<(63-numberBits) - 1
 )
 
 // New returns the version for a number that the store gave out in an era.
@@ -13,6 +15,11 @@
 	return era<<numberBits | number&numberMask
 }
 
+// WrapEra returns the era of a store that counts its restores from any number: that count, modulo the number of eras that a version can hold.
+func WrapEra(count int64) int64 {
+	return count & eraMask
+}
+
 // Era returns the era of a version.
 func Era(version int64) int64 {
 	return version >> numberBits
