Write the learned time of a wanted version again after a restore

Callers saw (in the test): a process that starts after the store was restored from a copy without the records takes a version of weights for 5 minutes old, although another process had learned from a record that it is 20 minutes old. It would go on beginning answers on the older weights.

Cause: the writing again repeats what the process knew or guessed when it first saw the version, not what it has learned since. If the process that knew better is gone, its knowledge is gone with the store's copy.

Evidence: TestLearnedRequestTimeIsWrittenAgainAfterRestore fails before this change with 5m1s instead of 20m0s.

After a restore the process now writes what its configuration holds of the version.

--- a/internal/command/railsiteprocess/wanted_versions.go
+++ b/internal/command/railsiteprocess/wanted_versions.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railschedule"
 	"github.com/fulmarrail/fulmarrail/internal/store/railreplica"
 	"github.com/fulmarrail/fulmarrail/internal/store/railtable"
 )
@@ -68,13 +70,17 @@
 func (p *Process) ShareWantedVersion(ctx context.Context, model string, version int64, age time.Duration, guessed bool) {
 	ctx, cancel := context.WithTimeout(ctx, max(p.Site.Bounds.RolloutTime, maxCopyAge))
 	defer cancel()
-	wantedSince := p.Clock.Now() - age
+	own := railschedule.WantedVersion{Version: version, Age: age, Guessed: guessed}
 	for era := p.Store.Era(); ; era = p.Store.Era() {
-		p.shareWantedVersion(ctx, wantedVersion{model: model, version: version, guessed: guessed}, wantedSince)
+		p.shareWantedVersion(ctx, wantedVersion{model: model, version: version, guessed: own.Guessed}, p.Clock.Now()-own.Age)
 		if !p.Store.AwaitRestore(ctx, era) {
 			return
 		}
 		railtimer.Sleep(ctx, rand.N(settleDelay)) // Spreads the writes of all processes.
+		list := p.Config.WantedVersions(model)
+		if i := slices.IndexFunc(list, func(w railschedule.WantedVersion) bool { return w.Version == version }); i >= 0 {
+			own = list[i] // This process may have learned more from the record.
+		}
 	}
 }
 
--- a/internal/command/railsiteprocess/wanted_versions_test.go
+++ b/internal/command/railsiteprocess/wanted_versions_test.go
@@ -135,6 +135,35 @@
 	started.checkAge(t, known)
 }
 
+// Guards against a process that has learned from a record when a version was requested, and writes its own poorer idea of it after the store was
+// restored from a copy without the record.
+func TestLearnedRequestTimeIsWrittenAgainAfterRestore(t *testing.T) {
+	const known, guess = 20 * time.Minute, 5 * time.Minute
+	standin := &railplatform.Platform{}
+	store := serveTestStore(t, standin)
+	share(t, store, known, false) // This process is gone when the store is restored.
+	p := newTestProcess(t, store)
+	p.Config.RecordWantedVersion(testModel, 2, guess, true)
+	_, readsBefore := standin.CallCounts()
+	go p.ShareWantedVersion(t.Context(), testModel, 2, guess, true)
+	for reads := readsBefore; reads < readsBefore+2; _, reads = standin.CallCounts() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	p.checkAge(t, known)
+	standin.Restore(time.Hour)
+	for {
+		row, err := p.Store.Row(t.Context(), tableWantedVersions, testModel+"/2")
+		qt.Assert(t, err, qt.IsNil)
+		if row.Version > 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	started := newTestProcess(t, store)
+	started.RestoreWantedVersions()
+	started.checkAge(t, known)
+}
+
 // Guards against two processes that only guess and settle for the lower guess.
 func TestOlderGuessHoldsUntilRequestTimeIsKnown(t *testing.T) {
 	const low, high, known = 5 * time.Minute, 20 * time.Minute, 10 * time.Minute
