Don't take a copy with older rows for the current configuration

Callers saw (in the test): the age of the configuration went to zero with the first read of a restored store, although that read had shown an older row than was known. A key whose revocation was acknowledged right before the outage, and not read yet, would be accepted until the operator has written again, however long that takes.

Cause: a read of a restored store confirmed the replica as any read does. But if the store lacks what this process has read from it, it may also lack what this process has not read.

Evidence: TestCopyWithOlderStateConfirmsNothing fails before this change: age 0s in place of 2s.

As long as the store has a row in an older state than is known, reads confirm nothing, for two seconds at most; keyed requests are refused meanwhile once the configuration is too old for them. Rows that are merely missing don't count: they also lapse in an outage without a restore.

--- a/internal/store/railreplica/follower.go
+++ b/internal/store/railreplica/follower.go
@@ -271,7 +271,9 @@
 		f.OnChange(rows)
 	}
 	f.mu.Lock()
-	f.confirmedAt = max(f.confirmedAt, confirmedAt)
+	if !f.rows.awaitsNewerStates(now) {
+		f.confirmedAt = max(f.confirmedAt, confirmedAt)
+	}
 	f.mu.Unlock()
 }
 
--- a/internal/store/railreplica/grace_test.go
+++ b/internal/store/railreplica/grace_test.go
@@ -93,3 +93,43 @@
 		qt.Check(t, rows(), qt.HasLen, 0)
 	})
 }
+
+// Guards against accepting a customer's key that was revoked shortly before an outage: a copy with older rows than are known does not show that
+// nothing newer was written.
+func TestCopyWithOlderStateConfirmsNothing(t *testing.T) {
+	for name, c := range map[string]struct{ writtenAgain bool }{
+		"state is written again":     {writtenAgain: true},
+		"state is not written again": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			railvirtualtime.Test(t, func(t *testing.T) {
+				s := &distantStore{}
+				start := time.Now()
+				f := &railreplica.Follower{
+					Source: s, Table: "t", Timeout: time.Second, Now: func() time.Duration { return time.Since(start) },
+					OnChange: func(map[string]railreplica.Row) {}, Log: slog.New(slog.DiscardHandler),
+				}
+				s.write(t, "config", "1")
+				time.Sleep(copyAge)
+				qt.Assert(t, f.Refresh(t.Context()), qt.IsNil)
+				s.write(t, "config", "2")
+				qt.Assert(t, f.Refresh(t.Context()), qt.IsNil)
+				s.restore(copyAge / 2)
+				before, _ := f.Age()
+				qt.Assert(t, f.Refresh(t.Context()), qt.IsNil)
+				age, _ := f.Age()
+				qt.Check(t, age, qt.Equals, before)
+				if c.writtenAgain {
+					s.write(t, "config", "3")
+					qt.Assert(t, f.Refresh(t.Context()), qt.IsNil)
+					age, _ = f.Age()
+					qt.Check(t, age, qt.Equals, time.Duration(0))
+				}
+				time.Sleep(railreplica.ReturnGrace)
+				qt.Assert(t, f.Refresh(t.Context()), qt.IsNil)
+				age, _ = f.Age()
+				qt.Check(t, age, qt.Equals, time.Duration(0))
+			})
+		})
+	}
+}
--- a/internal/store/railreplica/rowset.go
+++ b/internal/store/railreplica/rowset.go
@@ -112,6 +112,20 @@
 	}
 }
 
+// awaitsNewerStates reports whether the store has a row in an older state than is known and its writers may not have had the time to write
+// again what it lacks, so that it may lack more than that.
+func (s *rowSet) awaitsNewerStates(now time.Duration) bool {
+	if now >= s.graceEnd {
+		return false
+	}
+	for key := range s.kept {
+		if _, listed := s.rows[key]; listed {
+			return true
+		}
+	}
+	return false
+}
+
 // change applies a change of a row. Until graceEnd, a row that is removed is kept.
 func (s *rowSet) change(row Row, now time.Duration) {
 	current, known := s.get(row.Key)
