--- a/internal/config/railconfigclient/client_test.go
+++ b/internal/config/railconfigclient/client_test.go
@@ -49,8 +49,8 @@
 	storeDown     bool
 	// entriesLost is set if the store was restored from a copy without the entries' rows.
 	entriesLost bool
-	config        *railactiveconfig.Config
-	client        *railconfigclient.Client
+	config      *railactiveconfig.Config
+	client      *railconfigclient.Client
 }
 
 func newTestCluster(t *testing.T, zones ...string) *testCluster {
