Log the versions of rows as the store counts them

Cause: a version holds the era above the store's number, and only the lines of package railreplica's follower were changed to show both.

All lines now show era:number, and the number alone for a store without eras.

--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/routing/railhash"
 	"github.com/fulmarrail/fulmarrail/internal/store/railstoreclock"
+	"github.com/fulmarrail/fulmarrail/internal/store/railversion"
 )
 
 const (
@@ -100,7 +101,7 @@
 		e := f.endpoints[i.ID]
 		if e == nil || e.Address != i.Address || e.StartMillis != i.StartMillis {
 			e = &endpoint{slowdown: 1}
-			f.Log.Info("endpoint appears", "endpoint", i.ID, "address", i.Address, "service", i.Service, "zone", i.Zone, "weights", i.WeightsVersion, "row", i.RowVersion)
+			f.Log.Info("endpoint appears", "endpoint", i.ID, "address", i.Address, "service", i.Service, "zone", i.Zone, "weights", i.WeightsVersion, "row", railversion.String(i.RowVersion))
 		}
 		e.update(i)
 		e.report = f.listedReport(i)
--- a/internal/membership/railfleet/selfreports.go
+++ b/internal/membership/railfleet/selfreports.go
@@ -8,6 +8,7 @@
 
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railselfreport"
+	"github.com/fulmarrail/fulmarrail/internal/store/railversion"
 )
 
 // reportTTL is the time for which an endpoint's report is kept after the endpoint has left the list, since it may be listed again.
@@ -95,7 +96,7 @@
 	})
 	if previous.ReturnedBy(writtenAfter) {
 		returnReports.Inc()
-		f.Log.Info("endpoint is back after it had left", "endpoint", i.ID, "source", "list", "row", i.RowVersion, "age", previous.LeavingAge(time.Now()))
+		f.Log.Info("endpoint is back after it had left", "endpoint", i.ID, "source", "list", "row", railversion.String(i.RowVersion), "age", previous.LeavingAge(time.Now()))
 	}
 }
 
@@ -131,7 +132,7 @@
 		return
 	}
 	leavingReports.Inc()
-	f.Log.Info("endpoint leaves", "endpoint", l.Instance.ID, "source", "response", "row", l.Instance.RowVersion, "age", time.Duration(0))
+	f.Log.Info("endpoint leaves", "endpoint", l.Instance.ID, "source", "response", "row", railversion.String(l.Instance.RowVersion), "age", time.Duration(0))
 	f.OnChange()
 }
 
@@ -143,7 +144,7 @@
 		return
 	}
 	pauseReports.Inc()
-	f.Log.Info("endpoint asks for no requests", "endpoint", l.Instance.ID, "source", "response", "row", l.Instance.RowVersion, "age", time.Duration(0), "for", d)
+	f.Log.Info("endpoint asks for no requests", "endpoint", l.Instance.ID, "source", "response", "row", railversion.String(l.Instance.RowVersion), "age", time.Duration(0), "for", d)
 	f.OnChange()
 }
 
--- a/internal/node/railgateway/forward.go
+++ b/internal/node/railgateway/forward.go
@@ -14,6 +14,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/request/railheader"
 	"github.com/fulmarrail/fulmarrail/internal/request/railverdict"
 	"github.com/fulmarrail/fulmarrail/internal/routing/raildeadline"
+	"github.com/fulmarrail/fulmarrail/internal/store/railversion"
 )
 
 const (
@@ -335,5 +336,5 @@
 		return
 	}
 	g.Log.Info("attempt failed", "request", c.ID, "endpoint", lease.Instance.ID, "zone", lease.Instance.Zone,
-		"row", lease.Instance.RowVersion, "weights", lease.Instance.WeightsVersion, "startWithin", lease.StartWithin(), "verdict", verdict, "parts", c.SharedParts, "err", err, "after", time.Since(c.start))
+		"row", railversion.String(lease.Instance.RowVersion), "weights", lease.Instance.WeightsVersion, "startWithin", lease.StartWithin(), "verdict", verdict, "parts", c.SharedParts, "err", err, "after", time.Since(c.start))
 }
--- a/internal/store/railreplica/fault.go
+++ b/internal/store/railreplica/fault.go
@@ -3,6 +3,8 @@
 import (
 	"log/slog"
 	"sync"
+
+	"github.com/fulmarrail/fulmarrail/internal/store/railversion"
 )
 
 // Fault is a row that can't be decoded, with the reason.
@@ -29,7 +31,7 @@
 		row := fault.Table + "/" + fault.Key
 		current[row] = fault.Version
 		if f.logged[row] != fault.Version {
-			f.Log.Warn("row can't be read, it is left out", "row", row, "version", fault.Version, "err", fault.Err)
+			f.Log.Warn("row can't be read, it is left out", "row", row, "version", railversion.String(fault.Version), "err", fault.Err)
 		}
 	}
 	f.logged = current
--- a/internal/store/railversion/version_test.go
+++ b/internal/store/railversion/version_test.go
@@ -16,3 +16,14 @@
 	qt.Check(t, railversion.Number(after), qt.Equals, int64(1))
 	qt.Check(t, railversion.New(0, 77), qt.Equals, int64(77))
 }
+
+// Guards against log lines whose versions can't be compared with the store's own numbers.
+func TestLoggedVersionShowsEraAndNumber(t *testing.T) {
+	for want, version := range map[string]int64{
+		"27":   railversion.New(0, 27),
+		"2:27": railversion.New(2, 27),
+		"0":    0,
+	} {
+		qt.Check(t, railversion.String(version), qt.Equals, want)
+	}
+}
