Restore the stand-in platform of own deployments from an older copy

PUT /knob/restore with a duration does the same over HTTP. The weights' origin is not part of the store and keeps its objects.

--- a/internal/standin/railplatform/http.go
+++ b/internal/standin/railplatform/http.go
@@ -43,6 +43,12 @@
 		p.SetDown(value == "yes")
 	case name == "storeDown":
 		p.SetStoreDown(value == "yes")
+	case name == "restore":
+		var age time.Duration
+		age, err = time.ParseDuration(value)
+		if err == nil {
+			p.Restore(age)
+		}
 	case name == "slow":
 		var delay time.Duration
 		delay, err = time.ParseDuration(value)
--- a/internal/standin/railplatform/platform.go
+++ b/internal/standin/railplatform/platform.go
@@ -40,6 +40,10 @@
 	mu      sync.Mutex
 	random  *rand.Rand
 	objects map[string][]byte
+	// objectHistory holds the objects that were replaced or added by Write, oldest first.
+	objectHistory []replacedObject
+	// appliedListChanges holds the changes of the VM list that are visible, with the times at which they became so, oldest first.
+	appliedListChanges []listChange
 	// pendingListChanges holds the changes of the VM list that are not visible yet, oldest first.
 	pendingListChanges []listChange
 	storeDown          bool
@@ -87,16 +91,6 @@
 	p.responseLoss = probability
 }
 
-// Restore replaces the rows by a copy of what they were some time ago.
-func (p *Platform) Restore(age time.Duration) {
-	p.tables.Restore(age)
-}
-
-// Era returns the number of times that the table service was restored from an older copy.
-func (p *Platform) Era() int64 {
-	return p.tables.Era()
-}
-
 // Get returns a row's value and version.
 func (p *Platform) Get(ctx context.Context, key string) ([]byte, int64, error) {
 	if err := p.admitCall(ctx, false); err != nil {
@@ -188,6 +182,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.recordReplaced(name)
 	p.objects[name] = slices.Clone(content)
 	return nil
 }
@@ -308,6 +303,7 @@
 		if _, err := p.tables.Change(p.pendingListChanges[0].change); err != nil {
 			return err
 		}
+		p.recordApplied(p.pendingListChanges[0].change)
 		p.pendingListChanges = p.pendingListChanges[1:]
 	}
 	return nil
