Run no key again whose claim a restored store has lost

What callers saw: an order with a key ran at one agent and was answered; the store came back from a copy some seconds old; the same key, sent once more through another entry, ran again at another agent.

Cause: the claim was kept in the store only, as if it lost nothing that it has acknowledged. After a restore the row is gone, and another agent inserts it anew. An outcome whose condition names a version of an earlier era conflicts, and that was taken as a sign that an earlier attempt had taken effect. A claim that may overwrite a row that is lost was retried until its deadline.

Why the fix works: an agent keeps each claim and outcome for as long as a copy can be old (a minute) after the store has acknowledged it. When it hears of a new era, it reads the rows of what it keeps, the newest first, and writes what is missing; a row that another has claimed in the new era is overwritten, since nothing runs then. For 15 s after the beginning of an era no key is claimed: the request is refused as not run, with the rest of that time in Retry-After. A claim that turns out to be the first call of a new era is refused as well. railera holds the era that a process knows and since when some process has known it; versions of rows show the era, and heartbeats carry both, so that all hear of it within about two seconds without further reads, and an agent that starts later claims at once. A stop waits until lost claims are written again.

--- a/internal/config/railpublisher/publisher.go
+++ b/internal/config/railpublisher/publisher.go
@@ -10,6 +10,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/config/railfolder"
 	"github.com/fulmarrail/fulmarrail/internal/config/railrevision"
 	"github.com/fulmarrail/fulmarrail/internal/config/railrevisioncache"
+	"github.com/fulmarrail/fulmarrail/internal/store/railera"
 	"github.com/fulmarrail/fulmarrail/internal/store/railobjects"
 	"github.com/fulmarrail/fulmarrail/internal/store/railtable"
 )
@@ -21,7 +22,9 @@
 
 // Publisher follows the current revision and publishes new ones; set its fields before first use.
 type Publisher struct {
+	// Table is the table service, watched by Era.
 	Table     railtable.Table
+	Era       *railera.Tracker
 	Objects   railobjects.Objects
 	Revisions *railrevisioncache.Cache
 	// ReadFolder reads the operators' configuration directory.
--- a/internal/config/railpublisher/publisher_test.go
+++ b/internal/config/railpublisher/publisher_test.go
@@ -12,6 +12,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/config/railpublisher"
 	"github.com/fulmarrail/fulmarrail/internal/config/railrevisioncache"
 	"github.com/fulmarrail/fulmarrail/internal/standin/railplatform"
+	"github.com/fulmarrail/fulmarrail/internal/store/railera"
 	"github.com/fulmarrail/fulmarrail/internal/store/railtable"
 	"github.com/fulmarrail/fulmarrail/internal/store/railweights"
 )
@@ -36,8 +37,9 @@
 }
 
 func newPublisher(platform *railplatform.Platform, table railtable.Table, view *railfolder.Folder) *railpublisher.Publisher {
+	era := &railera.Tracker{}
 	return &railpublisher.Publisher{
-		Table: table, Objects: platform, Revisions: &railrevisioncache.Cache{}, ResolveVersion: railweights.Origin{Objects: platform}.ResolveVersion,
+		Table: era.Watch(table), Era: era, Objects: platform, Revisions: &railrevisioncache.Cache{}, ResolveVersion: railweights.Origin{Objects: platform}.ResolveVersion,
 		ReadFolder: func() (railfolder.Folder, error) { return *view, nil }, Log: slog.New(slog.DiscardHandler),
 	}
 }
--- a/internal/membership/railwatcher/heartbeat.go
+++ b/internal/membership/railwatcher/heartbeat.go
@@ -95,13 +95,15 @@
 	defer cancel()
 	client := w.Connect(ctx, m.Address)
 	ownNumber := w.Revisions.Number()
+	era, eraAge := w.Era.Latest()
 	reply, err := client.Heartbeat(ctx, &railproto.HeartbeatRequest{
 		Revision: ownNumber, ConfirmedAgeMillis: w.Revisions.Age().Milliseconds(), Leaving: w.Leaving(),
-		ChangedParts: changedParts,
+		ChangedParts: changedParts, StoreEra: era, StoreEraAgeMillis: eraAge.Milliseconds(),
 	})
 	if err != nil {
 		return nil, err
 	}
+	w.Era.Observe(reply.GetStoreEra(), time.Duration(reply.GetStoreEraAgeMillis())*time.Millisecond)
 	if reply.GetRevision() != ownNumber {
 		if number, err := w.syncRevision(ctx, client, reply.GetRevision()); err == nil {
 			reply.Revision = number
--- a/internal/membership/railwatcher/watcher.go
+++ b/internal/membership/railwatcher/watcher.go
@@ -15,6 +15,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railroster"
 	"github.com/fulmarrail/fulmarrail/internal/routing/railcandidate"
+	"github.com/fulmarrail/fulmarrail/internal/store/railera"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
 
@@ -62,8 +63,10 @@
 	Name      string
 	Roster    *railroster.Roster
 	Revisions *railrevisioncache.Cache
-	Timer     *railtimer.Service
-	Interval  time.Duration
+	// Era is what this entry knows of the platform's store, which it tells others and learns from them.
+	Era      *railera.Tracker
+	Timer    *railtimer.Service
+	Interval time.Duration
 	// Quarantine is what the entries share of requests under which endpoints end.
 	Quarantine *railquarantine.Quarantine
 	// Connect returns a client for the process at an address.
--- a/internal/node/railagent/agent.go
+++ b/internal/node/railagent/agent.go
@@ -34,7 +34,9 @@
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railreconciler"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railslots"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railuploads"
+	"github.com/fulmarrail/fulmarrail/internal/store/railera"
 	"github.com/fulmarrail/fulmarrail/internal/store/railstore"
+	"github.com/fulmarrail/fulmarrail/internal/store/railtable"
 	"github.com/fulmarrail/fulmarrail/internal/store/railweights"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildialer"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raillistener"
@@ -80,6 +82,7 @@
 	once            sync.Once
 	stopping        atomic.Bool
 	timer           *railtimer.Service
+	era             *railera.Tracker
 	revisions       *railrevisioncache.Cache
 	admission       *railadmission.Controller
 	calls           *railregistry.Registry
@@ -114,6 +117,7 @@
 	wg.Go(func() { a.timer.Run(workCtx) })
 	wg.Go(func() { a.roster.Run(workCtx) })
 	wg.Go(func() { a.reconciler.Run(workCtx) })
+	wg.Go(func() { a.executor.Claimer.Run(workCtx) })
 	wg.Go(func() { a.maintain(workCtx) })
 	a.Log.Info("agent started", "name", a.Self.Name, "incarnation", a.admission.Incarnation, "zone", a.Self.Zone)
 	select {
@@ -145,6 +149,8 @@
 func (a *Agent) init() {
 	a.once.Do(func() {
 		a.timer = &railtimer.Service{Jitter: true}
+		a.era = &railera.Tracker{}
+		table := a.era.Watch(a.Platform)
 		a.revisions = &railrevisioncache.Cache{}
 		limiter := &raillimiter.Limiter{ColdLimit: 1, MaxLimit: 1, FirstTokenTarget: time.Second}
 		a.admission = &railadmission.Controller{
@@ -153,22 +159,22 @@
 		}
 		a.calls = &railregistry.Registry{MaxCalls: maxRecordedCalls, MaxBytes: maxRecordedBytes}
 		claimer := &railclaim.Claimer{
-			Table: a.Platform, Holder: a.Self.Name, Address: a.Self.Address, Incarnation: a.admission.Incarnation,
+			Table: table, Era: a.era, Holder: a.Self.Name, Address: a.Self.Address, Incarnation: a.admission.Incarnation,
 			Log: raillog.Named(a.Log, "claim"),
 		}
 		a.executor = &railexecutor.Executor{
 			Admission: a.admission, Calls: a.calls, Endpoint: a.Endpoint, Claimer: claimer, AttachRemote: a.attachRemote,
 			Log: raillog.Named(a.Log, "executor"),
 		}
-		a.configFollower = &railpublisher.Publisher{Table: a.Platform, Objects: a.Platform, Revisions: a.revisions, Log: raillog.Named(a.Log, "config")}
+		a.configFollower = &railpublisher.Publisher{Table: table, Era: a.era, Objects: a.Platform, Revisions: a.revisions, Log: raillog.Named(a.Log, "config")}
 		a.roster = &railroster.Roster{
 			Region: a.Self.Region, List: a.Platform.Members, Timer: a.timer, Interval: rosterRefreshInterval, Log: raillog.Named(a.Log, "roster"),
 		}
-		a.initRollout()
+		a.initRollout(table)
 	})
 }
 
-func (a *Agent) initRollout() {
+func (a *Agent) initRollout(table railtable.Table) {
 	origin := railweights.Origin{Objects: a.Platform}
 	a.transferPacer = &railratelimit.Pacer{}
 	a.uploadScheduler = &railuploads.Scheduler{Slots: maxUploads}
@@ -182,7 +188,7 @@
 	a.reconciler = &railreconciler.Reconciler{
 		Service: a.Self.Service, Zone: a.Self.Zone, Name: a.Self.Name,
 		Revisions: a.revisions, Admission: a.admission, Endpoint: a.Endpoint, Store: a.store, Fetcher: a.fetcher, Timer: a.timer,
-		Slots:    &railslots.Slots{Table: a.Platform, Holder: a.Self.Name + "/" + a.admission.Incarnation, Lease: slotLeaseDuration},
+		Slots:    &railslots.Slots{Table: table, Era: a.era, Holder: a.Self.Name + "/" + a.admission.Incarnation, Lease: slotLeaseDuration},
 		Manifest: origin.Manifest, RefreshPeers: a.roster.Refresh, NoPeers: a.noPeers,
 		InFlight: func() int { return int(a.admission.Limiter.Load().GetRunning()) },
 		Log:      raillog.Named(a.Log, "rollout"),
--- a/internal/node/railagent/service.go
+++ b/internal/node/railagent/service.go
@@ -20,10 +20,12 @@
 func (s *agentServer) Heartbeat(_ context.Context, req *railproto.HeartbeatRequest) (*railproto.HeartbeatReply, error) {
 	a := s.agent
 	a.revisions.Confirm(req.GetRevision(), time.Duration(req.GetConfirmedAgeMillis())*time.Millisecond)
+	a.era.Observe(req.GetStoreEra(), time.Duration(req.GetStoreEraAgeMillis())*time.Millisecond)
+	era, eraAge := a.era.Latest()
 	return &railproto.HeartbeatReply{
 		Incarnation: a.admission.Incarnation, Revision: a.revisions.Number(), ConfirmedAgeMillis: a.revisions.Age().Milliseconds(),
 		Leaving: a.stopping.Load(), Serving: a.admission.Serving(), Load: a.admission.Limiter.Load(),
-		PauseMillis: a.admission.PauseRemaining().Milliseconds(),
+		PauseMillis: a.admission.PauseRemaining().Milliseconds(), StoreEra: era, StoreEraAgeMillis: eraAge.Milliseconds(),
 	}, nil
 }
 
--- a/internal/node/railfront/reject.go
+++ b/internal/node/railfront/reject.go
@@ -31,7 +31,7 @@
 		status = fasthttp.StatusUnprocessableEntity
 	case r.verdict == railverdict.NotRun:
 		status = fasthttp.StatusServiceUnavailable
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfter(r.err))
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfter(r))
 	case errors.Is(r.err, context.DeadlineExceeded):
 		status = fasthttp.StatusGatewayTimeout
 	}
@@ -39,15 +39,17 @@
 }
 
 // retryAfter returns the number of seconds after which the caller of a rejected request may retry: the rest of a quarantine or of a pause of
-// all endpoints, or a fixed time.
-func retryAfter(err error) string {
+// all endpoints, the time until keys can be claimed again, or a fixed time.
+func retryAfter(r result) string {
 	var quarantined *railquarantine.QuarantinedError
 	var paused *raildispatcher.PausedError
 	switch {
-	case errors.As(err, &quarantined):
+	case errors.As(r.err, &quarantined):
 		return wholeSeconds(quarantined.Remaining)
-	case errors.As(err, &paused):
+	case errors.As(r.err, &paused):
 		return wholeSeconds(paused.Remaining + rand.N(maxPauseJitter))
+	case r.finalFrame.GetRetryAfterMillis() > 0:
+		return wholeSeconds(time.Duration(r.finalFrame.GetRetryAfterMillis())*time.Millisecond + rand.N(maxPauseJitter))
 	}
 	return retryAfterSeconds
 }
--- a/internal/node/railrouter/router.go
+++ b/internal/node/railrouter/router.go
@@ -32,6 +32,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/routing/railchooser"
 	"github.com/fulmarrail/fulmarrail/internal/routing/raildispatcher"
 	"github.com/fulmarrail/fulmarrail/internal/routing/railhash"
+	"github.com/fulmarrail/fulmarrail/internal/store/railera"
 	"github.com/fulmarrail/fulmarrail/internal/store/railstore"
 	"github.com/fulmarrail/fulmarrail/internal/store/railweights"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildialer"
@@ -66,6 +67,7 @@
 	once         sync.Once
 	stopping     atomic.Bool
 	timer        *railtimer.Service
+	era          *railera.Tracker
 	revisions    *railrevisioncache.Cache
 	publisher    *railpublisher.Publisher
 	roster       *railroster.Roster
@@ -133,18 +135,19 @@
 func (r *Router) init() {
 	r.once.Do(func() {
 		r.timer = &railtimer.Service{Jitter: true}
+		r.era = &railera.Tracker{}
 		r.revisions = &railrevisioncache.Cache{}
 		r.burnRecorder = &railburn.Recorder{}
 		r.quarantine = &railquarantine.Quarantine{Log: raillog.Named(r.Log, "quarantine")}
 		r.publisher = &railpublisher.Publisher{
-			Table: r.Platform, Objects: r.Platform, Revisions: r.revisions, ResolveVersion: railweights.Origin{Objects: r.Platform}.ResolveVersion,
+			Table: r.era.Watch(r.Platform), Era: r.era, Objects: r.Platform, Revisions: r.revisions, ResolveVersion: railweights.Origin{Objects: r.Platform}.ResolveVersion,
 			ReadFolder: r.ReadFolder, Log: raillog.Named(r.Log, "config"),
 		}
 		r.roster = &railroster.Roster{
 			Region: r.Self.Region, List: r.Platform.Members, Timer: r.timer, Interval: rosterRefreshInterval, Log: raillog.Named(r.Log, "roster"),
 		}
 		r.watcher = &railwatcher.Watcher{
-			Name: r.Self.Name, Roster: r.roster, Revisions: r.revisions, Timer: r.timer, Interval: heartbeatInterval, Quarantine: r.quarantine,
+			Name: r.Self.Name, Roster: r.roster, Revisions: r.revisions, Era: r.era, Timer: r.timer, Interval: heartbeatInterval, Quarantine: r.quarantine,
 			Connect: r.Dialer.Node, OnUpdate: r.wakeDispatchers, Leaving: r.stopping.Load, Log: raillog.Named(r.Log, "watcher"),
 		}
 	})
--- a/internal/node/railrouter/service.go
+++ b/internal/node/railrouter/service.go
@@ -15,9 +15,12 @@
 	if changed := req.GetChangedParts(); changed != nil {
 		r.quarantine.Merge(changed)
 	}
+	r.era.Observe(req.GetStoreEra(), time.Duration(req.GetStoreEraAgeMillis())*time.Millisecond)
+	era, eraAge := r.era.Latest()
 	return &railproto.HeartbeatReply{
 		Revision:           r.revisions.Number(),
 		ConfirmedAgeMillis: r.revisions.Age().Milliseconds(), Leaving: r.stopping.Load(), Parts: r.quarantine.Digest(),
+		StoreEra: era, StoreEraAgeMillis: eraAge.Milliseconds(),
 	}, nil
 }
 
--- a/internal/request/railclaim/claimer_test.go
+++ b/internal/request/railclaim/claimer_test.go
@@ -13,10 +13,12 @@
 	"github.com/fulmarrail/fulmarrail/internal/lab/railvirtualtime"
 	"github.com/fulmarrail/fulmarrail/internal/request/railclaim"
 	"github.com/fulmarrail/fulmarrail/internal/standin/railplatform"
+	"github.com/fulmarrail/fulmarrail/internal/store/railera"
 )
 
 func newClaimer(platform *railplatform.Platform, name string) *railclaim.Claimer {
-	return &railclaim.Claimer{Table: platform, Holder: name, Incarnation: name + "-1", Log: slog.New(slog.DiscardHandler)}
+	era := &railera.Tracker{}
+	return &railclaim.Claimer{Table: era.Watch(platform), Era: era, Holder: name, Incarnation: name + "-1", Log: slog.New(slog.DiscardHandler)}
 }
 
 func TestClaimWithLostResponseIsReadBack(t *testing.T) {
--- /dev/null
+++ b/internal/request/railclaim/restore_test.go
@@ -0,0 +1,101 @@
+package railclaim_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmarrail/fulmarrail/internal/lab/railvirtualtime"
+	"github.com/fulmarrail/fulmarrail/internal/request/railclaim"
+	"github.com/fulmarrail/fulmarrail/internal/standin/railplatform"
+)
+
+// settled is a time after which keys can be claimed again in a new era.
+const settled = 20 * time.Second
+
+// restored holds the claimers of two agents, of which the first has claimed the key "row" in the seconds that the store then loses.
+type restored struct {
+	platform      *railplatform.Platform
+	holder, other *railclaim.Claimer
+	version       int64
+}
+
+// testRestored calls body in virtual time, after the store was restored. The holder has written its outcome before if ended is set.
+func testRestored(t *testing.T, ended bool, body func(c *qt.C, r restored)) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := restored{platform: &railplatform.Platform{}}
+		r.holder, r.other = newClaimer(r.platform, "a"), newClaimer(r.platform, "b")
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			r.holder.Run(ctx)
+			close(done)
+		}()
+		version, _, err := r.holder.Claim(t.Context(), "row", "r1", "body", 0)
+		c.Check(err, qt.IsNil)
+		r.version = version
+		if ended {
+			r.holder.WriteOutcome("row", version, "r1", "body", 200, "text/plain", []byte("answer"))
+			r.holder.Wait()
+		}
+		time.Sleep(time.Second)
+		r.platform.Restore(5 * time.Second)
+		body(c, r)
+		cancel()
+		<-done
+	})
+}
+
+// Guards against a second run of a key whose claim the store has lost: the holder writes it again, and nobody claims it before that.
+func TestLostClaimIsWrittenAgainBeforeItsKeyIsClaimed(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		testRestored(t, ended, func(c *qt.C, r restored) {
+			_, _, err := r.other.Claim(c.Context(), "row", "r2", "body", 0)
+			c.Check(err, qt.ErrorIs, railclaim.ErrUnavailable)
+			c.Check(r.other.Unsettled() > 0, qt.IsTrue)
+			r.holder.Era.Observe(1, 0) // As a heartbeat tells it.
+			time.Sleep(settled)
+			_, existing, err := r.other.Claim(c.Context(), "row", "r3", "body", 0)
+			c.Check(err, qt.ErrorIs, railclaim.ErrHeld)
+			c.Check(existing.GetRequestId(), qt.Equals, "r1")
+			c.Check(existing.GetDone(), qt.Equals, ended)
+		})
+	}
+}
+
+// Guards against an outcome that is taken for written since its condition names a version of an earlier era.
+func TestOutcomeOfLostClaimIsWritten(t *testing.T) {
+	testRestored(t, false, func(c *qt.C, r restored) {
+		r.holder.WriteOutcome("row", r.version, "r1", "body", 200, "text/plain", []byte("answer"))
+		r.holder.Wait()
+		time.Sleep(settled)
+		_, existing, err := r.other.Claim(c.Context(), "row", "r2", "body", 0)
+		c.Check(err, qt.ErrorIs, railclaim.ErrHeld)
+		c.Check(string(existing.GetAnswer()), qt.Equals, "answer")
+	})
+}
+
+// Guards against claims that fail until their deadline since the row that they may overwrite was lost.
+func TestLostRowIsClaimedAnew(t *testing.T) {
+	testRestored(t, false, func(c *qt.C, r restored) {
+		r.holder.Release("row")
+		r.other.Era.Observe(1, settled)
+		ctx, cancel := context.WithTimeout(c.Context(), 5*time.Second)
+		defer cancel()
+		_, _, err := r.other.Claim(ctx, "row", "r2", "body", r.version)
+		c.Check(err, qt.IsNil)
+	})
+}
+
+// Guards against refusing keys for some time at each start of an agent since the store was once restored.
+func TestAgentThatStartsLongAfterRestoreClaimsAtOnce(t *testing.T) {
+	testRestored(t, false, func(c *qt.C, r restored) {
+		late := newClaimer(r.platform, "late")
+		late.Era.Observe(1, time.Hour)
+		_, _, err := late.Claim(c.Context(), "other row", "r1", "body", 0)
+		c.Check(err, qt.IsNil)
+	})
+}
--- a/internal/request/railexecutor/claimed.go
+++ b/internal/request/railexecutor/claimed.go
@@ -23,7 +23,9 @@
 			return
 		case !errors.Is(err, railclaim.ErrHeld):
 			e.Admission.ReleaseUnsampled()
-			call.Append(e.rejectionFrame(call.RequestID, railproto.Reason_REASON_CLAIM_UNAVAILABLE))
+			frame := e.rejectionFrame(call.RequestID, railproto.Reason_REASON_CLAIM_UNAVAILABLE)
+			frame.RetryAfterMillis = e.Claimer.Unsettled().Milliseconds()
+			call.Append(frame)
 			return
 		}
 		if !e.resolveExistingClaim(ctx, call, existing) {
@@ -48,6 +50,7 @@
 	})
 	switch {
 	case err != nil && verdict == railverdict.NotRun:
+		e.Claimer.Release(call.Key)
 		call.Append(e.failureFrame(call.RequestID, verdict, err))
 	case err != nil:
 		// The key stays claimed because it is unknown whether the request took effect.
--- a/internal/request/railexecutor/executor.go
+++ b/internal/request/railexecutor/executor.go
@@ -113,15 +113,15 @@
 	}
 }
 
-// Drain waits until no call is running and all outcomes are written. It returns an error if ctx is done first.
+// Drain waits until no call is running and all outcomes, and claims that the store has lost, are written. It returns an error if ctx is done first.
 func (e *Executor) Drain(ctx context.Context) error {
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
-	for e.Calls.Running() > 0 {
+	for e.Calls.Running() > 0 || e.Claimer.Rewriting() {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return errors.Newf("%d calls still run", e.Calls.Running())
+			return errors.Newf("%d calls still run, or lost claims are still to be written", e.Calls.Running())
 		}
 	}
 	outcomesWritten := make(chan struct{})
--- a/internal/rollout/railslots/slots.go
+++ b/internal/rollout/railslots/slots.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fulmarrail/fulmarrail/internal/store/railera"
 	"github.com/fulmarrail/fulmarrail/internal/store/railtable"
 )
 
@@ -20,7 +21,9 @@
 // Slots leases one of a bounded number of slots for one holder. Each slot is a row of Table. Its fields must be set before its
 // first use.
 type Slots struct {
+	// Table is the table service, watched by Era.
 	Table railtable.Table
+	Era   *railera.Tracker
 	// Holder identifies this incarnation of the agent.
 	Holder string
 	// Lease is the time after which others may take a slot whose row has not changed.
--- a/internal/rollout/railslots/slots_test.go
+++ b/internal/rollout/railslots/slots_test.go
@@ -9,16 +9,22 @@
 	"github.com/fulmarrail/fulmarrail/internal/lab/railvirtualtime"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railslots"
 	"github.com/fulmarrail/fulmarrail/internal/standin/railplatform"
+	"github.com/fulmarrail/fulmarrail/internal/store/railera"
 )
 
 const lease = 15 * time.Second
 
+func newSlots(platform *railplatform.Platform, holder string) *railslots.Slots {
+	era := &railera.Tracker{}
+	return &railslots.Slots{Table: era.Watch(platform), Era: era, Holder: holder, Lease: lease}
+}
+
 func TestExpiredSlotIsTakenOver(t *testing.T) {
 	railvirtualtime.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		platform := &railplatform.Platform{}
-		frozen := &railslots.Slots{Table: platform, Holder: "a", Lease: lease}
-		other := &railslots.Slots{Table: platform, Holder: "b", Lease: lease}
+		frozen := newSlots(platform, "a")
+		other := newSlots(platform, "b")
 		c.Assert(frozen.Acquire(t.Context(), "chat/a", 1), qt.IsNil)
 		c.Check(frozen.Valid(time.Second), qt.IsTrue)
 		c.Check(other.Acquire(t.Context(), "chat/a", 1), qt.ErrorIs, railslots.ErrNoFreeSlot)
@@ -35,8 +41,8 @@
 	railvirtualtime.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		platform := &railplatform.Platform{}
-		holder := &railslots.Slots{Table: platform, Holder: "a", Lease: lease}
-		other := &railslots.Slots{Table: platform, Holder: "b", Lease: lease}
+		holder := newSlots(platform, "a")
+		other := newSlots(platform, "b")
 		c.Assert(holder.Acquire(t.Context(), "chat/a", 1), qt.IsNil)
 		for range 20 {
 			time.Sleep(lease / 4)
@@ -49,7 +55,7 @@
 func TestFencingTokensIncreaseWhenRepliesAreLost(t *testing.T) {
 	c := qt.New(t)
 	platform := &railplatform.Platform{Seed: 1}
-	slots := &railslots.Slots{Table: platform, Holder: "a", Lease: lease}
+	slots := newSlots(platform, "a")
 	platform.SetResponseLoss(0.5)
 	last := int64(0)
 	for range 20 {
