Publish again the revision that a restored store has lost

What callers saw: a change of the configuration was confirmed and in force; the store came back from a copy some seconds old; a process that started then took the older revision, and the store kept it for good, since no entry wrote the lost one again. An entry that was cut off before the change published other revisions under the same or a higher number from its older view of the folder: entries then differed for ever, or went back to older settings.

Cause: all assume that numbers in the store only grow. An entry did nothing when the row's number was not above its own; a number was taken for the identity of a revision; a higher number was taken for a newer state.

Why the fix works: Pull compares the row with the revision in force by number and digest. A lower one that has nothing newer is replaced by the own one, by condition on the row. Otherwise the stamps of the folder and its files, which only grow, tell which parts are newer; the merge supersedes both by construction, so that all entries adopt it and nobody publishes again. Entries refuse to adopt a revision of which a part is older. Only a revision that the row names by digest is confirmed. The content is looked for once in each era by those that have the revision. Agents follow and write nothing.

--- a/internal/config/railpublisher/publisher.go
+++ b/internal/config/railpublisher/publisher.go
@@ -31,9 +31,17 @@
 	ReadFolder func() (railfolder.Folder, error)
 	// ResolveVersion returns the digest of the manifest to which a version name refers now.
 	ResolveVersion func(ctx context.Context, version string) (string, error)
-	Log            *slog.Logger
+	// ReadOnly is set by processes that only follow.
+	ReadOnly bool
+	Log      *slog.Logger
 
 	lastError string
+	// ownRef is the reference to the revision in force.
+	ownRef revisionRef
+	// checkedEra is the era in which the content of the revision in force was last found in the store.
+	checkedEra int64
+	// unreadable counts the failures to read the content of the row's revision.
+	unreadable int
 }
 
 // revisionRef is the content of the row that names the current revision.
@@ -43,26 +51,26 @@
 }
 
 // Pull fetches the platform's current revision if it is newer than the local one, and returns the version of its row, or 0 if no
-// revision was published yet. It returns an error if the row or the revision can't be read.
+// revision was published yet. If the store was restored and has lost the local revision, Pull publishes it again. It returns an error if
+// the row or the revision can't be read or written.
 func (p *Publisher) Pull(ctx context.Context) (int64, error) {
-	value, rowVersion, err := p.Table.Get(ctx, currentRowKey)
+	ref, rowVersion, err := p.readRow(ctx)
 	if err != nil {
-		return 0, errors.Wrap(err, "read the current revision")
+		return 0, err
 	}
-	if rowVersion == 0 {
+	current, known := p.Revisions.Current()
+	switch {
+	case !known && rowVersion == 0:
 		return 0, nil
-	}
-	var ref revisionRef
-	if err := json.Unmarshal(value, &ref); err != nil {
-		return 0, errors.Wrapf(err, "decode the row %s", currentRowKey)
-	}
-	if ref.Number > p.Revisions.Number() {
-		if err := p.fetch(ctx, ref); err != nil {
-			return 0, err
-		}
-	}
-	p.Revisions.Confirm(ref.Number, 0)
-	return rowVersion, nil
+	case !known && p.Era.Remaining(peerTime) > 0:
+		return 0, errRestoredLately
+	case ref == p.ref(current):
+		p.Revisions.Confirm(ref.Number, 0)
+		return rowVersion, p.restoreContent(ctx, current, rowVersion)
+	case p.ReadOnly && ref.Number <= current.Number:
+		return rowVersion, nil
+	}
+	return p.resolve(ctx, current, ref, rowVersion)
 }
 
 // Sync pulls the current revision and publishes a new one if the configuration directory has changed or a pending version can be
@@ -89,7 +97,11 @@
 		return nil
 	}
 	next.Number = current.Number + 1
-	return p.publish(ctx, next, rowVersion)
+	_, published, err := p.publish(ctx, next, rowVersion)
+	if err == nil && !published {
+		_, err = p.Pull(ctx) // Either another publisher wrote first or the reply was lost: read back the row.
+	}
+	return err
 }
 
 // LastError returns the error with which the configuration directory was last rejected, or an empty string after the next
@@ -98,20 +110,27 @@
 	return p.lastError
 }
 
-func (p *Publisher) fetch(ctx context.Context, ref revisionRef) error {
-	content, err := p.Objects.Read(ctx, objectPrefix+ref.Digest)
+func (p *Publisher) readRow(ctx context.Context) (revisionRef, int64, error) {
+	var ref revisionRef
+	value, rowVersion, err := p.Table.Get(ctx, currentRowKey)
 	if err != nil {
-		return errors.Wrapf(err, "read revision %d", ref.Number)
+		return ref, 0, errors.Wrap(err, "read the current revision")
 	}
-	if railrevision.Digest(content) != ref.Digest {
-		return errors.Newf("revision %d: content does not match digest %s", ref.Number, ref.Digest)
+	if rowVersion == 0 {
+		return ref, 0, nil
 	}
-	r, err := railrevision.Decode(content)
+	return ref, rowVersion, errors.Wrapf(json.Unmarshal(value, &ref), "decode the row %s", currentRowKey)
+}
+
+func (p *Publisher) fetch(ctx context.Context, ref revisionRef) (railrevision.Revision, error) {
+	content, err := p.Objects.Read(ctx, objectPrefix+ref.Digest)
 	if err != nil {
-		return err
+		return railrevision.Revision{}, errors.Wrapf(err, "read revision %d", ref.Number)
 	}
-	p.Revisions.Adopt(r)
-	return nil
+	if railrevision.Digest(content) != ref.Digest {
+		return railrevision.Revision{}, errors.Newf("revision %d: content does not match digest %s", ref.Number, ref.Digest)
+	}
+	return railrevision.Decode(content)
 }
 
 // pinVersions pins the pending versions whose manifests can be resolved now, and reports whether it pinned any.
@@ -129,31 +148,31 @@
 	return r, pinned
 }
 
-func (p *Publisher) publish(ctx context.Context, r railrevision.Revision, rowVersion int64) error {
+// publish writes a revision and makes it the current one if the row has the given version. It returns the row's new version, or false if
+// another publisher wrote first or the outcome is unknown.
+func (p *Publisher) publish(ctx context.Context, r railrevision.Revision, rowVersion int64) (int64, bool, error) {
 	content := r.Encode()
 	ref := revisionRef{Number: r.Number, Digest: railrevision.Digest(content)}
 	if err := p.Objects.Write(ctx, objectPrefix+ref.Digest, content); err != nil {
-		return errors.Wrapf(err, "write revision %d", r.Number)
+		return 0, false, errors.Wrapf(err, "write revision %d", r.Number)
 	}
 	row, err := json.Marshal(ref)
 	if err != nil {
-		return errors.Wrap(err, "encode the current revision")
+		return 0, false, errors.Wrap(err, "encode the current revision")
 	}
-	_, err = p.Table.Put(ctx, currentRowKey, row, rowVersion)
+	newVersion, err := p.Table.Put(ctx, currentRowKey, row, rowVersion)
 	switch {
 	case errors.Is(err, railtable.ErrConflict), errors.Is(err, railtable.ErrUnknown):
-		// Either another publisher wrote first or the reply was lost: read back the row.
-		_, err = p.Pull(ctx)
-		return err
+		return 0, false, nil
 	case err != nil:
-		return errors.Wrapf(err, "publish revision %d", r.Number)
+		return 0, false, errors.Wrapf(err, "publish revision %d", r.Number)
 	}
 	p.lastError = ""
 	if p.Revisions.Adopt(r) {
 		p.Log.Info("revision published", "revision", r.Number, "held", len(r.Rejections()), "pending", len(r.Pending))
 	}
 	p.Revisions.Confirm(r.Number, 0)
-	return nil
+	return newVersion, true, nil
 }
 
 // recordError logs an error once until another one occurs, and returns it.
--- a/internal/config/railrevisioncache/cache.go
+++ b/internal/config/railrevisioncache/cache.go
@@ -12,6 +12,10 @@
 
 // Cache holds the newest revision known to a process; the zero value is empty. It is safe for concurrent use.
 type Cache struct {
+	// KeepNewer is set before first use by a process that publishes. It then adopts no revision of which a part is older than the present
+	// one's: such a revision was published by a process that did not know the present one, since the store had lost it.
+	KeepNewer bool
+
 	mu            sync.Mutex
 	current       railrevision.Revision
 	adoptedAt     time.Time
@@ -33,11 +37,11 @@
 	return c.current.Number
 }
 
-// Adopt puts a revision in force if its number is higher than the present one's, and reports whether it did.
+// Adopt puts a revision in force if its number is higher than the present one's, unless KeepNewer forbids it, and reports whether it did.
 func (c *Cache) Adopt(r railrevision.Revision) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if r.Number <= c.current.Number {
+	if r.Number <= c.current.Number || (c.KeepNewer && !r.Supersedes(c.current)) {
 		return false
 	}
 	c.current = r
--- a/internal/node/railagent/agent.go
+++ b/internal/node/railagent/agent.go
@@ -166,7 +166,7 @@
 			Admission: a.admission, Calls: a.calls, Endpoint: a.Endpoint, Claimer: claimer, AttachRemote: a.attachRemote,
 			Log: raillog.Named(a.Log, "executor"),
 		}
-		a.configFollower = &railpublisher.Publisher{Table: table, Era: a.era, Objects: a.Platform, Revisions: a.revisions, Log: raillog.Named(a.Log, "config")}
+		a.configFollower = &railpublisher.Publisher{Table: table, Era: a.era, Objects: a.Platform, Revisions: a.revisions, ReadOnly: true, Log: raillog.Named(a.Log, "config")}
 		a.roster = &railroster.Roster{
 			Region: a.Self.Region, List: a.Platform.Members, Timer: a.timer, Interval: rosterRefreshInterval, Log: raillog.Named(a.Log, "roster"),
 		}
--- a/internal/node/railrouter/router.go
+++ b/internal/node/railrouter/router.go
@@ -136,7 +136,7 @@
 	r.once.Do(func() {
 		r.timer = &railtimer.Service{Jitter: true}
 		r.era = &railera.Tracker{}
-		r.revisions = &railrevisioncache.Cache{}
+		r.revisions = &railrevisioncache.Cache{KeepNewer: true}
 		r.burnRecorder = &railburn.Recorder{}
 		r.quarantine = &railquarantine.Quarantine{Log: raillog.Named(r.Log, "quarantine")}
 		r.publisher = &railpublisher.Publisher{
