Keep a slot that a restored store has lost

What operators could see: an endpoint drained for its weights while another one of its group, beyond the allowed number, did so too. The store had come back from a copy in which the slot was free or had another holder.

Cause: the holder's renewal conflicted, since its row's version was of an earlier era, and that was only logged; the lease counted as valid until its end. Another agent found the row free and took it.

Evidence: TestLostSlotIsNotAcquiredByAnother failed before (both hold the only slot, and no renewal succeeds), as did TestHolderGivesWayToAnotherThatHasItsSlot. TestSlotOfHolderThatCameBackExpires and TestFencingTokensIncreaseAcrossRestores passed before: observations begin anew with the version, and the era in its upper bits keeps tokens rising.

Why the fix works: for one lease after the beginning of an era nobody acquires a slot; a holder renews four times per lease, and takes its row again after a conflict, unless another holder is there. Then it has no slot, and if its endpoint is still draining, it goes back into service.

--- a/internal/rollout/railreconciler/reconciler.go
+++ b/internal/rollout/railreconciler/reconciler.go
@@ -231,6 +231,9 @@
 		if _, currentDigest, _ := r.wantedWeights(); currentDigest != wantDigest || ctx.Err() != nil {
 			return errSuperseded
 		}
+		if !r.Slots.Valid(0) {
+			return errors.New("the slot was lost before the endpoint was drained")
+		}
 	}
 	fencingToken, err := r.Slots.NextFencingToken(ctx, r.Name)
 	if err != nil {
--- a/internal/rollout/railslots/slots.go
+++ b/internal/rollout/railslots/slots.go
@@ -15,7 +15,8 @@
 // noHolder is the value of a free slot's row.
 const noHolder = ""
 
-// ErrNoFreeSlot is returned by Acquire if all slots are held by others.
+// ErrNoFreeSlot is returned by Acquire if all slots are held by others, or may be since the store was restored, and by Renew if another
+// holder has the slot.
 var ErrNoFreeSlot = errors.New("no free slot")
 
 // Slots leases one of a bounded number of slots for one holder. Each slot is a row of Table. Its fields must be set before its
@@ -58,7 +59,8 @@
 	return ErrNoFreeSlot
 }
 
-// Renew extends the lease. After an error the lease may still be valid until it expires.
+// Renew extends the lease, or takes the slot again if the store was restored and has lost that it is held. It returns ErrNoFreeSlot if
+// another holder has the slot, which is then no longer held. After another error the lease may still be valid until it expires.
 func (s *Slots) Renew(ctx context.Context) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -67,6 +69,9 @@
 	}
 	began := time.Now()
 	version, err := s.write(ctx, s.row, s.Holder, s.version)
+	if errors.Is(err, railtable.ErrConflict) {
+		version, err = s.retake(ctx)
+	}
 	if err != nil {
 		return errors.Wrap(err, "renew the slot")
 	}
@@ -111,21 +116,43 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	holder := string(value)
-	if holder != noHolder && holder != s.Holder && !s.expired(row, version) {
+	free := holder == s.Holder || holder == noHolder || s.expired(row, version)
+	if !free || (holder != s.Holder && s.mayBeLost()) {
 		return ErrNoFreeSlot
 	}
 	began := time.Now()
 	newVersion, err := s.write(ctx, row, s.Holder, version)
-	if errors.Is(err, railtable.ErrConflict) {
+	switch {
+	case errors.Is(err, railtable.ErrConflict):
 		return ErrNoFreeSlot
-	}
-	if err != nil {
+	case err != nil:
 		return errors.Wrap(err, "acquire a slot")
+	case holder != s.Holder && s.mayBeLost(): // The response to the write was the first one of a new era.
+		_, err = s.Table.Put(ctx, row, []byte(noHolder), newVersion)
+		return errors.CombineErrors(ErrNoFreeSlot, err)
 	}
 	s.row, s.version, s.renewedAt = row, newVersion, began
 	return nil
 }
 
+// retake writes the row of the held slot again unless another holder has it.
+func (s *Slots) retake(ctx context.Context) (int64, error) {
+	value, version, err := s.Table.Get(ctx, s.row)
+	if err != nil {
+		return 0, err
+	}
+	if holder := string(value); holder != noHolder && holder != s.Holder {
+		s.row = ""
+		return 0, errors.Wrapf(ErrNoFreeSlot, "%s has it", holder)
+	}
+	return s.write(ctx, s.row, s.Holder, version)
+}
+
+// mayBeLost reports whether the store may have lost a row whose holder has not renewed its lease in the present era yet.
+func (s *Slots) mayBeLost() bool {
+	return s.Era.Remaining(s.Lease) > 0
+}
+
 // expired reports whether a row has not changed for longer than the lease, measured by the local clock.
 func (s *Slots) expired(row string, version int64) bool {
 	if s.observed == nil {
