Keep VMs that a restored list lacks

What callers saw: all requests of a service refused for some seconds after a restore, although its endpoints were well: the VM list had come back without the VMs that were added in the lost seconds, and entries dropped them at once.

Cause: a list that was read is taken for complete.

--- a/internal/config/railpublisher/publisher.go
+++ b/internal/config/railpublisher/publisher.go
@@ -16,7 +16,8 @@
 )
 
 const (
-	currentRowKey = "config/current"
+	// CurrentRowKey is the key of the row that names the current revision.
+	CurrentRowKey = "config/current"
 	objectPrefix  = "revision-"
 )
 
@@ -112,14 +113,14 @@
 
 func (p *Publisher) readRow(ctx context.Context) (revisionRef, int64, error) {
 	var ref revisionRef
-	value, rowVersion, err := p.Table.Get(ctx, currentRowKey)
+	value, rowVersion, err := p.Table.Get(ctx, CurrentRowKey)
 	if err != nil {
 		return ref, 0, errors.Wrap(err, "read the current revision")
 	}
 	if rowVersion == 0 {
 		return ref, 0, nil
 	}
-	return ref, rowVersion, errors.Wrapf(json.Unmarshal(value, &ref), "decode the row %s", currentRowKey)
+	return ref, rowVersion, errors.Wrapf(json.Unmarshal(value, &ref), "decode the row %s", CurrentRowKey)
 }
 
 func (p *Publisher) fetch(ctx context.Context, ref revisionRef) (railrevision.Revision, error) {
@@ -160,7 +161,7 @@
 	if err != nil {
 		return 0, false, errors.Wrap(err, "encode the current revision")
 	}
-	newVersion, err := p.Table.Put(ctx, currentRowKey, row, rowVersion)
+	newVersion, err := p.Table.Put(ctx, CurrentRowKey, row, rowVersion)
 	switch {
 	case errors.Is(err, railtable.ErrConflict), errors.Is(err, railtable.ErrUnknown):
 		return 0, false, nil
--- a/internal/node/railagent/agent.go
+++ b/internal/node/railagent/agent.go
@@ -168,7 +168,7 @@
 		}
 		a.configFollower = &railpublisher.Publisher{Table: table, Era: a.era, Objects: a.Platform, Revisions: a.revisions, ReadOnly: true, Log: raillog.Named(a.Log, "config")}
 		a.roster = &railroster.Roster{
-			Region: a.Self.Region, List: a.Platform.Members, Timer: a.timer, Interval: rosterRefreshInterval, Log: raillog.Named(a.Log, "roster"),
+			Region: a.Self.Region, List: a.Platform.Members, Incomplete: a.listIncomplete, Timer: a.timer, Interval: rosterRefreshInterval, Log: raillog.Named(a.Log, "roster"),
 		}
 		a.initRollout(table)
 	})
@@ -218,6 +218,11 @@
 	}
 }
 
+// listIncomplete reports whether the platform may not have written again all VMs that a restored list has lost.
+func (a *Agent) listIncomplete(ctx context.Context) bool {
+	return a.era.BegunWithin(ctx, a.Platform, railpublisher.CurrentRowKey, railroster.RewriteTime)
+}
+
 func (a *Agent) pollConfig(ctx context.Context) {
 	if a.revisions.Age() < maxConfirmationAge {
 		return
--- a/internal/node/railrouter/router.go
+++ b/internal/node/railrouter/router.go
@@ -144,7 +144,7 @@
 			ReadFolder: r.ReadFolder, Log: raillog.Named(r.Log, "config"),
 		}
 		r.roster = &railroster.Roster{
-			Region: r.Self.Region, List: r.Platform.Members, Timer: r.timer, Interval: rosterRefreshInterval, Log: raillog.Named(r.Log, "roster"),
+			Region: r.Self.Region, List: r.Platform.Members, Incomplete: r.listIncomplete, Timer: r.timer, Interval: rosterRefreshInterval, Log: raillog.Named(r.Log, "roster"),
 		}
 		r.watcher = &railwatcher.Watcher{
 			Name: r.Self.Name, Roster: r.roster, Revisions: r.revisions, Era: r.era, Timer: r.timer, Interval: heartbeatInterval, Quarantine: r.quarantine,
@@ -153,6 +153,11 @@
 	})
 }
 
+// listIncomplete reports whether the platform may not have written again all VMs that a restored list has lost.
+func (r *Router) listIncomplete(ctx context.Context) bool {
+	return r.era.BegunWithin(ctx, r.Platform, railpublisher.CurrentRowKey, railroster.RewriteTime)
+}
+
 // syncConfig follows the revisions in the platform's store, and publishes the operators' configuration files if they have changed.
 func (r *Router) syncConfig(ctx context.Context) {
 	ticks, stop := r.timer.Subscribe(configSyncInterval)
--- a/internal/store/railera/tracker.go
+++ b/internal/store/railera/tracker.go
@@ -55,6 +55,13 @@
 	return max(duration-age, 0)
 }
 
+// BegunWithin reads a row, so that the latest era is known, and reports whether that may have begun within the given time. It also does
+// so if the row can't be read.
+func (t *Tracker) BegunWithin(ctx context.Context, table railtable.Table, key string, duration time.Duration) bool {
+	_, _, err := t.Watch(table).Get(ctx, key)
+	return err != nil || t.Remaining(duration) > 0
+}
+
 // IsOutdated reports whether a row's version is one of an earlier era. Version 0 never is.
 func (t *Tracker) IsOutdated(version int64) bool {
 	era, _ := t.Latest()
