Let TestResumesCountAgainstAttemptsOfRoute add the third endpoint after the first resume

It was listed before, so that the first resume could go there in place of the second endpoint, and the test failed once in a run of the package.

--- a/internal/node/railgateway/silence_test.go
+++ b/internal/node/railgateway/silence_test.go
@@ -217,12 +217,12 @@
 	d := newDeployment(t, near, far, third)
 	d.gateway.Fleet.SetInstances(d.instances[:2])
 	body := bufio.NewReader(d.openStream(t))
-	for _, c := range relayed {
+	for i, c := range relayed {
 		for range 3 {
 			_, err := body.ReadString('\n')
 			qt.Assert(t, err, qt.IsNil)
 		}
-		d.gateway.Fleet.SetInstances(d.instances)
+		d.gateway.Fleet.SetInstances(d.instances[:i+2])
 		close(c)
 	}
 	_, err := io.ReadAll(body)
