Remember replaced states of rows by their hash

A number and a hash are enough to recognize a state. Failed writes of an entry's row are repeated at varying times, since all entries write after a restore.

--- a/internal/command/railgatewaycmd/parts.go
+++ b/internal/command/railgatewaycmd/parts.go
@@ -75,7 +75,7 @@
 			return version, true
 		}
 		g.Log.Warn("failed to write this entry's row; retrying", "err", err)
-		if !railtimer.Sleep(ctx, publishRetryDelay) {
+		if !railtimer.Sleep(ctx, publishRetryDelay/2+rand.N(publishRetryDelay)) {
 			return 0, false
 		}
 	}
--- a/internal/command/railsiteprocess/process.go
+++ b/internal/command/railsiteprocess/process.go
@@ -65,7 +65,7 @@
 	settingsPath   string
 	logLevel       slog.LevelVar
 	configFollower *railreplica.Follower
-	// storeRecovered is notified when the store responds again after an outage.
+	// storeRecovered is notified when the store responds again after an outage, or was restored.
 	storeRecovered railsignal.Signal
 	// rowFaults holds the rows that can't be decoded, by table.
 	rowFaults map[string]*railreplica.Faults
--- a/internal/store/railreplica/rowset.go
+++ b/internal/store/railreplica/rowset.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/fulmarrail/fulmarrail/internal/store/railversion"
 )
 
@@ -13,6 +15,8 @@
 	// replacedTTL is the time for which replaced states of rows are remembered. It is longer than the age of the copies from which a store
 	// is restored.
 	replacedTTL = time.Minute
+	// staleTTL is the longest time for which a known state holds in place of the older one in a restored copy, if nobody writes the row.
+	staleTTL = time.Minute
 	// maxReplaced is the number of replaced states that are remembered for a row.
 	maxReplaced = 32
 )
@@ -29,15 +33,18 @@
 	graceEnd time.Duration
 }
 
-// keptRow is a row that holds in place of the store's until a time. If it is removed, the store's row is hidden.
+// keptRow is a row that holds in place of the store's until a time: one that the store lacks, until graceEnd, or the newer state of one that a
+// restored copy has in an older state, for staleTTL at most. If it is removed, the store's row is hidden.
 type keptRow struct {
 	Row
 	until time.Duration
 }
 
-// replacedRow is a state of a row, and the time at which a later one was read.
+// replacedRow identifies a state of a row by the store's number and the hash of its value.
 type replacedRow struct {
-	Row
+	number int64
+	hash   uint64
+	// at is the time at which a later state was read.
 	at time.Duration
 }
 
@@ -79,6 +86,7 @@
 // replaced are stale.
 func (s *rowSet) replace(rows []Row, restored bool, now time.Duration) {
 	known, next := s.view(), ByKey(rows)
+	// What is kept goes on holding as long as the store's row has not changed.
 	maps.DeleteFunc(s.kept, func(key string, _ keptRow) bool { return !sameState(s.rows[key], next[key]) })
 	if s.kept == nil {
 		s.kept = map[string]keptRow{}
@@ -107,7 +115,7 @@
 			current = Row{Key: key, Removed: true}
 		}
 		if !bytes.Equal(current.Value, row.Value) && s.wasReplaced(row) {
-			s.kept[key] = keptRow{Row: current, until: now + replacedTTL}
+			s.kept[key] = keptRow{Row: current, until: now + staleTTL}
 		}
 	}
 }
@@ -170,7 +178,7 @@
 	if len(states) == maxReplaced {
 		states = slices.Delete(states, 0, 1)
 	}
-	s.replaced[row.Key] = append(states, replacedRow{Row: row, at: now})
+	s.replaced[row.Key] = append(states, replacedRow{number: railversion.Number(row.Version), hash: xxhash.Sum64(row.Value), at: now})
 }
 
 // sameState reports whether two reads of a row show the same state. Restores don't count.
@@ -181,5 +189,6 @@
 // wasReplaced reports whether a row of a restored copy is in a state that was read before and replaced by a later one. The copy's rows have
 // the numbers that they had before.
 func (s *rowSet) wasReplaced(row Row) bool {
-	return slices.ContainsFunc(s.replaced[row.Key], func(r replacedRow) bool { return sameState(r.Row, row) })
+	number, hash := railversion.Number(row.Version), xxhash.Sum64(row.Value)
+	return slices.ContainsFunc(s.replaced[row.Key], func(r replacedRow) bool { return r.number == number && r.hash == hash })
 }
