--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -46,7 +46,7 @@
 	// entriesPollWait is the long polling time for the table of entries.
 	entriesPollWait = 20 * time.Second
 	// keyTrustFraction is the maximum age of a configuration that may accept customers' keys, as a fraction of the setting revocation.
-	keyTrustFraction  = 0.8
+	keyTrustFraction = 0.8
 	// publishRetryDelay is the mean delay after a failed write of the entry's row. It varies by half, since all entries write after a restore.
 	publishRetryDelay = time.Second
 	// rewriteSpread is the time over which the entries spread their writes after a restore of the store. It is less than the time for which
--- a/internal/node/railconn/conn.go
+++ b/internal/node/railconn/conn.go
@@ -6,6 +6,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/valyala/fasthttp"
 )
 
 const (
@@ -99,6 +101,19 @@
 	return c.Conn.Close()
 }
 
+// TrackState records on a caller's connection that the HTTP server turns to a request or has answered it. It is meant for the server's hook of
+// that name.
+func TrackState(c net.Conn, state fasthttp.ConnState) {
+	conn, ok := c.(*Conn)
+	switch {
+	case !ok:
+	case state == fasthttp.StateActive:
+		conn.MarkReceiving()
+	case state == fasthttp.StateIdle:
+		conn.MarkAnswered()
+	}
+}
+
 // MarkReceiving records that the server has turned to the next request, whose first bytes it may have read with the one before.
 func (c *Conn) MarkReceiving() {
 	c.setState(connReceiving)
--- a/internal/node/railentry/drain.go
+++ b/internal/node/railentry/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,18 +32,6 @@
 	}
 }
 
-// trackState records on a caller's connection that the server turns to a request or has answered it.
-func trackState(c net.Conn, state fasthttp.ConnState) {
-	conn, ok := c.(*railconn.Conn)
-	switch {
-	case !ok:
-	case state == fasthttp.StateActive:
-		conn.MarkReceiving()
-	case state == fasthttp.StateIdle:
-		conn.MarkAnswered()
-	}
-}
-
 // drain fails the readiness check, rejects new requests, closes connections as they become idle and waits until all responses have been
 // written. Shortly before the timeout it interrupts the requests that are still running, whose responses say so.
 func (e *Entry) drain(ctx context.Context, server *fasthttp.Server, callers *railconn.Listener, timeout time.Duration) error {
--- a/internal/node/railentry/entry.go
+++ b/internal/node/railentry/entry.go
@@ -69,7 +69,7 @@
 	server := &fasthttp.Server{
 		Handler: e.handle, MaxRequestBodySize: maxBodyBytes, Concurrency: maxConnections, NoDefaultServerHeader: true,
 		ReadBufferSize: maxHeaderBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, Logger: discardLogger{}, CloseOnShutdown: true,
-		ConnState: trackState,
+		ConnState: railconn.TrackState,
 	}
 	callers := &railconn.Listener{Listener: e.CallerListener}
 	failed := make(chan error, 2)
--- a/internal/node/railgateway/gateway.go
+++ b/internal/node/railgateway/gateway.go
@@ -90,7 +90,7 @@
 	server := &fasthttp.Server{
 		Handler: g.handle, Concurrency: maxConnections, ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, IdleTimeout: idleTimeout, Logger: discardLogger{},
-		DisablePreParseMultipartForm: true, ConnState: trackState,
+		DisablePreParseMultipartForm: true, ConnState: railconn.TrackState,
 	}
 	listener := &railconn.Listener{Listener: &railacceptor.Acceptor{Listener: g.CallerListener, Log: g.Log}}
 	ready := &fasthttp.Server{Handler: g.readiness, NoDefaultServerHeader: true, Logger: discardLogger{}}
@@ -107,18 +107,6 @@
 	return errors.CombineErrors(errors.Wrap(err, "serve"), g.drain(listener, drainTimeout))
 }
 
-// trackState records on a caller's connection that the server turns to a request or has answered it.
-func trackState(c net.Conn, state fasthttp.ConnState) {
-	conn, ok := c.(*railconn.Conn)
-	switch {
-	case !ok:
-	case state == fasthttp.StateActive:
-		conn.MarkReceiving()
-	case state == fasthttp.StateIdle:
-		conn.MarkAnswered()
-	}
-}
-
 // Wake grants leases to queued requests as far as endpoints have capacity.
 func (g *Gateway) Wake() {
 	g.admitters.Range(func(_, a any) bool {
