Don't take a body that ended with its engine for a whole one

In own deployments, a body with neither a length nor chunks ends with its connection. If the engine's process ended while it wrote one, the system closed the connection in order, and the caller got a part of the body as the whole, with the verdict that it has run. The gateway already looked whether the engine has ended in that case; the agent's client didn't. Now it does, and the verdict is that the request may have run, with the engine's end as the reason.

--- a/internal/endpoint/railupstream/client.go
+++ b/internal/endpoint/railupstream/client.go
@@ -29,6 +29,9 @@
 	fenceHeader      = "X-Fence"
 )
 
+// errEndedWithEngine means that a body without a length ended together with its engine, so that it may not be complete.
+var errEndedWithEngine = errors.New("the answer has ended together with its engine")
+
 // Client is an HTTP client for one endpoint. It opens a connection for each call, since an endpoint may write a further response on a
 // connection that is kept. Its exported fields must be set before its first use.
 type Client struct {
@@ -46,14 +49,15 @@
 // have run. It returns a railendpoint.EndedError if the endpoint's process has ended meanwhile.
 func (c *Client) Run(ctx context.Context, req *railproto.ExecuteRequest, emit func(*railproto.Frame)) (railverdict.Verdict, error) {
 	incarnation := c.knownIncarnation()
-	verdict, err := c.forward(ctx, req, emit)
+	verdict, err := c.forward(ctx, req, incarnation, emit)
 	if err != nil && verdict == railverdict.MayHaveRun && ctx.Err() == nil && c.hasEnded(ctx, incarnation) {
 		err = &railendpoint.EndedError{Incarnation: incarnation, Cause: err}
 	}
 	return verdict, err
 }
 
-func (c *Client) forward(ctx context.Context, req *railproto.ExecuteRequest, emit func(*railproto.Frame)) (railverdict.Verdict, error) {
+// forward makes the exchange with the engine of the given incarnation, or with an unknown one.
+func (c *Client) forward(ctx context.Context, req *railproto.ExecuteRequest, incarnation string, emit func(*railproto.Frame)) (railverdict.Verdict, error) {
 	ctx, cancel := withTimeout(ctx)
 	defer cancel()
 	hreq := c.newRequest(fasthttp.MethodPost, req.GetPath(), req.GetBody())
@@ -72,7 +76,7 @@
 	}
 	defer exchange.Close()
 	c.report(&exchange.Header, "")
-	return c.handleResponse(ctx, req, exchange, emit)
+	return c.handleResponse(ctx, req, incarnation, exchange, emit)
 }
 
 // LoadedWeights returns the digest of the weights in service and the engine's incarnation.
@@ -161,7 +165,7 @@
 	return req
 }
 
-func (c *Client) handleResponse(ctx context.Context, req *railproto.ExecuteRequest, exchange *railexchange.Exchange, emit func(*railproto.Frame)) (railverdict.Verdict, error) {
+func (c *Client) handleResponse(ctx context.Context, req *railproto.ExecuteRequest, incarnation string, exchange *railexchange.Exchange, emit func(*railproto.Frame)) (railverdict.Verdict, error) {
 	status := exchange.Header.StatusCode()
 	// Status 503 proves that an idempotent request was not run. A service whose requests must not be repeated may have run a
 	// request that it answers with an error.
@@ -176,6 +180,9 @@
 		return railverdict.Ran, nil
 	}
 	body, err := exchange.ReadAll(maxResponseBytes, nil)
+	if err == nil && exchange.EndsWithConnection() && c.hasEnded(ctx, incarnation) {
+		err = errEndedWithEngine
+	}
 	if err != nil {
 		return railverdict.MayHaveRun, errors.Wrap(errors.CombineErrors(railendpoint.ErrTruncated, err), "read the answer")
 	}
