--- a/internal/endpoint/railexchange/header.go
+++ b/internal/endpoint/railexchange/header.go
@@ -1,11 +1,12 @@
 package railexchange
 
 import (
-	"bytes"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/fulmarrail/fulmarrail/internal/endpoint/railframing"
 )
 
 const (
@@ -52,7 +53,7 @@
 	if err != nil {
 		return err
 	}
-	if !hasClearEnd(raw) {
+	if !railframing.HasClearEnd(raw) {
 		return errUnclearEnd
 	}
 	buffered, size := e.reader.Buffered(), len(raw)
@@ -86,27 +87,11 @@
 		if err != nil {
 			return nil, err
 		}
-		size := 0
-		for line := range bytes.Lines(b) {
-			size += len(line)
-			if len(bytes.TrimRight(line, "\r\n")) == 0 && line[len(line)-1] == '\n' {
-				return b[:size], nil
-			}
+		if size := railframing.HeaderSize(b); size > 0 {
+			return b[:size], nil
 		}
 		if _, err := e.reader.Peek(len(b) + 1); err != nil {
 			return nil, err
 		}
 	}
 }
-
-// hasClearEnd reports whether a header has either a length or an encoding or neither, and an encoding only in a protocol that has them.
-func hasClearEnd(raw []byte) bool {
-	hasLength, hasEncoding := false, false
-	for line := range bytes.Lines(raw) {
-		name, _, _ := bytes.Cut(line, []byte(":"))
-		name = bytes.TrimSpace(name)
-		hasLength = hasLength || bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength))
-		hasEncoding = hasEncoding || bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding))
-	}
-	return !hasEncoding || !hasLength && bytes.HasPrefix(raw, []byte("HTTP/1.1 "))
-}
