--- a/internal/request/railclaim/write.go
+++ b/internal/request/railclaim/write.go
@@ -73,7 +73,7 @@
 // that may have failed.
 func (c *Claimer) tryWriteRecord(ctx context.Context, r *record) error {
 	claim, version := c.journal.read(r)
-	err := error(railtable.ErrConflict)
+	err := railtable.ErrConflict
 	if !c.Era.IsOutdated(version) {
 		version, err = c.putClaim(ctx, r.row, claim, version)
 	}
--- a/internal/rollout/railslots/restore_test.go
+++ b/internal/rollout/railslots/restore_test.go
@@ -32,7 +32,7 @@
 
 // Guards against two endpoints of a group that are out of service at once, since the store has lost that one holds the slot.
 func TestLostSlotIsNotAcquiredByAnother(t *testing.T) {
-	testRestoredSlot(t, func(c *qt.C, platform *railplatform.Platform, holder, other *railslots.Slots) {
+	testRestoredSlot(t, func(c *qt.C, _ *railplatform.Platform, holder, other *railslots.Slots) {
 		for range 8 {
 			c.Check(other.Acquire(c.Context(), slotGroup, 1), qt.ErrorIs, railslots.ErrNoFreeSlot)
 			time.Sleep(lease / 4)
@@ -46,7 +46,7 @@
 
 // Guards against a holder that takes its endpoint out of service although another one has its slot after the restore.
 func TestHolderGivesWayToAnotherThatHasItsSlot(t *testing.T) {
-	testRestoredSlot(t, func(c *qt.C, platform *railplatform.Platform, holder, other *railslots.Slots) {
+	testRestoredSlot(t, func(c *qt.C, platform *railplatform.Platform, holder, _ *railslots.Slots) {
 		_, version, err := platform.Get(c.Context(), "slot/"+slotGroup+"/0")
 		c.Check(err, qt.IsNil)
 		_, err = platform.Put(c.Context(), "slot/"+slotGroup+"/0", []byte("b"), version)
