--- a/internal/store/railreplica/follower.go
+++ b/internal/store/railreplica/follower.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -14,16 +13,26 @@
 	"github.com/fulmarrail/fulmarrail/internal/core/railsignal"
 	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
 	"github.com/fulmarrail/fulmarrail/internal/store/railstoreclock"
+	"github.com/fulmarrail/fulmarrail/internal/store/railversion"
 )
 
 const (
 	minRetryInterval = 100 * time.Millisecond
-	maxRetryInterval = time.Second
+	// maxRetryInterval, with its randomization, lets a follower notice the store's return within a second.
+	maxRetryInterval = 650 * time.Millisecond
 	// pollJitter is the largest deviation of the delay between two requests from PollDelay, as a share of it. It spreads the requests of
 	// processes that have started together.
 	pollJitter = 0.2
+	// minLapseTime is the shortest outage of the store after which rows may be missing only since their writers could not renew them.
+	minLapseTime = 2 * time.Second
+	// ReturnGrace is the time after the store's return from an outage, or from a restore, within which living writers have written the rows
+	// again that it lacks.
+	ReturnGrace = 2 * time.Second
 )
 
+// errInterrupted means that another follower has found the store back, so that a response to the present request may never come.
+var errInterrupted = errors.New("the request was abandoned since the store is back")
+
 // ErrHistoryGone means that the store no longer has the changes since a version, so that the whole table has to be read again.
 var ErrHistoryGone = errors.New("the store no longer has the requested change history")
 
@@ -56,7 +65,7 @@
 	// Table returns a consistent snapshot of all rows of a table.
 	Table(ctx context.Context, table string) (Page, error)
 	// Changes returns the rows changed after a version. If there are none, it waits for the next change, for at most the given
-	// time. It returns ErrHistoryGone if the store no longer has these changes.
+	// time. It returns ErrHistoryGone if the store does not have these changes, and the error of ctx as soon as that is done.
 	Changes(ctx context.Context, table string, after int64, wait time.Duration) (Page, error)
 }
 
@@ -75,8 +84,8 @@
 	// Clock relates the store's versions and clock to the local clock. Followers of the same store may share it. If it is nil, the
 	// follower has one of its own.
 	Clock *railstoreclock.Clock
-	// Recovered is notified when the store responds again after an outage, so that all followers that share it retry immediately.
-	// It may be nil.
+	// Recovered is notified when the store responds again after an outage or was restored, so that all followers that share it send a request
+	// immediately, also those that wait for the response to another one. It may be nil.
 	Recovered *railsignal.Signal
 	// OnChange is called with all rows after the table has been read for the first time and after each change.
 	OnChange func(rows map[string]Row)
@@ -85,7 +94,7 @@
 	mu          sync.Mutex
 	confirmedAt time.Duration
 	loaded      bool
-	rows        map[string]Row
+	rows        rowSet
 	version     int64
 	// pageAt is the store's clock as of the last page.
 	pageAt time.Duration
@@ -100,7 +109,11 @@
 	retry.Reset()
 	for ctx.Err() == nil {
 		recovered := f.recoverySignal()
-		if err := f.poll(ctx); err != nil {
+		err := f.interruptiblePoll(ctx, recovered)
+		if errors.Is(err, errInterrupted) {
+			continue
+		}
+		if err != nil {
 			f.logLoss(ctx, err)
 			f.waitForRetry(ctx, recovered, retry.NextBackOff())
 			continue
@@ -128,6 +141,30 @@
 	}
 }
 
+// interruptiblePoll is like poll, but returns errInterrupted if the store responds to another follower again before it responds to this one.
+func (f *Follower) interruptiblePoll(ctx context.Context, recovered <-chan struct{}) error {
+	pollCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	interrupted := make(chan struct{})
+	go func() {
+		select {
+		case <-recovered:
+			close(interrupted)
+			cancel()
+		case <-pollCtx.Done():
+		}
+	}()
+	err := f.poll(pollCtx)
+	select {
+	case <-interrupted:
+		if err != nil {
+			return errInterrupted
+		}
+	default:
+	}
+	return err
+}
+
 // Refresh updates the replica once and returns the error, if any. It works without Run.
 func (f *Follower) Refresh(ctx context.Context) error {
 	return f.poll(ctx)
@@ -137,7 +174,7 @@
 func (f *Follower) Rows() map[string]Row {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return maps.Clone(f.rows)
+	return f.rows.view()
 }
 
 // Age returns the time since the replica was last known to be current. It returns false before the first successful read.
@@ -168,24 +205,35 @@
 	if !f.isLoaded() {
 		return f.readAll(ctx, start)
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.Wait+f.Timeout)
+	wait := f.pollWait(start)
+	ctx, cancel := context.WithTimeout(ctx, wait+f.Timeout)
 	defer cancel()
-	page, err := f.Source.Changes(ctx, f.Table, f.Version(), f.Wait)
+	page, err := f.Source.Changes(ctx, f.Table, f.Version(), wait)
 	if errors.Is(err, ErrHistoryGone) {
-		f.Log.Info("change history no longer available; reading the whole table", "table", f.Table, "after", f.Version())
+		f.Log.Info("change history is not available; reading the whole table", "table", f.Table, "after", railversion.String(f.Version()))
 		return f.readAll(ctx, start)
 	}
 	if err != nil {
 		return err
 	}
 	confirmedAt := start
-	if len(page.Rows) == 0 {
-		confirmedAt += f.Wait // The store responds without rows only after the full wait.
+	if len(page.Rows) == 0 && f.Now()-start >= wait {
+		confirmedAt += wait // The store has waited for a change until then.
 	}
 	f.apply(page, confirmedAt, false)
 	return nil
 }
 
+// pollWait returns the long polling time of a request that is sent now. It ends when kept rows expire.
+func (f *Follower) pollWait(now time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if expiry, ok := f.rows.nextExpiry(now); ok {
+		return min(f.Wait, expiry)
+	}
+	return f.Wait
+}
+
 func (f *Follower) readAll(ctx context.Context, start time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, f.Timeout)
 	defer cancel()
@@ -200,22 +248,32 @@
 // apply applies a page that was current at the given time. A full page replaces the replica.
 func (f *Follower) apply(page Page, confirmedAt time.Duration, full bool) {
 	f.mu.Lock()
-	f.observe(page, confirmedAt)
+	now := f.Now()
+	restored := f.loaded && railversion.Era(page.Version) != railversion.Era(f.version)
+	f.observe(page, confirmedAt, restored)
+	if f.loaded && (restored || now-f.confirmedAt >= f.Wait+minLapseTime) {
+		f.rows.graceEnd = now + ReturnGrace
+	}
 	if full {
-		f.rows = map[string]Row{}
+		f.rows.replace(page.Rows, restored, now)
+		f.version = page.Version
 	}
 	for _, row := range page.Rows {
-		if row.Removed {
-			delete(f.rows, row.Key)
-			continue
+		if !full {
+			f.rows.change(row, now)
 		}
-		f.rows[row.Key] = row
 	}
 	f.version = max(f.version, page.Version)
 	f.loaded = true
-	rows := maps.Clone(f.rows)
+	changed := f.rows.expire(now) || full || len(page.Rows) > 0
+	rows := f.rows.view()
+	kept := len(f.rows.kept)
 	f.mu.Unlock()
-	if full || len(page.Rows) > 0 {
+	if restored {
+		f.Log.Warn("store was restored from an older copy", "table", f.Table, "version", railversion.String(page.Version), "kept", kept)
+		f.notifyRecovery()
+	}
+	if changed {
 		f.OnChange(rows)
 	}
 	f.mu.Lock()
@@ -224,8 +282,9 @@
 }
 
 // observe updates the store's clock and the longest time for which the changes in a page may have been in the store: they were made
-// after the last page, and after any page of another follower whose version is lower.
-func (f *Follower) observe(page Page, confirmedAt time.Duration) {
+// after the last page, and after any page of another follower whose version is lower. The clock of a store that was restored since the last
+// page may have been set back.
+func (f *Follower) observe(page Page, confirmedAt time.Duration, restored bool) {
 	if f.Clock == nil {
 		f.Clock = &railstoreclock.Clock{Local: f.Now}
 	}
@@ -237,7 +296,10 @@
 	}
 	changedAfter := max(f.pageAt, f.Clock.WrittenAfter(oldestChange))
 	f.Clock.Observe(page.Version, page.Now, confirmedAt)
-	if f.loaded {
+	switch {
+	case restored:
+		f.maxChangeAge = f.Now() - f.confirmedAt
+	case f.loaded:
 		f.maxChangeAge = max(f.Clock.Now()-changedAfter, 0)
 	}
 	f.pageAt = page.Now
@@ -264,9 +326,13 @@
 func (f *Follower) logRecovery() {
 	if f.storeLost {
 		f.storeLost = false
-		f.Log.Info("store regained", "table", f.Table, "version", f.Version())
-		if f.Recovered != nil {
-			f.Recovered.Notify()
-		}
+		f.Log.Info("store regained", "table", f.Table, "version", railversion.String(f.Version()))
+		f.notifyRecovery()
+	}
+}
+
+func (f *Follower) notifyRecovery() {
+	if f.Recovered != nil {
+		f.Recovered.Notify()
 	}
 }
