Test that lost claims are written again within the platform's rates

3,000 claims of 200 agents, all lost, are back before the first key can be claimed again, at 500 writes and 2,000 reads a second and with 3 s until all agents have heard of the new era.

--- a/internal/lab/railcluster/restore_config_test.go
+++ b/internal/lab/railcluster/restore_config_test.go
@@ -114,7 +114,7 @@
 
 // Guards against changes that go back at some entry when the store is restored while operators write and views of the folder lag.
 func TestConfigNeverRevertsWhenStoreIsRestored(t *testing.T) {
-	for seed := range uint64(restoreSeeds) {
+	for seed := range seedsToRestore() {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, seed))
 			folders := &staleFolders{}
--- a/internal/lab/railcluster/restore_test.go
+++ b/internal/lab/railcluster/restore_test.go
@@ -26,6 +26,14 @@
 	maxCopyAge = 12 * time.Second
 )
 
+// seedsToRestore returns the number of seeds of a test that restores the store, which the environment may set.
+func seedsToRestore() uint64 {
+	if seeds, err := strconv.ParseUint(os.Getenv("SEEDS"), 10, 64); err == nil {
+		return seeds
+	}
+	return restoreSeeds
+}
+
 // restoreStore takes the store down for a moment and brings it back from a copy of the given age.
 func (o *ordersCluster) restoreStore(ctx context.Context, outage, age time.Duration) {
 	o.Platform.SetStoreDown(true)
@@ -57,11 +65,7 @@
 
 // Guards against keyed orders that run twice when the store loses claims and outcomes under load, and loses responses meanwhile.
 func TestOrdersRunAtMostOnceWhenStoreIsRestored(t *testing.T) {
-	seeds := restoreSeeds
-	if text := os.Getenv("SEEDS"); text != "" {
-		seeds, _ = strconv.Atoi(text)
-	}
-	for seed := range uint64(seeds) {
+	for seed := range seedsToRestore() {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			o := &ordersCluster{seed: seed, delay: 30 * time.Millisecond}
 			o.run(t, &railplatform.Platform{ListLag: 2 * time.Second, WriteRate: 500, ReadRate: 2000, Seed: seed}, func(ctx context.Context, c *qt.C) {
--- a/internal/request/railclaim/restore_test.go
+++ b/internal/request/railclaim/restore_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -99,3 +101,54 @@
 		c.Check(err, qt.IsNil)
 	})
 }
+
+// Guards against keys that are claimed anew since many agents could not write their lost claims again at the platform's rate of writes.
+func TestLostClaimsOfManyAgentsAreWrittenBeforeKeysAreClaimed(t *testing.T) {
+	const (
+		agents, claimsPerAgent = 200, 15
+		// heartbeatDelay bounds the time until all agents have heard of a new era.
+		heartbeatDelay = 3 * time.Second
+	)
+	railvirtualtime.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		platform := &railplatform.Platform{WriteRate: 500, ReadRate: 2000}
+		ctx, cancel := context.WithCancel(t.Context())
+		var claims, runs sync.WaitGroup
+		started := time.Now()
+		var claimers []*railclaim.Claimer
+		for n := range agents {
+			claimer := newClaimer(platform, fmt.Sprint(n))
+			claimers = append(claimers, claimer)
+			runs.Go(func() { claimer.Run(ctx) })
+			claims.Go(func() {
+				for i := range claimsPerAgent {
+					row := fmt.Sprint(n, "-", i)
+					_, _, err := claimer.Claim(ctx, row, row, "body", 0)
+					c.Check(err, qt.IsNil)
+				}
+			})
+		}
+		claims.Wait()
+		platform.Restore(time.Since(started) + time.Second)
+		time.Sleep(heartbeatDelay)
+		first := newClaimer(platform, "first")
+		first.Era.Observe(1, heartbeatDelay)
+		for _, claimer := range claimers {
+			claimer.Era.Observe(1, heartbeatDelay)
+		}
+		time.Sleep(first.Unsettled())
+		lost := 0
+		for n := range agents {
+			for i := range claimsPerAgent {
+				value, version, err := platform.Get(ctx, fmt.Sprint(n, "-", i))
+				if err == nil && (version == 0 || len(value) == 0) {
+					lost++
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}
+		c.Check(lost, qt.Equals, 0)
+		cancel()
+		runs.Wait()
+	})
+}
