Don't start on an older configuration than other entries have had

An entry that started right after the store had come back from an older copy took the copy's configuration for the current one, until the operator had written the newer one again: it would have accepted keys that were revoked in the lost seconds, which no other entry did. The store alone can't tell it.

The row that each entry writes again after a restore now says which configuration it has. An entry that has started less than ten seconds ago serves nothing on an older one, and none does before it has read these rows, as its readiness check already required.

--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -49,6 +49,8 @@
 	keyTrustFraction = 0.8
 	// publishRetryDelay is the mean delay after a failed write of the entry's row. It varies by half, since all entries write after a restore.
 	publishRetryDelay = time.Second
+	// maxBehindTime is the time after the start of a process within which it does not take an older configuration than other entries have had.
+	maxBehindTime = 10 * time.Second
 	// rewriteSpread is the time over which the entries spread their writes after a restore of the store. It is less than the time for which
 	// followers keep rows that are missing.
 	rewriteSpread = railreplica.ReturnGrace / 4
@@ -78,10 +80,13 @@
 	peerAddrs    []*net.UDPAddr
 	instanceRows map[string]railreplica.Row
 	instances    []railinstance.Instance
+	// entriesConfig is the newest configuration that the entries' rows mention, and startedAt the time since boot at which this process started.
+	entriesConfig int64
+	startedAt     time.Duration
 }
 
 func run(ctx context.Context, p *railsiteprocess.Process) error {
-	g := &gateway{Process: p}
+	g := &gateway{Process: p, startedAt: p.Clock.Now()}
 	site := p.Site
 	callerListener, err := net.Listen("tcp", site.Process.CallerAddress)
 	if err != nil {
@@ -103,7 +108,7 @@
 	g.configServer = &railconfigserver.Server{Config: p.Config, Age: g.configAge, Instances: g.currentInstances, Entries: g.members}
 	g.quarantine = &railquarantine.Quarantine{Log: raillog.Named(p.Log, "quarantine")}
 	g.frontend = &railgateway.Gateway{
-		CallerListener: callerListener, ReadyListener: readyListener, ReadyPath: platform.ReadyPath, Translator: platform.Translator{}, Catalog: p.Config.Get, MinVersion: p.Config.MinVersion, NextMinVersion: p.Config.NextMinVersion,
+		CallerListener: callerListener, ReadyListener: readyListener, ReadyPath: platform.ReadyPath, Translator: platform.Translator{}, Catalog: g.catalog, MinVersion: p.Config.MinVersion, NextMinVersion: p.Config.NextMinVersion,
 		EntriesKnown: g.entriesKnown, ConfigAge: g.configAge, EndpointListAge: g.instancesAge, MaxConfigAge: maxConfigAge(site.Bounds.RevocationDelay), RetryShare: site.Bounds.RetryShare / 2,
 		ObjectivePercent: site.Process.ObjectivePercent, Quarantine: g.quarantine,
 		Log: raillog.Named(p.Log, "front"),
@@ -212,13 +217,15 @@
 
 // setEntries applies the rows of the table of entries.
 func (g *gateway) setEntries(rows map[string]railreplica.Row) {
-	members := g.Entries(slices.Collect(maps.Values(rows)))
+	list := slices.Collect(maps.Values(rows))
+	members := g.Entries(list)
 	slices.SortFunc(members, func(a, b railmember.Member) int { return cmp.Compare(a.Name, b.Name) })
 	others := slices.DeleteFunc(slices.Clone(members), func(m railmember.Member) bool { return m.Name == g.Site.Process.Name })
-	g.entries.SetMembers(members)
 	g.mu.Lock()
+	g.entriesConfig = railsiteprocess.NewestConfig(list)
 	g.peerAddrs = raildatagram.Addresses(others)
 	g.mu.Unlock()
+	g.entries.SetMembers(members)
 	g.configServer.NotifyChange()
 }
 
--- a/internal/command/railgatewaycmd/parts.go
+++ b/internal/command/railgatewaycmd/parts.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/fulmarrail/fulmarrail/internal/command/railsiteprocess"
+	"github.com/fulmarrail/fulmarrail/internal/config/railcatalog"
 	"github.com/fulmarrail/fulmarrail/internal/config/railzone"
 	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
@@ -50,13 +51,8 @@
 // publishEntryRow writes this entry's row to the store, so that other processes can find it, and again after each restore of the store. It
 // returns once ctx is done.
 func (g *gateway) publishEntryRow(ctx context.Context) {
-	row, err := g.EntryRow()
-	if err != nil {
-		g.Log.Error("failed to encode this entry's row; other processes can't find this entry", "err", err)
-		return
-	}
 	for {
-		version, ok := g.writeEntryRow(ctx, row)
+		version, ok := g.writeEntryRow(ctx)
 		if !ok || !g.Store.AwaitRestore(ctx, railversion.Era(version)) {
 			return
 		}
@@ -65,9 +61,15 @@
 	}
 }
 
-// writeEntryRow writes this entry's row and returns its version. It retries until it succeeds, or returns false if ctx is done first.
-func (g *gateway) writeEntryRow(ctx context.Context, row []byte) (int64, bool) {
+// writeEntryRow writes this entry's row and returns its version. It retries until it succeeds, or returns false if ctx is done first or the row
+// can't be encoded.
+func (g *gateway) writeEntryRow(ctx context.Context) (int64, bool) {
 	for {
+		row, err := g.EntryRow()
+		if err != nil {
+			g.Log.Error("failed to encode this entry's row; other processes can't find this entry", "err", err)
+			return 0, false
+		}
 		requestCtx, cancel := context.WithTimeout(ctx, g.Site.Process.CallTimeout)
 		version, err := g.Store.Change(requestCtx, railtable.Put(railsiteprocess.TableEntries, g.Site.Process.Name, row))
 		cancel()
@@ -80,3 +82,14 @@
 		}
 	}
 }
+
+// catalog returns the configuration in force, or false if there is none yet or the other entries are not known. A process that has started
+// lately does not take an older one than other entries have had: the store may have been restored from a copy, and the operators' rows are
+// still to be written again.
+func (g *gateway) catalog() (railcatalog.Catalog, bool) {
+	catalog, known := g.Config.Get()
+	g.mu.Lock()
+	behind := catalog.Version < g.entriesConfig && g.Clock.Now()-g.startedAt < maxBehindTime
+	g.mu.Unlock()
+	return catalog, known && g.entriesKnown() && !behind
+}
--- a/internal/command/railsiteprocess/process.go
+++ b/internal/command/railsiteprocess/process.go
@@ -246,9 +246,23 @@
 	return members
 }
 
+// NewestConfig returns the newest configuration that the rows of the table of entries mention, or 0 if there is none.
+func NewestConfig(rows []railreplica.Row) int64 {
+	newest := int64(0)
+	for _, row := range rows {
+		if entry, err := parseEntryRow(row.Value); err == nil {
+			newest = max(newest, entry.Config)
+		}
+	}
+	return newest
+}
+
 // EntryRow returns the encoded row of this process in the table of entries.
 func (p *Process) EntryRow() ([]byte, error) {
-	row, err := json.Marshal(entryRow{Address: p.Site.Process.InternalAddress, Zone: p.Site.Process.Zone, Link: p.Site.Process.LinkBytesPerSecond()})
+	catalog, _ := p.Config.Get()
+	row, err := json.Marshal(entryRow{
+		Address: p.Site.Process.InternalAddress, Zone: p.Site.Process.Zone, Link: p.Site.Process.LinkBytesPerSecond(), Config: catalog.Version,
+	})
 	return row, errors.Wrap(err, "encode the entry's row")
 }
 
@@ -258,6 +272,8 @@
 	Zone    string `json:"zone"`
 	// Link is the rate of the entry's network link in bytes per second, or 0 if it is unknown.
 	Link int `json:"link"`
+	// Config is the version of the configuration that was in force when the entry wrote the row, or 0 for none.
+	Config int64 `json:"config"`
 }
 
 func parseEntryRow(value []byte) (entryRow, error) {
