--- a/internal/node/railgateway/stream.go
+++ b/internal/node/railgateway/stream.go
@@ -87,7 +87,7 @@
 		next = found
 	}
 	if !next.continues(lastEventID) {
-		next.close(railfleet.Failed)
+		g.fail(c, next, railverdict.MayHaveRun, errEventGap)
 		return nil, errEventGap
 	}
 	g.Log.Info("stream is taken up elsewhere", "request", c.ID, "endpoint", next.lease.Instance.ID, "lastEvent", lastEventID, "parts", c.SharedParts, "err", err)
