Close the listener of a gateway before its drain ends

Cause: the process accepted connections until its last moment. Where fewer than half of a zone's entries are ready, the load balancer sends connections to the others too, so that they come throughout the grace period; one that was accepted after the last look for requests in flight was cut.

TestNoConnectionIsAcceptedOnceDrainHasEnded failed before.

Why the fix works: once nothing is in flight the listener is closed, so that the kernel refuses further connections, and what was accepted until then is served before the drain ends.

--- a/internal/node/railgateway/drain.go
+++ b/internal/node/railgateway/drain.go
@@ -77,10 +77,15 @@
 	start := time.Now()
 	untilEnd := g.drainState.start(start, timeout)
 	g.Log.Info("gateway draining, waiting for requests in flight", "running", listener.Answering(), "idle", listener.Drain())
-	interrupted := 0
+	interrupted, closed := 0, false
 	for time.Since(start) < timeout {
 		if time.Since(start) > balancerRemovalDelay && listener.Pending() == 0 {
-			break
+			if closed {
+				break
+			}
+			closed = true
+			_ = listener.Close() // Connections that were accepted before this are served; later ones are refused by the kernel.
+			continue
 		}
 		if time.Since(start) > untilEnd && g.drainState.ctx.Err() == nil {
 			interrupted = int(g.inFlight.Load())
--- a/internal/node/railgateway/drain_end_test.go
+++ b/internal/node/railgateway/drain_end_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -178,6 +179,15 @@
 	}
 }
 
+// Guards against a request that is read after the drain has ended, and is cut when the process ends.
+func TestNoConnectionIsAcceptedOnceDrainHasEnded(t *testing.T) {
+	d := newDeployment(t)
+	d.stop()
+	qt.Assert(t, <-d.stopped, qt.IsNil)
+	_, err := net.Dial("tcp", strings.TrimPrefix(d.url, "http://"))
+	qt.Check(t, err, qt.ErrorIs, syscall.ECONNREFUSED)
+}
+
 // brokenListener accepts one connection, and fails with err for ever after it.
 type brokenListener struct {
 	net.Listener
