Reject requests at once that are no valid text for an agent

In own deployments, a request whose path, content type or idempotency key held bytes that are no UTF-8 was tried until its deadline and then refused, and each attempt took its agent out of the choice for other requests until that was heard from again. Cause: these fields are texts in the inner protocol, whose encoder fails for other bytes; the entry took that for a lost connection, asked the agent to revoke the request, which succeeded, and tried the next one. Now the entry answers 400, not run.

--- a/internal/endpoint/railupstream/client.go
+++ b/internal/endpoint/railupstream/client.go
@@ -172,7 +172,7 @@
 	if status == fasthttp.StatusServiceUnavailable && req.GetIdempotent() {
 		return railverdict.NotRun, errors.New("the endpoint refused the request")
 	}
-	contentType := string(exchange.Header.ContentType())
+	contentType := strings.ToValidUTF8(string(exchange.Header.ContentType()), "?") // Only valid text can be sent to an entry.
 	if status == fasthttp.StatusOK && strings.HasPrefix(contentType, eventStreamType) {
 		if err := c.forwardStream(ctx, req.GetRequestId(), exchange, emit); err != nil {
 			return railverdict.MayHaveRun, err
--- a/internal/node/railfront/front_test.go
+++ b/internal/node/railfront/front_test.go
@@ -98,6 +98,9 @@
 		{"priority", "POST", "/chat/x", "", append([]string{"Fulmarrail-Priority", "high"}, customer...), 400, "level from 0 to 9"},
 		{"deadline", "POST", "/chat/x", "", append([]string{"Fulmarrail-Deadline", "5"}, customer...), 400, "duration such as"},
 		{"key", "POST", "/orders/x", "", append([]string{"Idempotency-Key", strings.Repeat("k", 257)}, customer...), 400, "over 256 bytes"},
+		{"path not UTF-8", "POST", "/chat/%ff", "", customer, 400, "the path is not UTF-8"},
+		{"content type not UTF-8", "POST", "/chat/x", "", append([]string{"Content-Type", "\xff"}, customer...), 400, "Content-Type is not UTF-8"},
+		{"key not UTF-8", "POST", "/orders/x", "", append([]string{"Idempotency-Key", "\xff"}, customer...), 400, "Idempotency-Key is not UTF-8"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
--- a/internal/node/railfront/parse.go
+++ b/internal/node/railfront/parse.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
@@ -57,6 +58,7 @@
 	return req.WithSharedParts(session), service, 0, nil
 }
 
+// parseOptionalHeaders applies the caller's optional headers, and checks the texts that agents get.
 func parseOptionalHeaders(req *railrequest.Request, h *fasthttp.RequestHeader, maxPriority int, now time.Time) error {
 	if text := string(h.Peek(headerPriority)); text != "" {
 		priority, err := strconv.Atoi(text)
@@ -74,6 +76,11 @@
 			req.Deadline = callerDeadline
 		}
 	}
+	for name, text := range map[string]string{"the path": req.Path, "header Content-Type": req.ContentType, "header " + headerKey: req.Key} {
+		if !utf8.ValidString(text) {
+			return errors.Newf("%s is not UTF-8", name)
+		}
+	}
 	if len(req.Key) > maxKeyBytes {
 		return errors.Newf("header %s is over %d bytes", headerKey, maxKeyBytes)
 	}
--- a/internal/request/railexecutor/executor.go
+++ b/internal/request/railexecutor/executor.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -214,12 +215,12 @@
 	}
 	if verdict == railverdict.NotRun {
 		frame := e.rejectionFrame(requestID, railproto.Reason_REASON_ENDPOINT_REFUSED)
-		frame.Detail = err.Error()
+		frame.Detail = strings.ToValidUTF8(err.Error(), "?")
 		return frame
 	}
 	e.Log.Warn("request failed at the endpoint", "request", requestID, "err", err)
 	frame := e.abortedFrame(requestID, reason)
-	frame.Detail = err.Error()
+	frame.Detail = strings.ToValidUTF8(err.Error(), "?")
 	if ended != nil {
 		frame.EndedIncarnation = ended.Incarnation
 	}
