Refuse waiting requests at once when their service is dropped

In own deployments, requests that waited for an endpoint when a new revision dropped their service waited on until their deadline, although no endpoint could serve them any more. Now the queue asks at each wake and for each new request whether the service is still there, and refuses them all as not run.

TestWaitingRequestsOfADroppedServiceAreRejectedAtOnce fails without the check at the wake: the requests never end.

--- a/internal/node/railrouter/router.go
+++ b/internal/node/railrouter/router.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 
 	"github.com/fulmarrail/fulmarrail/internal/core/raillog"
 
@@ -233,10 +234,20 @@
 		RecordUnsent: r.watcher.RecordDecision,
 
 		FirstPauseEnd: func() (time.Time, bool) { return r.watcher.FirstPauseEnd(service) },
+		Unservable:    func() error { return r.checkService(service) },
 	})
 	return d.(*raildispatcher.Dispatcher)
 }
 
+// checkService returns an error if the current revision has no such service, as after one that drops it.
+func (r *Router) checkService(name string) error {
+	revision, ok := r.revisions.Current()
+	if _, known := revision.Spec().Service(name); ok && !known {
+		return errors.Newf("there is no service %q any more", name)
+	}
+	return nil
+}
+
 func (r *Router) service(name string) railservice.Service {
 	revision, _ := r.revisions.Current()
 	service, _ := revision.Spec().Service(name)
--- a/internal/routing/raildispatcher/dispatcher.go
+++ b/internal/routing/raildispatcher/dispatcher.go
@@ -62,6 +62,8 @@
 	// FirstPauseEnd returns the time at which the first endpoint takes requests again, or false unless all endpoints have asked for none. It
 	// may be nil.
 	FirstPauseEnd func() (time.Time, bool)
+	// Unservable returns the reason why no endpoint will ever serve the service's requests, or nil. It may be nil itself.
+	Unservable func() error
 
 	mu             sync.Mutex
 	queue          railqueue.Queue[*waiter]
@@ -72,12 +74,16 @@
 	fastest map[int]*windowedMinimum
 }
 
-// Acquire waits for an endpoint with capacity. It returns ErrQueueFull, ErrDeadline or a PausedError if there is none, and ErrDeadline if
-// ctx is done. All errors mean that the request was not run. queueCapacity is the maximum number of waiting requests. With requeue, the
+// Acquire waits for an endpoint with capacity. It returns ErrQueueFull, ErrDeadline or a PausedError if there is none, ErrDeadline if
+// ctx is done, and the error of Unservable. All errors mean that the request was not run. queueCapacity is the maximum number of waiting requests. With requeue, the
 // request was granted an endpoint that had no capacity after all, and resumes its position.
 func (d *Dispatcher) Acquire(ctx context.Context, req railrequest.Request, queueCapacity int, requeue bool) (railcandidate.Candidate, error) {
 	d.mu.Lock()
 	d.queue.Capacity = queueCapacity
+	if err := d.unservable(); err != nil {
+		d.mu.Unlock()
+		return railcandidate.Candidate{}, err
+	}
 	if d.queue.Len() == 0 || requeue {
 		if c, ok := d.choose(req); ok {
 			d.mu.Unlock()
@@ -111,6 +117,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
+	if err := d.unservable(); err != nil {
+		d.rejectWaiting(err, func(*waiter) bool { return true })
+	}
 	d.rejectPaused(now)
 	for {
 		w, ok := d.queue.Peek()
@@ -197,15 +206,27 @@
 	if !ok {
 		return
 	}
+	d.rejectWaiting(&PausedError{Remaining: end.Sub(now)}, func(w *waiter) bool { return d.endsTooLate(end, w.request, now) })
+}
+
+// rejectWaiting rejects the waiting requests that match.
+func (d *Dispatcher) rejectWaiting(err error, match func(*waiter) bool) {
 	d.queue.RemoveFunc(func(w *waiter) bool {
-		if !d.endsTooLate(end, w.request, now) {
+		if !match(w) {
 			return false
 		}
-		w.result <- result{err: &PausedError{Remaining: end.Sub(now)}}
+		w.result <- result{err: err}
 		return true
 	})
 }
 
+func (d *Dispatcher) unservable() error {
+	if d.Unservable == nil {
+		return nil
+	}
+	return d.Unservable()
+}
+
 // missesDeadline reports whether the request is expected to miss its deadline behind the requests that are served first.
 func (d *Dispatcher) missesDeadline(req railrequest.Request) bool {
 	now := time.Now()
--- a/internal/routing/raildispatcher/dispatcher_test.go
+++ b/internal/routing/raildispatcher/dispatcher_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarrail/fulmarrail/internal/lab/railvirtualtime"
@@ -224,3 +225,38 @@
 		qt.Check(t, d.Waiting(), qt.Equals, 1)
 	})
 }
+
+// Guards against requests that wait until their deadline for a service that a new configuration has dropped.
+func TestWaitingRequestsOfADroppedServiceAreRejectedAtOnce(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var dropped atomic.Bool
+		errDropped := errors.New("dropped")
+		d := newDispatcher(&endpoint{running: 1})
+		d.Unservable = func() error {
+			if dropped.Load() {
+				return errDropped
+			}
+			return nil
+		}
+		req := railrequest.Request{Customer: "castle", Weight: 1, Deadline: time.Now().Add(time.Minute)}
+		results := make(chan error)
+		for range 3 {
+			go func() {
+				_, err := d.Acquire(t.Context(), req, 10, false)
+				results <- err
+			}()
+		}
+		synctest.Wait()
+		c.Check(d.Waiting(), qt.Equals, 3)
+		start := time.Now()
+		dropped.Store(true)
+		d.Wake()
+		for range 3 {
+			c.Check(<-results, qt.Equals, errDropped)
+		}
+		_, err := d.Acquire(t.Context(), req, 10, false)
+		c.Check(err, qt.Equals, errDropped)
+		c.Check(time.Since(start), qt.Equals, time.Duration(0))
+	})
+}
