Claim no key right after an outage that follows a restore

What callers saw (by reasoning, shown by the test only): the store is restored, is away again for longer than the 15 s for which keys are refused, and comes back; a key whose claim was lost is claimed anew before its holder, which waits up to 2 s between attempts, has written it again.

Cause: the time after which keys may be claimed ran on while nobody could write.

Evidence: TestKeyIsNotClaimedRightAfterOutageThatFollowsRestore failed before.

Why the fix works: a call that the store does not process within 15 s of the beginning of an era begins that time anew at the process that made it. Agents call each second while nobody confirms the configuration to them.

--- a/internal/request/railclaim/restore_test.go
+++ b/internal/request/railclaim/restore_test.go
@@ -152,3 +152,27 @@
 		runs.Wait()
 	})
 }
+
+// Guards against a key that is claimed anew at the end of an outage that follows the restore, before its holder could write it again.
+func TestKeyIsNotClaimedRightAfterOutageThatFollowsRestore(t *testing.T) {
+	testRestored(t, true, func(c *qt.C, r restored) {
+		_, _, err := r.other.Claim(c.Context(), "row", "r2", "body", 0)
+		c.Check(err, qt.ErrorIs, railclaim.ErrUnavailable)
+		r.platform.Restore(5 * time.Second)
+		for _, claimer := range []*railclaim.Claimer{r.holder, r.other} {
+			claimer.Era.Observe(2, 0)
+		}
+		r.platform.SetDown(true)
+		for range 30 {
+			time.Sleep(time.Second)
+			_, _, _ = r.other.Table.Get(c.Context(), "any row") // As an agent does that nobody confirms the configuration to.
+		}
+		r.platform.SetDown(false)
+		_, _, err = r.other.Claim(c.Context(), "row", "r3", "body", 0)
+		c.Check(err, qt.ErrorIs, railclaim.ErrUnavailable)
+		time.Sleep(settled)
+		_, existing, err := r.other.Claim(c.Context(), "row", "r4", "body", 0)
+		c.Check(err, qt.ErrorIs, railclaim.ErrHeld)
+		c.Check(existing.GetRequestId(), qt.Equals, "r1")
+	})
+}
--- a/internal/store/railera/tracker.go
+++ b/internal/store/railera/tracker.go
@@ -5,21 +5,31 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fulmarrail/fulmarrail/internal/core/railsignal"
 	"github.com/fulmarrail/fulmarrail/internal/store/railtable"
 	"github.com/fulmarrail/fulmarrail/internal/store/railversion"
 )
 
-// MaxCopyAge bounds the age of the copies from which the store is restored: what was written earlier is never lost.
-const MaxCopyAge = time.Minute
+const (
+	// MaxCopyAge bounds the age of the copies from which the store is restored: what was written earlier is never lost.
+	MaxCopyAge = time.Minute
+
+	// failureWindow is the time after the beginning of an era, or after the last failure in it, for which a failure is taken for one that
+	// keeps others from writing again what was lost.
+	failureWindow = 15 * time.Second
+)
 
 // Tracker holds the latest era that a process knows, and since when some process has known it. The zero value is the era of a store that
 // was never restored. It is safe for concurrent use.
 type Tracker struct {
-	mu      sync.Mutex
-	era     int64
-	since   time.Time
-	changed railsignal.Signal
+	mu    sync.Mutex
+	era   int64
+	since time.Time
+	// failedAt is the time of the last failure that extends the beginning of the era, or zero.
+	failedAt time.Time
+	changed  railsignal.Signal
 }
 
 // Observe records that an era had begun by age ago. Earlier eras than the latest one are ignored.
@@ -29,7 +39,7 @@
 	since := time.Now().Add(-age)
 	switch {
 	case era > t.era:
-		t.era, t.since = era, since
+		t.era, t.since, t.failedAt = era, since, time.Time{}
 		t.changed.Notify()
 	case era == t.era && since.Before(t.since):
 		t.since = since
@@ -46,13 +56,31 @@
 	return t.era, time.Since(t.since)
 }
 
-// Remaining returns the rest of a time that begins with the latest era, or 0 if it is over or the store was never restored.
+// Remaining returns the rest of a time that begins with the latest era, or 0 if it is over or the store was never restored. While the store
+// fails after a restore, the time begins anew, since others can't write to it either.
 func (t *Tracker) Remaining(duration time.Duration) time.Duration {
-	era, age := t.Latest()
-	if era == 0 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.era == 0 {
 		return 0
 	}
-	return max(duration-age, 0)
+	return max(duration-time.Since(t.settlingSince()), 0)
+}
+
+// observeFailure records that the store did not process a call.
+func (t *Tracker) observeFailure() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.era != 0 && time.Since(t.settlingSince()) < failureWindow {
+		t.failedAt = time.Now()
+	}
+}
+
+func (t *Tracker) settlingSince() time.Time {
+	if t.failedAt.After(t.since) {
+		return t.failedAt
+	}
+	return t.since
 }
 
 // BegunWithin reads a row, so that the latest era is known, and reports whether that may have begun within the given time. It also does
@@ -85,16 +113,21 @@
 
 func (w *watchedTable) Get(ctx context.Context, key string) ([]byte, int64, error) {
 	value, version, err := w.Table.Get(ctx, key)
-	if err == nil && version != 0 {
-		w.tracker.Observe(railversion.Era(version), 0)
-	}
+	w.observe(version, err)
 	return value, version, err
 }
 
 func (w *watchedTable) Put(ctx context.Context, key string, value []byte, version int64) (int64, error) {
 	newVersion, err := w.Table.Put(ctx, key, value, version)
-	if err == nil {
-		w.tracker.Observe(railversion.Era(newVersion), 0)
-	}
+	w.observe(newVersion, err)
 	return newVersion, err
 }
+
+func (w *watchedTable) observe(version int64, err error) {
+	switch {
+	case err == nil && version != 0:
+		w.tracker.Observe(railversion.Era(version), 0)
+	case err != nil && !errors.Is(err, railtable.ErrConflict):
+		w.tracker.observeFailure()
+	}
+}
