Replace a revision whose content nobody has any more

What operators could see: no change of the configuration is accepted any more. The row names a revision with a higher number than any entry has, and its content is gone: row and content came back from different copies, or the publisher ended between its two writes in the moment of the restore.

Cause: an entry that can't read the row's revision gave up before it looked at the folder, for ever.

Evidence: TestRevisionWithoutContentIsReplaced; its case of a newer revision failed by design before, as the counter applied to older ones only.

Why the fix works: after 60 attempts, about a minute, the entry publishes its own revision under a higher number.

--- a/internal/config/railpublisher/publisher.go
+++ b/internal/config/railpublisher/publisher.go
@@ -41,8 +41,9 @@
 	ownRef revisionRef
 	// checkedEra is the era in which the content of the revision in force was last found in the store.
 	checkedEra int64
-	// unreadable counts the failures to read the content of the row's revision.
-	unreadable int
+	// unreadable counts the failures in a row to read the content of the revision that unreadableRef names.
+	unreadable    int
+	unreadableRef revisionRef
 }
 
 // revisionRef is the content of the row that names the current revision.
--- a/internal/config/railpublisher/restore.go
+++ b/internal/config/railpublisher/restore.go
@@ -14,8 +14,10 @@
 	// peerTime is the time after the beginning of an era for which a process without a revision takes none from the store, since others
 	// may know a newer one that the store has lost.
 	peerTime = 5 * time.Second
-	// maxUnreadable is the number of attempts to read the content of an older revision, after which it counts as lost.
-	maxUnreadable = 10
+	// maxUnreadableOlder and maxUnreadableNewer are the numbers of attempts to read the content of the row's revision, after which it counts
+	// as lost. A newer one is given more time, since a process that has it writes it again as soon as it reaches the store.
+	maxUnreadableOlder = 10
+	maxUnreadableNewer = 60
 )
 
 var errRestoredLately = errors.New("the store was restored lately; a newer revision may come from another process")
@@ -28,11 +30,10 @@
 	}
 	stored, err := p.fetch(ctx, ref)
 	if err != nil {
-		p.unreadable++
-		if ref.Number > current.Number || p.unreadable < maxUnreadable {
+		if !p.isLost(ref, current.Number) {
 			return 0, err
 		}
-		current.Number++
+		current.Number = max(current.Number, ref.Number) + 1
 		return p.publishAgain(ctx, current, rowVersion)
 	}
 	p.unreadable = 0
@@ -63,6 +64,18 @@
 	return newVersion, err
 }
 
+// isLost counts the failures to read the content of a revision, and reports whether it counts as lost.
+func (p *Publisher) isLost(ref revisionRef, ownNumber uint64) bool {
+	if ref != p.unreadableRef {
+		p.unreadable, p.unreadableRef = 0, ref
+	}
+	p.unreadable++
+	if ref.Number > ownNumber {
+		return ownNumber > 0 && p.unreadable >= maxUnreadableNewer
+	}
+	return p.unreadable >= maxUnreadableOlder
+}
+
 // restoreContent writes the content of the revision in force once more if the store has lost it. It looks once in each era.
 func (p *Publisher) restoreContent(ctx context.Context, current railrevision.Revision, rowVersion int64) error {
 	era := railversion.Era(rowVersion)
--- a/internal/config/railpublisher/restore_test.go
+++ b/internal/config/railpublisher/restore_test.go
@@ -1,13 +1,17 @@
 package railpublisher_test
 
 import (
+	"context"
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarrail/fulmarrail/internal/lab/railvirtualtime"
 	"github.com/fulmarrail/fulmarrail/internal/standin/railplatform"
+	"github.com/fulmarrail/fulmarrail/internal/store/railobjects"
 )
 
 // Guards against a confirmed revision that is lost for good with the row or its content: nobody wrote it again.
@@ -90,3 +94,50 @@
 		c.Check(late.Revisions.Number(), qt.Equals, uint64(1))
 	})
 }
+
+// lossyObjects has lost the objects of one platform that another one has.
+type lossyObjects struct {
+	railobjects.Objects
+}
+
+func (lossyObjects) Read(context.Context, string) ([]byte, error) {
+	return nil, errors.New("the object was lost")
+}
+
+// Guards against a row that blocks all changes, since it names a revision whose content nobody has any more.
+func TestRevisionWithoutContentIsReplaced(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// changes is the number of revisions that are published after the one that the publisher knows.
+		changes  int
+		attempts int
+	}{
+		{"the same revision number, or a lower one", 0, 10},
+		{"a newer revision", 1, 60},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			platform, elsewhere := &railplatform.Platform{}, &railplatform.Platform{}
+			view, otherView := newFolder(2, "[customer castle]\nweight = 2\n"), newFolder(1, "[customer castle]\nweight = 1\n")
+			p := newPublisher(platform, elsewhere, &view)
+			c.Assert(p.Sync(t.Context()), qt.IsNil)
+			other := newPublisher(platform, platform, &otherView)
+			for n := range 1 + test.changes {
+				otherView = newFolder(int64(1+n), fmt.Sprintf("[customer castle]\nweight = 1%d\n", n))
+				c.Assert(other.Sync(t.Context()), qt.IsNil)
+			}
+			p.Table = platform
+			p.Objects = lossyObjects{Objects: platform}
+			for range test.attempts - 1 {
+				_, err := p.Pull(t.Context())
+				c.Assert(err, qt.IsNotNil)
+			}
+			_, err := p.Pull(t.Context())
+			c.Assert(err, qt.IsNil)
+			_, err = other.Pull(t.Context())
+			c.Assert(err, qt.IsNil)
+			c.Check(other.Revisions.Number(), qt.Equals, p.Revisions.Number())
+			c.Check(customerWeight(p), qt.Equals, 2)
+		})
+	}
+}
