Play a restored store with real processes

The order test of cmd/fulmarrail restores the stand-in platform over HTTP from a copy that is a minute old, which has none of the claims.

--- a/cmd/fulmarrail/main_test.go
+++ b/cmd/fulmarrail/main_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -246,6 +247,37 @@
 	}
 }
 
+// Guards against an order that runs again since the store came back from a copy without its claim.
+func TestOrderRunsAtMostOnceWhenStoreIsRestored(t *testing.T) {
+	c := qt.New(t)
+	d := startDeployment(c)
+	send := func(entry, key string) string { return d.sendRequest(d.callerAddresses[entry], "orders", key).Verdict }
+	const orders = 10
+	for i := range orders {
+		c.Assert(send("a-1", fmt.Sprint("order-", i)), qt.Equals, "ran")
+	}
+	d.setKnob("storeDown", "yes")
+	time.Sleep(time.Second)
+	d.setKnob("restore", "1m")
+	d.setKnob("storeDown", "no")
+	for i := range orders {
+		key := fmt.Sprint("order-", i)
+		d.waitUntil(key+" is answered again", func() bool { return send("b-1", key) == "ran" })
+		c.Check(d.simulators.CommitCounts()[key], qt.Equals, 1, qt.Commentf("commits of %s", key))
+	}
+	c.Check(d.sendRequest(d.callerAddresses["a-1"], "assistant", "").Complete, qt.IsTrue)
+}
+
+// setKnob changes a setting of the simulated platform.
+func (d *deployment) setKnob(name, value string) {
+	req, err := http.NewRequest(http.MethodPut, "http://"+d.layout.PlatformAddress+"/knob/"+name, strings.NewReader(value))
+	d.c.Assert(err, qt.IsNil)
+	resp, err := http.DefaultClient.Do(req)
+	d.c.Assert(err, qt.IsNil)
+	_ = resp.Body.Close()
+	d.c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
+}
+
 func TestGracefulShutdownOfEntryCompletesResponses(t *testing.T) {
 	c := qt.New(t)
 	d := startDeployment(c)
--- a/internal/command/railstandcmd/stand.go
+++ b/internal/command/railstandcmd/stand.go
@@ -118,7 +118,8 @@
 		Short: "Change how the platform's stand-in behaves",
 		Example: `  $ fulmarstand knob down yes --layout examples/bandwoven/layout.ini
   $ fulmarstand knob slow 500ms --layout examples/bandwoven/layout.ini
-  $ fulmarstand knob lossy 0.2 --layout examples/bandwoven/layout.ini`,
+  $ fulmarstand knob lossy 0.2 --layout examples/bandwoven/layout.ini
+  $ fulmarstand knob restore 9s --layout examples/bandwoven/layout.ini`,
 		Args: cobra.ExactArgs(2),
 		RunE: func(_ *cobra.Command, args []string) error {
 			layout, err := raillayout.Load(opts.LayoutPath)
