Count no failure of an endpoint when its stream's caller leaves

What callers saw: after a caller had left in the middle of a stream, others were not sent to its sound endpoint for 0.4 s, or refused where there was no other.

Cause: the entry may learn of it by a write that fails before it sees the end of the connection, or it never sees that, since the caller has sent the start of another request. The request's context isn't canceled yet then, so that the lease ended as that of a failed endpoint.

Fix: the error that says that the caller has left decides the outcome. The test failed before.

--- a/internal/node/railgateway/attempt.go
+++ b/internal/node/railgateway/attempt.go
@@ -235,7 +235,7 @@
 		return railfleet.Misdirected
 	case errors.Is(err, errRejected):
 		return railfleet.Rejected
-	case errors.IsAny(err, errServerError, errWeightsExpired, errNotNeeded), errors.Is(c.workCtx.Err(), context.Canceled):
+	case errors.IsAny(err, errServerError, errWeightsExpired, errNotNeeded, errCallerDisconnected), errors.Is(c.workCtx.Err(), context.Canceled):
 		return railfleet.Answered
 	}
 	return railfleet.Failed
--- a/internal/node/railgateway/silence_test.go
+++ b/internal/node/railgateway/silence_test.go
@@ -260,3 +260,39 @@
 	qt.Check(t, far.requests(), qt.HasLen, 0)
 	<-finished
 }
+
+// Guards against an endpoint that gets no requests for a while since a caller has left: the entry may find that it can't write to the caller
+// before it sees the end of the connection.
+func TestCallerThatLeavesIsNoFailureOfEndpoint(t *testing.T) {
+	ended := make(chan struct{})
+	near := &endpoint{name: "near", handlers: sequence(func(w http.ResponseWriter, r *http.Request) {
+		defer close(ended)
+		_, _ = io.Copy(io.Discard, r.Body)
+		for i := 1; r.Context().Err() == nil; i++ {
+			respondEvents(i, i, true)(w, r)
+			time.Sleep(10 * time.Millisecond)
+		}
+	}, respondOK)}
+	far := &endpoint{name: "far", handlers: sequence(respondOK)}
+	d := newDeployment(t, near, far)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(d.url, "http://"))
+	qt.Assert(t, err, qt.IsNil)
+	_, err = io.WriteString(conn, requestTo("/stream/x", "id-1"))
+	qt.Assert(t, err, qt.IsNil)
+	reader := bufio.NewReader(conn)
+	_, err = reader.ReadString('\n')
+	qt.Assert(t, err, qt.IsNil)
+	_, err = io.WriteString(conn, "G") // After the start of another request, the entry doesn't see the end of the connection.
+	qt.Assert(t, err, qt.IsNil)
+	for range 20 {
+		_, err = reader.ReadString('\n')
+		qt.Assert(t, err, qt.IsNil)
+	}
+	qt.Assert(t, conn.Close(), qt.IsNil)
+	<-ended
+	for d.gateway.Report().Running > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	qt.Check(t, d.call(t, "/safe/x", validKey).status, qt.Equals, http.StatusOK)
+	qt.Check(t, far.requests(), qt.HasLen, 0)
+}
