Go on when an own deployment's process has no descriptor for a connection

What callers saw: after a shortage of descriptors, an entry of an own deployment refused all new connections, and ended once the open ones had; peers could not reach an agent or a carrier any more, which went on without saying so.

The server of callers and the one of peers take the first error of Accept for the end of their listener. Only the gateway's listeners waited for descriptors. An entry whose listener had failed did not drain: it waited without bound, and never interrupted requests.

Fix: the server of peers waits for descriptors by itself, for all processes, and so does the entry's listener. An entry whose listener has failed drains, as a gateway does.

--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -30,7 +30,6 @@
 	"github.com/fulmarrail/fulmarrail/internal/node/railstatus"
 	"github.com/fulmarrail/fulmarrail/internal/report/railentryreport"
 	"github.com/fulmarrail/fulmarrail/internal/store/railreplica"
-	"github.com/fulmarrail/fulmarrail/internal/wire/railacceptor"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildatagram"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raillistener"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railloadbroadcast"
@@ -132,7 +131,7 @@
 	go g.shareQuarantine(workCtx, socket, timer)
 	go socket.Receive(workCtx, g.handleDatagram)
 	go g.publishEntryRow(workCtx)
-	if err := g.serveInternal(workCtx, &railacceptor.Acceptor{Listener: internalListener, Log: raillog.Named(p.Log, "inner")}); err != nil {
+	if err := g.serveInternal(workCtx, internalListener); err != nil {
 		return err
 	}
 	return g.frontend.Run(ctx, site.Bounds.GracePeriod-300*time.Millisecond)
--- a/internal/node/railentry/drain_test.go
+++ b/internal/node/railentry/drain_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -356,3 +357,55 @@
 		})
 	}
 }
+
+// brokenListener fails with err while it is broken.
+type brokenListener struct {
+	net.Listener
+	err    error
+	broken atomic.Bool
+}
+
+func (l *brokenListener) Accept() (net.Conn, error) {
+	if l.broken.Load() {
+		return nil, l.err
+	}
+	return l.Listener.Accept()
+}
+
+// newBrokenDeployment returns a deployment whose entry's listener has begun to fail with err while an order is running.
+func newBrokenDeployment(t *testing.T, err error) (d *drainDeployment, lis *brokenListener, caller *callerConn) {
+	t.Helper()
+	d = newDrainDeployment(t, 2*time.Second, func(l net.Listener) net.Listener {
+		lis = &brokenListener{Listener: l, err: err}
+		return lis
+	})
+	t.Cleanup(func() { close(d.orders.release) })
+	caller = d.connect(t)
+	caller.send(t, "/orders/x", heldBody, "")
+	<-d.orders.started
+	lis.broken.Store(true)
+	d.connect(t) // Ends the accept that waits.
+	return d, lis, caller
+}
+
+// Guards against an entry that serves nobody any more, and ends, since there was no descriptor for a new connection for a while.
+func TestEntryServesAfterShortageOfDescriptors(t *testing.T) {
+	d, lis, _ := newBrokenDeployment(t, syscall.EMFILE)
+	time.Sleep(pollInterval) // Without it, the accept may meet no shortage, and the test passes.
+	lis.broken.Store(false)
+	late := d.connect(t)
+	late.send(t, "/lookups/x", "", "")
+	got := late.receive(t)
+	qt.Check(t, got.err, qt.IsNil)
+	qt.Check(t, got.status, qt.Equals, http.StatusOK)
+}
+
+// Guards against an entry whose listener has failed, and that stops without an end to its drain: it never interrupts a request.
+func TestEntryWithoutListenerDrains(t *testing.T) {
+	gone := errors.New("the listener is gone")
+	d, _, caller := newBrokenDeployment(t, gone)
+	got := caller.receive(t)
+	qt.Check(t, got.err, qt.IsNil)
+	qt.Check(t, got.status, qt.Equals, http.StatusGatewayTimeout)
+	qt.Check(t, <-d.stopped, qt.ErrorIs, gone)
+}
--- a/internal/node/railentry/entry.go
+++ b/internal/node/railentry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/node/railfront"
 	"github.com/fulmarrail/fulmarrail/internal/node/railrouter"
 	"github.com/fulmarrail/fulmarrail/internal/store/railstore"
+	"github.com/fulmarrail/fulmarrail/internal/wire/railacceptor"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildialer"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raillistener"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
@@ -71,19 +72,19 @@
 		ReadBufferSize: maxHeaderBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, Logger: discardLogger{}, CloseOnShutdown: true,
 		ConnState: trackState,
 	}
-	callers := &railconn.Listener{Listener: e.CallerListener}
+	callers := &railconn.Listener{Listener: &railacceptor.Acceptor{Listener: e.CallerListener, Log: e.Log}}
 	failed := make(chan error, 2)
 	wg.Go(func() { failed <- listener.Run(workCtx, e.InternalListener) })
 	wg.Go(func() { failed <- server.Serve(callers) })
 	wg.Go(func() { e.router.Run(workCtx) })
 	e.Log.Info("entry started", "name", e.Self.Name, "zone", e.Self.Zone)
+	var err error
 	select {
-	case err := <-failed:
-		_ = server.Shutdown()
-		return err
+	case err = <-failed:
+		e.Log.Error("no further connections are accepted; the entry stops", "err", err)
 	case <-ctx.Done():
 	}
-	return e.drain(workCtx, server, callers, drainTimeout)
+	return errors.CombineErrors(errors.Wrap(err, "serve"), e.drain(workCtx, server, callers, drainTimeout))
 }
 
 // Revision returns the number of the entry's current revision, or 0 if it has none.
--- a/internal/wire/raillistener/listener.go
+++ b/internal/wire/raillistener/listener.go
@@ -15,6 +15,8 @@
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
+
+	"github.com/fulmarrail/fulmarrail/internal/wire/railacceptor"
 )
 
 const (
@@ -39,8 +41,9 @@
 	stop := context.AfterFunc(ctx, func() { _ = lis.Close() })
 	defer stop()
 	defer l.wg.Wait()
+	acceptor := &railacceptor.Acceptor{Listener: lis, Log: l.Log}
 	for {
-		conn, err := lis.Accept()
+		conn, err := acceptor.Accept()
 		if err != nil {
 			if ctx.Err() != nil {
 				return nil
--- a/internal/wire/raillistener/listener_test.go
+++ b/internal/wire/raillistener/listener_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"log/slog"
+	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -68,3 +70,42 @@
 		})
 	}
 }
+
+// shortListener fails to accept once, since there is no descriptor.
+type shortListener struct {
+	net.Listener
+	failed bool
+}
+
+func (l *shortListener) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, syscall.EMFILE
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a process that serves none of its peers that connect after a shortage of descriptors, until it is restarted.
+func TestListenerServesAfterShortageOfDescriptors(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		const key = "0123456789abcdef"
+		ctx, cancel := context.WithCancel(t.Context())
+		network := &railnetwork.Network{}
+		lis, err := network.Listen("node")
+		qt.Assert(t, err, qt.IsNil)
+		mux := drpcmux.New()
+		qt.Assert(t, railproto.DRPCRegisterNode(mux, stubNode{}), qt.IsNil)
+		listener := &raillistener.Listener{Key: []byte(key), Handler: mux, Log: slog.New(slog.DiscardHandler)}
+		runErr := make(chan error, 1)
+		go func() { runErr <- listener.Run(ctx, &shortListener{Listener: lis}) }()
+		dialer := &raildialer.Dialer{Key: []byte(key), Timeout: time.Second, Dial: network.Dialer("peer")}
+		callCtx, cancelCall := context.WithTimeout(ctx, 10*time.Second)
+		defer cancelCall()
+		reply, err := dialer.Node(callCtx, "node").Heartbeat(callCtx, &railproto.HeartbeatRequest{})
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, reply.GetRevision(), qt.Equals, uint64(7))
+		qt.Check(t, dialer.Close(), qt.IsNil)
+		cancel()
+		qt.Check(t, <-runErr, qt.IsNil)
+	})
+}
