Judge a slow chunk by the median time of the latest chunks

What was seen: TestSlowAgentsDoNotDelayFastAgents took up to 5.58 s against the bound of 2 x 2.5855 s. On the users' platform, the same delays the last chunks of a rollout at agents that wait for a slow one.

Cause: a chunk in flight is requested from a second source once its request is three times as old as the moving average of the time that a chunk takes from any source.

A few slow sources don't raise it, and it contains the wait on the agent's own link. The choice between sources without samples uses the same median.

--- a/internal/rollout/railpicker/picker.go
+++ b/internal/rollout/railpicker/picker.go
@@ -21,7 +21,7 @@
 	// staleRequestAge is the age beyond which a request is not expected to be answered soon.
 	staleRequestAge = time.Second
 	// Once nothing else is left to request, a chunk in flight is requested from a second source when its request is older than
-	// both duplicateDelay and duplicateFactor times the average time of a chunk.
+	// both duplicateDelay and duplicateFactor times the median time of the latest chunks, which a few slow sources do not raise.
 	duplicateDelay  = 150 * time.Millisecond
 	duplicateFactor = 3
 	// starvationTimeout is the time without an arrival after which agents other than the neighbours are asked.
@@ -57,9 +57,9 @@
 	sortedPeers []*peerState
 	requests    map[int][]request
 	arrivals    []time.Time
-	// lastArrival is when a chunk last arrived, and chunkTime the moving average of the time that a chunk takes from any source.
+	// lastArrival is when a chunk last arrived, and chunkTimes the times that the latest chunks took from any source.
 	lastArrival time.Time
-	chunkTime   time.Duration
+	chunkTimes  recentTimes
 	// importableSince is when each chunk was first known to be available outside of the region but not in it.
 	importableSince map[int]time.Time
 	// singleCopySince is when each chunk was first known to be held by a single agent of the region.
--- a/internal/rollout/railpicker/requests.go
+++ b/internal/rollout/railpicker/requests.go
@@ -36,7 +36,7 @@
 	r, took := p.removeRequest(pick, now)
 	if outcome == Received {
 		p.MarkHeld(pick.Chunk, now)
-		p.chunkTime = movingAverage(p.chunkTime, took)
+		p.chunkTimes.add(took)
 	}
 	switch peer := p.peers[pick.From]; {
 	case peer != nil:
@@ -97,7 +97,7 @@
 		if peer.busy(now) || now.Before(peer.backoffUntil) || peer.overloaded() && !p.usesOverloadedRelay(chunk, now) {
 			continue
 		}
-		if best == nil || peer.preferredTo(best, p.chunkTime) {
+		if best == nil || peer.preferredTo(best, p.chunkTimes.median) {
 			from, best = peer.name, peer
 		}
 	}
@@ -114,13 +114,14 @@
 func (p *Picker) nextDuplicate(now time.Time) (Pick, bool) {
 	var best Pick
 	var oldest time.Time
+	minAge := max(duplicateDelay, duplicateFactor*p.chunkTimes.median)
 	for chunk := range p.Chunks {
 		requests := p.requests[chunk]
 		if len(requests) == 0 || len(requests) >= maxRequestsPerChunk || p.Has(chunk) {
 			continue
 		}
 		first := requests[0]
-		if now.Sub(first.startTime) < max(duplicateDelay, duplicateFactor*p.chunkTime) || !oldest.IsZero() && !first.startTime.Before(oldest) {
+		if now.Sub(first.startTime) < minAge || !oldest.IsZero() && !first.startTime.Before(oldest) {
 			continue
 		}
 		from, _ := p.bestSource(chunk, ownRegion, now)
