Wait for an endpoint's refusal as long as for a connection

A response without a length that ended with its endpoint could be passed on as complete, and the part of the prompt that had ended the endpoint counted as harmless, if the entry was held up for 100 ms while it looked whether the endpoint still accepts connections: the attempt had timed out then, which was taken for an endpoint that is there.

A trial with a timeout of 60 microseconds fails in the same cases in the same way.

--- a/internal/endpoint/railexchange/refuses.go
+++ b/internal/endpoint/railexchange/refuses.go
@@ -4,13 +4,13 @@
 	"context"
 	"net"
 	"syscall"
-	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
-// refusalTimeout limits the wait for a refusal. A VM refuses at once, and one that has lost power never does.
-const refusalTimeout = 100 * time.Millisecond
+// refusalTimeout limits the wait for a refusal. A VM refuses at once, and one that has lost power never does; but the process that waits may
+// itself be held up.
+const refusalTimeout = ConnectTimeout
 
 // Refuses reports whether an address refuses connections, as it does after its process has ended. An address that can't be reached does not
 // count.
