Take a VM list for incomplete if the row that shows the era is lost too

What callers saw: requests refused about a second after a restore from a copy that has neither the endpoints nor the configuration's row, at an entry that reads the VM list before another one has published the revision again.

Cause: a row that does not exist shows no era, and that was taken for an old one.

Why the fix works: without the row the beginning of the era is unknown, and the VMs are kept; entries write the row again within a second.

--- a/internal/store/railera/tracker.go
+++ b/internal/store/railera/tracker.go
@@ -84,10 +84,10 @@
 }
 
 // BegunWithin reads a row, so that the latest era is known, and reports whether that may have begun within the given time. It also does
-// so if the row can't be read.
+// so if the row can't be read, or does not exist, since it may have been lost.
 func (t *Tracker) BegunWithin(ctx context.Context, table railtable.Table, key string, duration time.Duration) bool {
-	_, _, err := t.Watch(table).Get(ctx, key)
-	return err != nil || t.Remaining(duration) > 0
+	_, version, err := t.Watch(table).Get(ctx, key)
+	return err != nil || version == 0 || t.Remaining(duration) > 0
 }
 
 // IsOutdated reports whether a row's version is one of an earlier era. Version 0 never is.
