End a stream at its deadline though its caller reads nothing

What callers saw: an endpoint with places that nobody used: a caller that read nothing kept its stream's place, its goroutine and its connection until it read on or left, without any bound; a drain waited for it until its timeout.

Cause: what ends a request's work cancels the attempt, but the entry waits for the caller to take an event, and nothing ends that wait. The lease is released after it.

Fix: the connection of a stream is reset when the request's work is ended, as it was before once the wait was over.

--- a/internal/node/railgateway/ending.go
+++ b/internal/node/railgateway/ending.go
@@ -71,6 +71,15 @@
 	}
 }
 
+// abortAtEnd resets the caller's connection if the request's work is ended before stop is called. Otherwise, a stream whose caller reads nothing would
+// keep its place at its endpoint.
+func (c *call) abortAtEnd() (stop func() bool) {
+	if c.conn == nil {
+		return func() bool { return false }
+	}
+	return context.AfterFunc(c.workCtx, c.conn.Abort)
+}
+
 // endCause returns why the request's work was ended, or causeNone if it was not.
 func (c *call) endCause() endCause {
 	switch {
--- a/internal/node/railgateway/silence_test.go
+++ b/internal/node/railgateway/silence_test.go
@@ -296,3 +296,33 @@
 	qt.Check(t, d.call(t, "/safe/x", validKey).status, qt.Equals, http.StatusOK)
 	qt.Check(t, far.requests(), qt.HasLen, 0)
 }
+
+// Guards against a stream that holds its place at an endpoint after its deadline, and a drain that it delays, since its caller reads nothing.
+func TestStreamEndsAtDeadlineThoughItsCallerReadsNothing(t *testing.T) {
+	near := &endpoint{name: "near", handlers: sequence(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set(sealHeader, "seal")
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := 1; r.Context().Err() == nil; i++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, strings.Repeat("x", 200<<10))
+		}
+	})}
+	d := newDeployment(t, near)
+	d.changeCatalog(func(c railcatalog.Catalog) railcatalog.Catalog {
+		return c.WithRoutes(mapRoutes(c, func(r *railroute.Route) { r.Timeout = shortDeadline }))
+	})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(d.url, "http://"))
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, requestTo("/stream/x", "id-1"))
+	qt.Assert(t, err, qt.IsNil)
+	for d.gateway.Report().Running == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	limit := time.Now().Add(eofTimeout)
+	for d.gateway.Report().Running > 0 && time.Now().Before(limit) {
+		time.Sleep(time.Millisecond)
+	}
+	qt.Check(t, d.gateway.Report().Running, qt.Equals, 0)
+	qt.Check(t, d.gateway.Fleet.Snapshot()[0].InFlight, qt.Equals, 0)
+}
--- a/internal/node/railgateway/stream.go
+++ b/internal/node/railgateway/stream.go
@@ -27,6 +27,7 @@
 	g.copyHeader(c.ctx, a.exchange)
 	c.ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer g.finish(c)
+		defer c.abortAtEnd()()
 		err := g.relayStream(c, a, w)
 		if err == nil {
 			g.recordEnd(c, endAnswered)
