Bound the attempts while an endpoint is silent

What callers saw: broken streams that were not resumed, since no retry was left in the budget, beside one request whose endpoint was silent for some seconds.

Cause: a request whose endpoint is silent looks for another one each 1.3 s, and each search may be refused by up to five endpoints. maxTotalAttempts bounded a search, not the request. One request spent the whole initial budget of its service.

Fix: after so many attempts, no further endpoint is sought while one is silent. A stream that has broken off is resumed as before.

--- a/internal/node/railgateway/attempt.go
+++ b/internal/node/railgateway/attempt.go
@@ -86,6 +86,9 @@
 	return &silenceWatch{
 		ctx: ctx, patience: patience, silent: a.lease.Silent, giveUp: func() { a.cancel(errReplaced) },
 		search: func(ctx context.Context, lastEventID string) (*attempt, error) {
+			if c.tries.count() >= maxTotalAttempts {
+				return nil, errTooManyAttempts
+			}
 			found, err := g.dispatch(ctx, c, lastEventID)
 			if err == nil {
 				if err = found.checkSuccessor(lastEventID); err != nil {
--- a/internal/node/railgateway/forward.go
+++ b/internal/node/railgateway/forward.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// maxTotalAttempts bounds the attempts for one request, including those that endpoints reject as not run. A route's MaxAttempts
-	// bounds only the attempts that may have run.
+	// maxTotalAttempts bounds the attempts for a request, or for one resume of its stream, including those that endpoints reject as not
+	// run. After so many attempts, no further endpoint is sought while one is silent. A route's MaxAttempts bounds only the attempts that
+	// may have run, over all resumes.
 	maxTotalAttempts = 5
 )
 
@@ -86,7 +87,7 @@
 
 // admitWithinBudget is admitAttempt, which takes a retry from the budget for each attempt but the first.
 func (g *Gateway) admitWithinBudget(ctx context.Context, c *call) (*attempt, error) {
-	if !c.tries.any() {
+	if c.tries.count() == 0 {
 		return g.admitAttempt(ctx, c, false)
 	}
 	budget := g.budget(c.service)
--- a/internal/node/railgateway/silence_test.go
+++ b/internal/node/railgateway/silence_test.go
@@ -100,6 +100,30 @@
 	}
 }
 
+// Guards against one request that spends the retries of all others, since endpoint after endpoint refuses it while its own is silent.
+func TestSilentEndpointCostsFewRetries(t *testing.T) {
+	const (
+		most  = 5 // Of one request, without the first.
+		pause = 4500 * time.Millisecond
+	)
+	endpoints := []*endpoint{{name: "near", handlers: sequence(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		respondEvents(1, 2, true)(w, r)
+		time.Sleep(pause)
+		respondEvents(3, 4, true)(w, r)
+	})}}
+	for i := range 3 * most {
+		endpoints = append(endpoints, &endpoint{name: fmt.Sprint("far", i), handlers: sequence(respondNotRun)})
+	}
+	d := newDeployment(t, endpoints...)
+	qt.Check(t, d.call(t, "/stream/x", validKey).body, qt.Equals, allEvents)
+	retries := 0
+	for _, e := range endpoints[1:] {
+		retries += len(e.requests())
+	}
+	qt.Check(t, retries <= most, qt.IsTrue, qt.Commentf("%d retries", retries))
+}
+
 // Guards against a pause of many endpoints that ends their streams, since the retry budget is spent.
 func TestSilenceOfManyEndpointsEndsNoStream(t *testing.T) {
 	const streams = 30
--- a/internal/node/railgateway/tries.go
+++ b/internal/node/railgateway/tries.go
@@ -50,11 +50,11 @@
 	}
 }
 
-// any reports whether there was an attempt.
-func (t *tries) any() bool {
+// count returns the number of instances that were tried, of which no one is tried twice.
+func (t *tries) count() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.instances) > 0
+	return len(t.instances)
 }
 
 // tried returns the IDs of the instances that were tried.
