End an entry's process though a caller does not take its response

What callers saw: an own deployment's entry that did not end on SIGTERM, since one caller read nothing of its response, and that refused every request from then on.

Cause: the drain that waits for responses returned without ending the server of callers when a response stayed unwritten, and Run waits for that server.

Fix: the drain ends the server in every case.

--- a/internal/node/railentry/drain.go
+++ b/internal/node/railentry/drain.go
@@ -58,12 +58,16 @@
 	}
 	// Without running requests, this affects only those that were accepted at the moment of the stop.
 	e.front.Interrupt()
+	unanswered := 0
 	if !waitUntil(ctx, time.Now().Add(lastResponsesTime), allAnswered) {
-		return errors.Newf("drain did not complete: %d requests have no response", callers.Answering())
+		unanswered = callers.Answering()
+	} else {
+		waitUntil(ctx, time.Now().Add(closeTime), func() bool { return server.GetOpenConnectionsCount() == 0 })
 	}
-	waitUntil(ctx, time.Now().Add(closeTime), func() bool { return server.GetOpenConnectionsCount() == 0 })
 	err := shutdown(ctx, server, deadline)
 	switch {
+	case unanswered > 0:
+		return errors.Newf("drain did not complete: %d requests have no response", unanswered)
 	case interrupted > 0:
 		return errors.Newf("%d requests were ended by the end of the drain", interrupted)
 	case err != nil:
--- a/internal/node/railentry/drain_test.go
+++ b/internal/node/railentry/drain_test.go
@@ -358,6 +358,26 @@
 	}
 }
 
+// Guards against an entry that never ends, since a caller doesn't take its response.
+func TestEntryEndsThoughACallerTakesNoResponse(t *testing.T) {
+	var hold *holdingListener
+	d := newDrainDeployment(t, 300*time.Millisecond, func(lis net.Listener) net.Listener {
+		hold = &holdingListener{Listener: lis, beforeWrite: true, held: make(chan struct{}), release: make(chan struct{})}
+		return hold
+	})
+	defer close(hold.release)
+	hold.armed.Store(true)
+	d.connect(t).send(t, "/orders/x", "", "")
+	<-hold.held
+	d.stop()
+	select {
+	case err := <-d.stopped:
+		qt.Check(t, err, qt.ErrorMatches, "drain did not complete: . requests have no response")
+	case <-time.After(readTimeout):
+		t.Error("the entry does not end")
+	}
+}
+
 // brokenListener fails with err while it is broken.
 type brokenListener struct {
 	net.Listener
