Say once how old a copy of the store may be, and share the tests' ending process

The processes with and without agents had their own constants for the age of a copy, and the drain tests of entries and gateways their own listener that closes its connections as the end of a process does.

--- a/internal/command/railsiteprocess/wanted_versions.go
+++ b/internal/command/railsiteprocess/wanted_versions.go
@@ -15,6 +15,7 @@
 
 	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railschedule"
+	"github.com/fulmarrail/fulmarrail/internal/store/railera"
 	"github.com/fulmarrail/fulmarrail/internal/store/railreplica"
 	"github.com/fulmarrail/fulmarrail/internal/store/railtable"
 )
@@ -28,8 +29,6 @@
 	readTimeout         = 300 * time.Millisecond
 	// settleDelay is the time within which the processes that know a version have recorded what they know of it.
 	settleDelay = time.Second
-	// maxCopyAge is the age up to which a copy from which the store is restored may lack a record.
-	maxCopyAge = time.Minute
 	// recordTolerance is the difference between two times of a version up to which the recorded one is kept.
 	recordTolerance = 20 * time.Millisecond
 	// maxWantedAtMillis is the longest time in milliseconds that a time.Duration holds.
@@ -71,7 +70,7 @@
 // that succeeds, and a process that has only guessed looks for a record until the rollout time is over. If the store is restored while a
 // copy may lack the record, it does so again. It returns early if ctx is done.
 func (p *Process) ShareWantedVersion(ctx context.Context, model string, version int64, age time.Duration, guessed bool) {
-	ctx, cancel := context.WithTimeout(ctx, max(p.Site.Bounds.RolloutTime, maxCopyAge))
+	ctx, cancel := context.WithTimeout(ctx, max(p.Site.Bounds.RolloutTime, railera.MaxCopyAge))
 	defer cancel()
 	own := railschedule.WantedVersion{Version: version, Age: age, Guessed: guessed}
 	for era := p.Store.Era(); ; era = p.Store.Era() {
--- /dev/null
+++ b/internal/lab/railendinglistener/doc.go
@@ -0,0 +1,2 @@
+// Package railendinglistener lets tests end a process's connections as the kernel does when the process ends.
+package railendinglistener
--- a/internal/node/railentry/drain_test.go
+++ b/internal/node/railentry/drain_test.go
@@ -23,6 +23,7 @@
 
 	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
 	"github.com/fulmarrail/fulmarrail/internal/endpoint/railupstream"
+	"github.com/fulmarrail/fulmarrail/internal/lab/railendinglistener"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/node/railagent"
 	"github.com/fulmarrail/fulmarrail/internal/node/railentry"
@@ -71,32 +72,6 @@
 	ctx.SetBodyString("done")
 }
 
-// processListener closes all connections that it has accepted when its process ends.
-type processListener struct {
-	net.Listener
-	mu    sync.Mutex
-	conns []net.Conn
-}
-
-func (l *processListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.conns = append(l.conns, conn)
-	return conn, nil
-}
-
-func (l *processListener) endProcess() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, conn := range l.conns {
-		_ = conn.Close()
-	}
-}
-
 // asIs returns a listener without any change.
 func asIs(lis net.Listener) net.Listener { return lis }
 
@@ -199,7 +174,7 @@
 		return e
 	}
 	d.orders, d.lookups = start("orders"), start("lookups")
-	callers, internal := &processListener{Listener: wrap(listen(t))}, listen(t)
+	callers, internal := &railendinglistener.Listener{Listener: wrap(listen(t))}, listen(t)
 	d.address = callers.Addr().String()
 	entry := &railentry.Entry{
 		Self:      railmember.Member{Name: "entry", Role: railmember.RoleEntry, Address: internal.Addr().String(), Zone: "a", Region: "a"},
@@ -210,7 +185,7 @@
 	d.stop = stop
 	wg.Go(func() {
 		err := entry.Run(entryCtx, drainTimeout)
-		callers.endProcess()
+		callers.EndProcess()
 		d.stopped <- err
 	})
 	t.Cleanup(func() {
--- a/internal/node/railgateway/drain_end_test.go
+++ b/internal/node/railgateway/drain_end_test.go
@@ -18,50 +18,25 @@
 
 	"github.com/fulmarrail/fulmarrail/internal/config/railcatalog"
 	"github.com/fulmarrail/fulmarrail/internal/config/railroute"
+	"github.com/fulmarrail/fulmarrail/internal/lab/railendinglistener"
 	"github.com/fulmarrail/fulmarrail/internal/node/railgateway"
 )
 
-// processListener closes all its connections when the process would end, as the kernel does.
-type processListener struct {
-	net.Listener
-	mu    sync.Mutex
-	conns []net.Conn
-}
-
-func (l *processListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.conns = append(l.conns, conn)
-	return conn, nil
-}
-
-func (l *processListener) endProcess() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, conn := range l.conns {
-		_ = conn.Close()
-	}
-}
-
 // newEndingDeployment returns a deployment whose process ends when its drain has, and a channel that is closed once the drain has dealt with the
 // open connections.
 func newEndingDeployment(t *testing.T, drainTimeout time.Duration, e *endpoint) (*deployment, <-chan struct{}) {
 	t.Helper()
 	draining := make(chan struct{})
-	var lis *processListener
+	var lis *railendinglistener.Listener
 	d := newDrainableDeployment(t, drainTimeout, func(g *railgateway.Gateway) {
-		lis = &processListener{Listener: g.CallerListener}
+		lis = &railendinglistener.Listener{Listener: g.CallerListener}
 		g.CallerListener = lis
 		g.Log = slog.New(messageHandler{Handler: slog.DiscardHandler, prefix: drainMessage, seen: draining, once: &sync.Once{}})
 	}, e)
 	drained, ended := d.stopped, make(chan error, 1)
 	go func() {
 		err := <-drained
-		lis.endProcess()
+		lis.EndProcess()
 		ended <- err
 	}()
 	d.stopped = ended
@@ -212,7 +187,7 @@
 			broken, release, started := make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
 			near := &endpoint{name: "near", handlers: sequence(respondInParts(started, release, respondNothing, respondOK))}
 			d := newDrainableDeployment(t, 5*time.Second, func(g *railgateway.Gateway) {
-				g.CallerListener = &processListener{Listener: &brokenListener{Listener: g.CallerListener, err: err, broken: broken}}
+				g.CallerListener = &railendinglistener.Listener{Listener: &brokenListener{Listener: g.CallerListener, err: err, broken: broken}}
 			}, near)
 			responses := make(chan response, 1)
 			go func() { responses <- d.call(t, "/unsafe/x", validKey) }()
--- a/internal/store/railreplica/rowset.go
+++ b/internal/store/railreplica/rowset.go
@@ -8,13 +8,13 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/fulmarrail/fulmarrail/internal/store/railera"
 	"github.com/fulmarrail/fulmarrail/internal/store/railversion"
 )
 
 const (
-	// replacedTTL is the time for which replaced states of rows are remembered. It is longer than the age of the copies from which a store
-	// is restored.
-	replacedTTL = time.Minute
+	// replacedTTL is the time for which replaced states of rows are remembered, since a copy may have them.
+	replacedTTL = railera.MaxCopyAge
 	// staleTTL is the longest time for which a known state holds in place of the older one in a restored copy, if nobody writes the row.
 	staleTTL = time.Minute
 	// maxReplaced is the number of replaced states that are remembered for a row.
