--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -48,6 +48,8 @@
 	keyTrustFraction = 0.8
 	// publishRetryDelay is the mean delay after a failed write of the entry's row. It varies by half, since all entries write after a restore.
 	publishRetryDelay = time.Second
+	// exitTime is the part of the grace period that is left for the end of the process once its drain is over.
+	exitTime = 300 * time.Millisecond
 	// maxBehindTime is the time after the start of a process within which it does not take an older configuration than other entries have had.
 	maxBehindTime = 10 * time.Second
 	// rewriteSpread is the time over which the entries spread their writes after a restore of the store. It is less than the time for which
@@ -140,7 +142,7 @@
 	if err := g.serveInternal(workCtx, internalListener); err != nil {
 		return err
 	}
-	return g.frontend.Run(ctx, site.Bounds.GracePeriod-300*time.Millisecond)
+	return g.frontend.Run(ctx, site.Bounds.GracePeriod-exitTime)
 }
 
 // startFollowers starts to replicate the store's tables of configuration, endpoints and entries.
--- a/internal/node/railgateway/standby.go
+++ b/internal/node/railgateway/standby.go
@@ -13,7 +13,7 @@
 type silenceWatch struct {
 	// ctx bounds the search and the attempt that takes over.
 	ctx context.Context
-	// patience is the time for which an endpoint may be silent. There is no search if it is 0.
+	// patience is the time for which an endpoint may be silent; 0 means that nobody can take over, so that there is no search.
 	patience time.Duration
 	// search returns an attempt that goes on after the event with the given ID, or with a response of its own if it is empty.
 	search func(ctx context.Context, lastEventID string) (*attempt, error)
@@ -37,7 +37,7 @@
 	successor *attempt
 }
 
-// wait begins to wait for the endpoint.
+// wait begins to wait for the next part of the endpoint's response.
 func (w *silenceWatch) wait(lastEventID string) {
 	if w.patience == 0 {
 		return
@@ -93,7 +93,8 @@
 	}
 }
 
-// startSearch searches for an attempt that takes over. If there is none, it tries again later.
+// startSearch searches for an attempt that takes over, and closes one that is found but not needed any more. If there is none, it tries again
+// later.
 func (w *silenceWatch) startSearch() {
 	w.mu.Lock()
 	if !w.waiting || w.standby != nil || time.Since(w.since) < w.patience {
