--- a/internal/command/railsiteprocess/odd_rows_test.go
+++ b/internal/command/railsiteprocess/odd_rows_test.go
@@ -18,7 +18,7 @@
 		key, value string
 		valid      bool
 	}{
-		"sound":                  {"m/2", `{"wantedAtMillis":1000}`, true},
+		"valid":                  {"m/2", `{"wantedAtMillis":1000}`, true},
 		"before the store began": {"m/2", `{"wantedAtMillis":-1000}`, true},
 		"earlier software":       {"m/2", "1000", true},
 		"time that wraps around": {"m/2", `{"wantedAtMillis":9223372036854775807}`, false},
--- a/internal/node/railgateway/standby.go
+++ b/internal/node/railgateway/standby.go
@@ -9,7 +9,7 @@
 )
 
 // silenceWatch looks for an attempt that can take over from one whose endpoint is silent. The silent attempt stays open meanwhile: whichever
-// goes on first is kept. A sound endpoint may be silent for a while and go on. ctx, search and giveUp must be set before first use.
+// goes on first is kept. A healthy endpoint may be silent for a while and go on. ctx, search and giveUp must be set before first use.
 type silenceWatch struct {
 	// ctx bounds the search and the attempt that takes over.
 	ctx context.Context
