Count the age of a replica from the store's clock in its response

Cause: a long poll that ends with a change confirmed only the moment at which it was sent. A change near the end of a poll of 3.2 s and an idle poll after it made the configuration look 6.4 s old; keys are trusted for 4 s.

Change: the store's clock in the response says when it was sent. railstoreclock bounds the earliest local time of that reading from all responses up to now, and the follower's age follows from it in one place (Follower.observe), for idle polls, changes and whole reads. A store's clock that was set, or another era, drops the bound, so that a delayed response never counts as newer than its request then.

Ruled out: counting from the arrival of the response; it may have been on its way for seconds.

--- a/internal/store/railreplica/follower.go
+++ b/internal/store/railreplica/follower.go
@@ -219,11 +219,11 @@
 	if err != nil {
 		return err
 	}
-	confirmedAt := start
+	sentAt := start
 	if len(page.Rows) == 0 && f.Now()-start >= wait {
-		confirmedAt += wait // The store has waited for a change until then.
+		sentAt += wait // The store has waited for a change until then.
 	}
-	f.apply(page, confirmedAt, false)
+	f.apply(page, sentAt, false)
 	return nil
 }
 
@@ -238,12 +238,12 @@
 	return nil
 }
 
-// apply applies a page that was current at the given time. A full page replaces the replica.
-func (f *Follower) apply(page Page, confirmedAt time.Duration, full bool) {
+// apply applies a page that the store sent at the given time or later. A full page replaces the replica.
+func (f *Follower) apply(page Page, sentAt time.Duration, full bool) {
 	f.mu.Lock()
 	now := f.Now()
 	restored := f.loaded && railversion.Era(page.Version) != railversion.Era(f.version)
-	f.observe(page, confirmedAt, restored)
+	confirmedAt := f.observe(page, sentAt, restored)
 	if restored || f.endsOutage(confirmedAt, now) {
 		f.rows.startGrace(f.confirmedAt, now+ReturnGrace)
 	}
@@ -279,8 +279,9 @@
 
 // observe updates the store's clock and the longest time for which the changes in a page may have been in the store: they were made
 // after the last page, and after any page of another follower whose version is lower. The clock of a store that was restored since the last
-// page may have been set back.
-func (f *Follower) observe(page Page, confirmedAt time.Duration, restored bool) {
+// page may have been set back. It returns the earliest time at which the page may have been current: the one that the store's clock shows in
+// it, so that a response which the store has delayed until a change says more than the time of its request.
+func (f *Follower) observe(page Page, sentAt time.Duration, restored bool) (confirmedAt time.Duration) {
 	if f.Clock == nil {
 		f.Clock = &railstoreclock.Clock{Local: f.Now}
 	}
@@ -291,7 +292,7 @@
 		}
 	}
 	changedAfter := max(f.pageAt, f.Clock.WrittenAfter(oldestChange))
-	f.Clock.Observe(page.Version, page.Now, confirmedAt)
+	f.Clock.Observe(page.Version, page.Now, sentAt)
 	switch {
 	case restored:
 		f.maxChangeAge = f.Now() - f.confirmedAt
@@ -299,6 +300,7 @@
 		f.maxChangeAge = max(f.Clock.Now()-changedAfter, 0)
 	}
 	f.pageAt = page.Now
+	return max(sentAt, f.Clock.EarliestLocal(page.Now))
 }
 
 func (f *Follower) isLoaded() bool {
--- a/internal/store/railstoreclock/clock.go
+++ b/internal/store/railstoreclock/clock.go
@@ -11,6 +11,8 @@
 const (
 	// maxDrift is the largest difference in rate between the store's clock and the local one.
 	maxDrift = 1e-3
+	// resolution is the resolution of the store's clock, whose readings are rounded down.
+	resolution = time.Millisecond
 	// maxObservations bounds the number of responses that are remembered.
 	maxObservations = 64
 )
@@ -22,8 +24,9 @@
 	Local func() time.Duration
 
 	mu sync.Mutex
-	// latest is an upper bound of the store's clock at the local time latestAt.
+	// latest is an upper bound of the store's clock at the local time latestAt. It belongs to the given era of the store.
 	latest, latestAt time.Duration
+	era              int64
 	// observations holds the versions of responses in increasing order.
 	observations []observation
 }
@@ -41,11 +44,10 @@
 	defer c.mu.Unlock()
 	local := c.Local()
 	latest := storeNow + max(local-sentAt, 0)
-	if c.latest != 0 {
-		drift := time.Duration(maxDrift * float64(local-c.latestAt))
-		latest = max(min(latest, c.latest+local-c.latestAt+drift), storeNow)
+	if known, ok := c.latestNow(local); ok && c.era == railversion.Era(version) && storeNow <= known+resolution {
+		latest = max(min(latest, known), storeNow)
 	}
-	c.latest, c.latestAt = latest, local
+	c.latest, c.latestAt, c.era = latest, local, railversion.Era(version)
 	c.addObservation(observation{version: version, at: storeNow})
 }
 
@@ -59,6 +61,24 @@
 	return c.latest + c.Local() - c.latestAt
 }
 
+// EarliestLocal returns the earliest local time at which the store's clock may have shown storeNow, or 0 before the first response. What a
+// response contains was current at that time, however late the response was sent or has arrived.
+func (c *Clock) EarliestLocal(storeNow time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.latest == 0 {
+		return 0
+	}
+	elapsed := c.latest - storeNow
+	return c.latestAt - elapsed - drift(elapsed) - resolution
+}
+
+// latestNow returns an upper bound of the store's clock at the given local time, or false before the first response.
+func (c *Clock) latestNow(local time.Duration) (time.Duration, bool) {
+	elapsed := local - c.latestAt
+	return c.latest + elapsed + drift(elapsed), c.latest != 0
+}
+
 // WrittenAfter returns the last known time on the store's clock before a row of the given version was written, or 0 if none is known.
 func (c *Clock) WrittenAfter(version int64) time.Duration {
 	c.mu.Lock()
@@ -93,3 +113,8 @@
 		c.observations = append(c.observations, o)
 	}
 }
+
+// drift returns the largest difference between the store's clock and the local one after the given time.
+func drift(elapsed time.Duration) time.Duration {
+	return time.Duration(maxDrift * float64(max(elapsed, 0)))
+}
--- a/internal/store/railstoreclock/clock_test.go
+++ b/internal/store/railstoreclock/clock_test.go
@@ -64,3 +64,49 @@
 	qt.Check(t, c.Now() >= offset+20*second, qt.IsTrue)
 	qt.Check(t, c.Now() <= offset+20*second+20*time.Millisecond, qt.IsTrue, qt.Commentf("%s", c.Now()))
 }
+
+// Guards against an age that counts the time for which the store has delayed its response until a change.
+func TestEarliestLocalIsCloseToTimeOfResponse(t *testing.T) {
+	const local, offset = time.Hour, 7 * second
+	c, setLocal := newClock()
+	qt.Check(t, c.EarliestLocal(offset), qt.Equals, time.Duration(0), qt.Commentf("nothing is known"))
+	setLocal(local + 10*time.Millisecond)
+	c.Observe(1, offset+5*time.Millisecond, local) // 5 ms each way.
+	setLocal(local + 4*second)
+	c.Observe(2, offset+3*second, local+10*time.Millisecond) // The response was delayed for 3 s, and was on its way for 1 s.
+	at := c.EarliestLocal(offset + 3*second)
+	qt.Check(t, at <= local+3*second, qt.IsTrue, qt.Commentf("%s", at-local))
+	qt.Check(t, at >= local+3*second-20*time.Millisecond, qt.IsTrue, qt.Commentf("%s", at-local))
+}
+
+// Guards against taking a response for current that was on its way when the store's clock was set forward or another era began.
+func TestEarliestLocalForgetsClockThatWasSet(t *testing.T) {
+	const local, offset = time.Hour, 7 * second
+	for name, version := range map[string]int64{"same era": 2, "next era": railversion.New(1, 2)} {
+		t.Run(name, func(t *testing.T) {
+			c, setLocal := newClock()
+			c.Observe(1, offset, local)
+			setLocal(local + 4*second)
+			c.Observe(version, offset+9*second, local+second) // It may have been sent 3 s ago.
+			qt.Check(t, c.EarliestLocal(offset+9*second) <= local+second, qt.IsTrue)
+		})
+	}
+}
+
+// Guards against an age that is too low because the store's clock is slower or faster than the local one.
+func TestEarliestLocalAllowsForDrift(t *testing.T) {
+	for _, rate := range []float64{1 - 0.0009, 1, 1 + 0.0009} {
+		c, setLocal := newClock()
+		storeNow := func(local time.Duration) time.Duration {
+			return (7*second + time.Duration(rate*float64(local-time.Hour))).Truncate(time.Millisecond)
+		}
+		c.Observe(1, storeNow(time.Hour), time.Hour)
+		for i := range 20 {
+			sentAt := time.Hour + time.Duration(i)*3*second
+			shownAt := sentAt + 2*second
+			setLocal(shownAt + 200*time.Millisecond)
+			c.Observe(int64(i), storeNow(shownAt), sentAt)
+			qt.Check(t, c.EarliestLocal(storeNow(shownAt)) <= shownAt, qt.IsTrue, qt.Commentf("rate %v, response %d", rate, i))
+		}
+	}
+}
