Derive polling times and ages of the configuration from the deployment's bounds

Carriers turned from entry to entry, and to the store, with "entry's configuration is missing or stale".

Cause: the long polling time followed from the bound on configurations, the age up to which keys are accepted from the bound on revocations, and the age up to which agents are served was a constant. The poll's timeout was a fourth figure of its own.

Change: railstaleness.New derives all of them together. Entries serve agents up to the age that a healthy entry never exceeds. A revocation delay under 200 ms is refused with file, line and key: it can't be met.

--- a/internal/command/railcarriercmd/carrier.go
+++ b/internal/command/railcarriercmd/carrier.go
@@ -46,7 +46,7 @@
 	defer func() { _ = dialer.Close() }()
 	self := railmember.Member{Name: host, Role: railmember.RoleAgent, Address: settings.InternalAddress, Zone: settings.Zone, Region: settings.Region, Service: settings.Service}
 	configClient := &railconfigclient.Client{
-		Self: self, Config: p.Config, ZoneRegions: p.Site.ZoneRegions, Store: &configStore{Process: p}, Now: p.Clock.Now, Log: raillog.Named(p.Log, "config"),
+		Self: self, Config: p.Config, MaxConfigAge: p.Limits.MaxServedAge, ZoneRegions: p.Site.ZoneRegions, Store: &configStore{Process: p}, Now: p.Clock.Now, Log: raillog.Named(p.Log, "config"),
 		RequestBrief: func(ctx context.Context, address string, req *railproto.BriefRequest) (*railproto.BriefReply, error) {
 			return dialer.Entry(ctx, address).Brief(ctx, req)
 		},
--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"maps"
-	"math"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -38,14 +37,8 @@
 )
 
 const (
-	// configPollFraction is the long polling time for the configuration, as a fraction of the setting configuration.
-	configPollFraction = 0.8
-	// instancePollFraction is the delay between two reads of the endpoint list, as a fraction of the setting drain.
-	instancePollFraction = 0.4
 	// entriesPollWait is the long polling time for the table of entries.
 	entriesPollWait = 20 * time.Second
-	// keyTrustFraction is the maximum age of a configuration that may accept customers' keys, as a fraction of the setting revocation.
-	keyTrustFraction = 0.8
 	// publishRetryDelay is the mean delay after a failed write of the entry's row. It varies by half, since all entries write after a restore.
 	publishRetryDelay = time.Second
 	// exitTime is the part of the grace period that is left for the end of the process once its drain is over.
@@ -106,11 +99,11 @@
 		return errors.Wrap(err, "listen on inner")
 	}
 	g.entries = &railentries.Entries{Self: site.Process.Name, Log: raillog.Named(p.Log, "entries")}
-	g.configServer = &railconfigserver.Server{Config: p.Config, Age: g.configAge, Instances: g.currentInstances, Entries: g.members}
+	g.configServer = &railconfigserver.Server{Config: p.Config, Age: g.configAge, MaxAge: p.Limits.MaxServedAge, Instances: g.currentInstances, Entries: g.members}
 	g.quarantine = &railquarantine.Quarantine{Log: raillog.Named(p.Log, "quarantine")}
 	g.frontend = &railgateway.Gateway{
 		CallerListener: callerListener, ReadyListener: readyListener, ReadyPath: platform.ReadyPath, Translator: platform.Translator{}, Catalog: g.catalog, MinVersion: p.Config.MinVersion, NextMinVersion: p.Config.NextMinVersion,
-		EntriesKnown: g.entriesKnown, ConfigAge: g.configAge, EndpointListAge: g.instancesAge, MaxConfigAge: maxConfigAge(site.Bounds.RevocationDelay), RetryShare: site.Bounds.RetryShare / 2,
+		EntriesKnown: g.entriesKnown, ConfigAge: g.configAge, EndpointListAge: g.instancesAge, MaxConfigAge: p.Limits.MaxKeyAge, RetryShare: site.Bounds.RetryShare / 2,
 		ObjectivePercent: site.Process.ObjectivePercent, Quarantine: g.quarantine,
 		Log: raillog.Named(p.Log, "front"),
 	}
@@ -147,12 +140,11 @@
 
 // startFollowers starts to replicate the store's tables of configuration, endpoints and entries.
 func (g *gateway) startFollowers(ctx context.Context) {
-	bounds := g.Site.Bounds
-	g.configFollower = g.NewConfigFollower(railtimer.Scale(configPollFraction, bounds.ConfigDelay), g.updateInstances)
+	g.configFollower = g.NewConfigFollower(g.updateInstances)
 	g.Config.OnWantedVersion = func(model string, version int64, age time.Duration, guessed bool) {
 		go g.ShareWantedVersion(ctx, model, version, age, guessed)
 	}
-	g.instanceFollower = g.NewFollower(platform.TableInstances, 0, railtimer.Scale(instancePollFraction, bounds.DrainDelay), func(rows map[string]railreplica.Row) {
+	g.instanceFollower = g.NewFollower(platform.TableInstances, 0, g.Limits.ListDelay, func(rows map[string]railreplica.Row) {
 		g.mu.Lock()
 		g.instanceRows = rows
 		g.mu.Unlock()
@@ -264,11 +256,3 @@
 		g.fleet.ApplyNotice(n.GetAddress(), n.GetVersion(), time.Duration(n.GetChangesInMillis())*time.Millisecond)
 	}
 }
-
-// maxConfigAge returns the maximum age of a configuration that may accept customers' keys. There is no limit if revocation is 0.
-func maxConfigAge(revocation time.Duration) time.Duration {
-	if revocation == 0 {
-		return math.MaxInt64
-	}
-	return railtimer.Scale(keyTrustFraction, revocation)
-}
--- a/internal/command/railsiteprocess/process.go
+++ b/internal/command/railsiteprocess/process.go
@@ -19,6 +19,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/command/railfactory"
 	"github.com/fulmarrail/fulmarrail/internal/config/railactiveconfig"
 	"github.com/fulmarrail/fulmarrail/internal/config/railsite"
+	"github.com/fulmarrail/fulmarrail/internal/config/railstaleness"
 	"github.com/fulmarrail/fulmarrail/internal/core/railadmin"
 	"github.com/fulmarrail/fulmarrail/internal/core/railclock"
 	"github.com/fulmarrail/fulmarrail/internal/core/raillog"
@@ -53,6 +54,8 @@
 	Factory *railfactory.Factory
 	Role    string
 	Site    railsite.Settings
+	// Limits holds the polling times and ages that follow from the settings.
+	Limits railstaleness.Limits
 
 	// The fields from Log to StoreClock are set before the role runs.
 	Log    *slog.Logger
@@ -127,6 +130,7 @@
 
 // initStore creates the store's client and everything that is needed to read its tables.
 func (p *Process) initStore() {
+	p.Limits = railstaleness.New(p.Site.Bounds, p.Site.Process.CallTimeout)
 	p.rowFaults = map[string]*railreplica.Faults{}
 	for _, table := range []string{platform.TableOperator, platform.TableInstances, TableEntries, tableWantedVersions} {
 		p.rowFaults[table] = &railreplica.Faults{Log: raillog.Named(p.Log, "store")}
@@ -178,15 +182,15 @@
 	}
 }
 
-// NewConfigFollower returns a follower that keeps the configuration up to date. The store may delay a response by pollWait until
-// there is a change. onChange is called after each change and may be nil.
-func (p *Process) NewConfigFollower(pollWait time.Duration, onChange func()) *railreplica.Follower {
-	p.configFollower = p.NewFollower(platform.TableOperator, pollWait, 0, func(rows map[string]railreplica.Row) {
+// NewConfigFollower returns a follower that keeps the configuration up to date. onChange is called after each change and may be nil.
+func (p *Process) NewConfigFollower(onChange func()) *railreplica.Follower {
+	p.configFollower = p.NewFollower(platform.TableOperator, p.Limits.ConfigWait, 0, func(rows map[string]railreplica.Row) {
 		p.applyCatalog(rows)
 		if onChange != nil {
 			onChange()
 		}
 	})
+	p.configFollower.Timeout = p.Limits.ConfigTimeout
 	p.Config.MaxChangeAge = p.configFollower.MaxChangeAge
 	return p.configFollower
 }
--- a/internal/command/railsiteprocess/wanted_versions_test.go
+++ b/internal/command/railsiteprocess/wanted_versions_test.go
@@ -43,7 +43,7 @@
 	p := &Process{Log: slog.New(slog.DiscardHandler)}
 	p.Site.Process.CallTimeout, p.Site.Process.StoreAddress, p.Site.Bounds.RolloutTime = time.Minute, store, time.Hour
 	p.initStore()
-	qt.Assert(t, p.NewConfigFollower(time.Second, nil).Refresh(t.Context()), qt.IsNil)
+	qt.Assert(t, p.NewConfigFollower(nil).Refresh(t.Context()), qt.IsNil)
 	return p
 }
 
--- a/internal/config/railconfigclient/client.go
+++ b/internal/config/railconfigclient/client.go
@@ -17,7 +17,6 @@
 	"github.com/fulmarrail/fulmarrail/internal/config/railactiveconfig"
 	"github.com/fulmarrail/fulmarrail/internal/config/railbackend"
 	"github.com/fulmarrail/fulmarrail/internal/config/railcatalog"
-	"github.com/fulmarrail/fulmarrail/internal/config/railconfigserver"
 	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
@@ -44,6 +43,8 @@
 	// Self describes this agent.
 	Self   railmember.Member
 	Config *railactiveconfig.Config
+	// MaxConfigAge is the age above which an entry's configuration is not taken.
+	MaxConfigAge time.Duration
 	// ZoneRegions holds the region of each zone.
 	ZoneRegions map[string]string
 	// RequestBrief requests the configuration from the entry at an address, and RequestAgents the list of the service's agents.
@@ -179,7 +180,7 @@
 	switch {
 	case err != nil:
 		return nil, err
-	case reply.GetHash() == 0 || time.Duration(reply.GetAgeMillis())*time.Millisecond > railconfigserver.MaxConfigAge:
+	case reply.GetHash() == 0 || time.Duration(reply.GetAgeMillis())*time.Millisecond > c.MaxConfigAge:
 		return nil, errStale
 	}
 	return reply, nil
--- a/internal/config/railconfigclient/client_test.go
+++ b/internal/config/railconfigclient/client_test.go
@@ -25,6 +25,8 @@
 const (
 	service = "engines"
 	model   = "m"
+	// maxConfigAge is the age above which an entry's configuration is too old to serve.
+	maxConfigAge = 4 * time.Second
 )
 
 // testEntry is an entry that serves agents.
@@ -61,7 +63,7 @@
 		e := &testEntry{config: &railactiveconfig.Config{RolloutTime: 8 * time.Second, Now: newClock(), Log: log}}
 		e.member = railmember.Member{Name: "entry-" + zone, Address: "entry-" + zone, Zone: zone, Region: regions[zone]}
 		e.server = &railconfigserver.Server{
-			Config: e.config, Age: func() time.Duration { return c.ageOf(e) }, Entries: c.members,
+			Config: e.config, Age: func() time.Duration { return c.ageOf(e) }, MaxAge: maxConfigAge, Entries: c.members,
 			Instances: func() []railinstance.Instance {
 				return []railinstance.Instance{
 					{Service: service, Address: "10.0.0.1:80", Zone: "near"},
@@ -75,7 +77,7 @@
 	}
 	c.client = &railconfigclient.Client{
 		Self:   railmember.Member{Name: "agent", Address: "10.0.0.9:7700", Zone: "near", Region: "home", Service: service},
-		Config: c.config, ZoneRegions: regions, RequestBrief: c.requestBrief, Store: c, OnChange: func() {}, Now: newClock(), Log: log,
+		Config: c.config, MaxConfigAge: maxConfigAge, ZoneRegions: regions, RequestBrief: c.requestBrief, Store: c, OnChange: func() {}, Now: newClock(), Log: log,
 		RequestAgents: func(ctx context.Context, address string, req *railproto.AgentsRequest) (*railproto.AgentsReply, error) {
 			return c.entry(address).server.Agents(ctx, req)
 		},
@@ -288,7 +290,7 @@
 		time.Sleep(time.Second)
 		config := &railactiveconfig.Config{RolloutTime: 8 * time.Second, Now: newClock(), Log: slog.New(slog.DiscardHandler)}
 		client := &railconfigclient.Client{
-			Self: c.client.Self, Config: config, Store: c, OnChange: func() {}, Now: newClock(), Log: slog.New(slog.DiscardHandler),
+			Self: c.client.Self, Config: config, MaxConfigAge: maxConfigAge, Store: c, OnChange: func() {}, Now: newClock(), Log: slog.New(slog.DiscardHandler),
 			RequestBrief: func(ctx context.Context, address string, req *railproto.BriefRequest) (*railproto.BriefReply, error) {
 				reply, err := c.requestBrief(ctx, address, req)
 				railtimer.Sleep(ctx, 5*time.Second)
@@ -349,7 +351,7 @@
 		time.Sleep(5 * time.Second)
 		lateConfig := &railactiveconfig.Config{RolloutTime: 8 * time.Second, Now: newClock(), Log: slog.New(slog.DiscardHandler)}
 		client := &railconfigclient.Client{
-			Self: c.client.Self, Config: lateConfig, RequestBrief: c.requestBrief, Store: c, OnChange: func() {}, Now: newClock(), Log: slog.New(slog.DiscardHandler),
+			Self: c.client.Self, Config: lateConfig, MaxConfigAge: maxConfigAge, RequestBrief: c.requestBrief, Store: c, OnChange: func() {}, Now: newClock(), Log: slog.New(slog.DiscardHandler),
 		}
 		go client.Run(t.Context())
 		time.Sleep(100 * time.Millisecond)
--- a/internal/config/railconfigserver/server.go
+++ b/internal/config/railconfigserver/server.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// MaxConfigAge is the age above which an entry's configuration is too old to serve to agents.
-	MaxConfigAge = 4 * time.Second
 	// maxWait limits how long an agent may wait for a change.
 	maxWait = 30 * time.Second
 	// ageCheckInterval is the interval at which the configuration's age is checked while an agent waits.
@@ -28,8 +26,10 @@
 	railproto.DRPCEntryUnimplementedServer
 
 	Config *railactiveconfig.Config
-	// Age returns the time since the configuration was last confirmed to be current.
-	Age func() time.Duration
+	// Age returns the time since the configuration was last confirmed to be current, and MaxAge is the one above which it is too old to
+	// serve to agents.
+	Age    func() time.Duration
+	MaxAge time.Duration
 	// Instances returns the registered endpoints, and Entries the entries, including this one.
 	Instances func() []railinstance.Instance
 	Entries   func() []railmember.Member
@@ -58,7 +58,7 @@
 		switch {
 		case brief.GetHash() != req.GetKnown():
 			return brief, nil
-		case waited || s.Age() > MaxConfigAge:
+		case waited || s.Age() > s.MaxAge:
 			return &railproto.BriefReply{Hash: brief.GetHash(), AgeMillis: brief.GetAgeMillis(), HeldMillis: brief.GetHeldMillis()}, nil
 		}
 		select {
--- a/internal/config/railsite/settings.go
+++ b/internal/config/railsite/settings.go
@@ -15,6 +15,8 @@
 
 const (
 	bytesPerMegabit = 1e6 / 8
+	// minRevocationDelay leaves time for several calls of the store, so that keys are not refused while it responds.
+	minRevocationDelay = 200 * time.Millisecond
 
 	sectionProcess = "process"
 	sectionBounds  = "bounds"
@@ -121,6 +123,9 @@
 			errs = append(errs, errors.Newf("%s: %q is not an IP address with a port, such as 10.0.0.7:7000", doc.Position(sectionProcess, key), value))
 		}
 	}
+	if delay := s.Bounds.RevocationDelay; delay > 0 && delay < minRevocationDelay {
+		errs = append(errs, errors.Newf("%s: %s is too short to confirm keys in time; use %s or more, or 0s for no bound", doc.Position(sectionBounds, "revocation"), delay, minRevocationDelay))
+	}
 	if _, ok := s.ZoneRegions[s.Process.Zone]; !ok && s.Process.Zone != "" {
 		errs = append(errs, errors.Newf("%s: [zones] does not list %q", doc.Position(sectionProcess, "zone"), s.Process.Zone))
 	}
