Claim the ports of tests' processes until the test ends

Failed: TestOperatorCommandsQueryGatewayAndCarrier, once in about 400 runs: the status was not complete within 60 s.

Cause: freePort drew each port at random and remembered none, so that two of a test's three ports could be the same; besides, the tests of cmd/fulmarrail took 31000 to 31059, in the same range, while both packages ran. The process that comes second ends with "address already in use", and its status never shows. With two ports set to the same number the test fails with the very symptom after 60 s ("gateway wrote: listen on inner: ... address already in use").

Change: railport.Claim gives consecutive ports, and keeps a listener at another loopback address on each until the test ends, so that no test of any package gets them. Ports must be free for UDP too.

--- a/cmd/fulmarrail/main_test.go
+++ b/cmd/fulmarrail/main_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -22,6 +21,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/lab/railanswer"
 	"github.com/fulmarrail/fulmarrail/internal/lab/railclient"
 	"github.com/fulmarrail/fulmarrail/internal/lab/raillayout"
+	"github.com/fulmarrail/fulmarrail/internal/lab/railport"
 	"github.com/fulmarrail/fulmarrail/internal/lab/railstandins"
 )
 
@@ -57,6 +57,8 @@
 repeatable = no
 coldLimit = 8
 `
+	// layoutPorts is the number of ports that the layout takes at the most.
+	layoutPorts = 60
 	waitTimeout = time.Minute
 )
 
@@ -84,7 +86,7 @@
 	c.Assert(os.Mkdir(configDir, 0o700), qt.IsNil)
 	c.Assert(os.WriteFile(filepath.Join(configDir, "10.ini"), []byte(folderText), 0o600), qt.IsNil)
 	layoutPath := filepath.Join(dir, "layout.ini")
-	c.Assert(os.WriteFile(layoutPath, fmt.Appendf(nil, layoutText, freePorts(c, 60)), 0o600), qt.IsNil)
+	c.Assert(os.WriteFile(layoutPath, fmt.Appendf(nil, layoutText, railport.Claim(c, layoutPorts, "127.0.0.1")), 0o600), qt.IsNil)
 	layout, err := raillayout.Load(layoutPath)
 	c.Assert(err, qt.IsNil)
 	d := &deployment{
@@ -164,24 +166,6 @@
 	}
 }
 
-// freePorts returns the first of n consecutive free TCP ports.
-func freePorts(c *qt.C, n int) int {
-	for base := 31000; base < 60000; base += n {
-		free := true
-		for port := base; port < base+n && free; port++ {
-			lis, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-			if free = err == nil; free {
-				_ = lis.Close()
-			}
-		}
-		if free {
-			return base
-		}
-	}
-	c.Fatal("no free ports")
-	return 0
-}
-
 func TestOrderRunsAtMostOnceWhenProcessesAreKilledOrSuspended(t *testing.T) {
 	c := qt.New(t)
 	d := startDeployment(c)
