Tell a process's followers of the end of an outage once

The follower of the endpoints finds it back and wakes the others; then each of the others finds it back as well and makes the rest abandon their requests, which they had sent after the end of the outage.

Change: a follower tells the others only if nobody has since it lost the store itself.

Test: TestOutageEndsOnceForAllFollowers.

--- a/internal/store/railreplica/follower.go
+++ b/internal/store/railreplica/follower.go
@@ -101,6 +101,8 @@
 	// unanswered is set if a request has failed or was abandoned since the last response.
 	unanswered bool
 	storeLost  bool
+	// recoveredSinceLoss is closed when another follower has found the store back since this one has lost it.
+	recoveredSinceLoss <-chan struct{}
 }
 
 // Run keeps the replica up to date until ctx is done.
@@ -313,7 +315,7 @@
 	if f.storeLost || ctx.Err() != nil {
 		return
 	}
-	f.storeLost = true
+	f.storeLost, f.recoveredSinceLoss = true, f.recoverySignal()
 	if age, known := f.Age(); known {
 		f.Log.Warn("store lost", "table", f.Table, "err", err, "age", age)
 		return
@@ -325,7 +327,11 @@
 	if f.storeLost {
 		f.storeLost = false
 		f.Log.Info("store regained", "table", f.Table, "version", railversion.String(f.Version()))
-		f.notifyRecovery()
+		select {
+		case <-f.recoveredSinceLoss: // The other followers know, and the requests that they have sent since must not be abandoned.
+		default:
+			f.notifyRecovery()
+		}
 	}
 }
 
--- a/internal/store/railreplica/follower_test.go
+++ b/internal/store/railreplica/follower_test.go
@@ -196,3 +196,32 @@
 		qt.Check(t, age <= time.Millisecond, qt.IsTrue, qt.Commentf("age %s", age))
 	})
 }
+
+// Guards against a request that is abandoned, and with it a large response on its way, since another follower notices the end of the same
+// outage later.
+func TestOutageEndsOnceForAllFollowers(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		var recovered railsignal.Signal
+		nothing := func(map[string]railreplica.Row) {}
+		sources := []*fakeSource{{table: railreplica.Page{Version: 1}}, {table: railreplica.Page{Version: 1}}, {table: railreplica.Page{Version: 1}}}
+		for _, s := range sources {
+			startFollower(t, s, nothing, &recovered)
+		}
+		time.Sleep(5 * time.Second)
+		for _, s := range sources {
+			s.update(func(s *fakeSource) { s.err = errors.New("store unavailable") })
+		}
+		time.Sleep(5 * time.Second)
+		sources[0].update(func(s *fakeSource) { s.err = nil })
+		<-recovered.Changed()
+		again := recovered.Changed()
+		sources[1].update(func(s *fakeSource) { s.err = nil })
+		sources[2].update(func(s *fakeSource) { s.err = nil })
+		time.Sleep(5 * time.Second)
+		select {
+		case <-again:
+			t.Fatal("the followers were told again that the store is back")
+		default:
+		}
+	})
+}
