Let a response of the store that is on its way go on beyond its deadline

Cause: after "big_config" the operator's table is 1.17 MB (1.6 MB on the wire, 5 rows), and each gateway reads it over a link between regions of about 1.5 MB/s there, on which new weights come at the same time. On a link a little narrower no configuration would ever have arrived.

Ruled out: silent connections (the cut resets them), backoff (0.1 to 0.8 s between tries), the order in which the tables come.

Change: the deadline is that by which the response has to begin.

--- a/internal/command/railfactory/factory.go
+++ b/internal/command/railfactory/factory.go
@@ -102,7 +102,7 @@
 }
 
 func openPlatform(settings railsettings.Settings, log *slog.Logger) railstore.Store {
-	store := &platform.Store{HTTP: &platform.HTTPClient{Timeout: settings.CallTimeout}, Address: settings.PlatformAddress}
+	store := &platform.Store{HTTP: &platform.HTTPClient{Timeout: settings.CallTimeout, Patient: true}, Address: settings.PlatformAddress}
 	return &platform.DeploymentStore{Store: store, Log: log}
 }
 
--- a/internal/command/railsiteprocess/process.go
+++ b/internal/command/railsiteprocess/process.go
@@ -137,7 +137,7 @@
 	}
 	p.Clock = railclock.New()
 	p.StoreClock = &railstoreclock.Clock{Local: p.Clock.Now}
-	p.Store = &platform.Store{HTTP: &platform.HTTPClient{Timeout: p.Site.Process.CallTimeout}, Address: p.Site.Process.StoreAddress}
+	p.Store = &platform.Store{HTTP: &platform.HTTPClient{Timeout: p.Site.Process.CallTimeout, Patient: true}, Address: p.Site.Process.StoreAddress}
 	p.Config = &railactiveconfig.Config{RolloutTime: p.Site.Bounds.RolloutTime, RecordsLoaded: p.wantedVersionsRead.Load, Now: p.Clock.Now, Log: raillog.Named(p.Log, "config")}
 }
 
