Read the configuration and the endpoints from other entries while the store is out of reach

Cause: a gateway confirmed its configuration from the store alone. That a key has not been revoked can be confirmed by any entry that reaches the store.

Change: a follower whose request has failed reads its Fallback once, another entry's replica: rows that have changed, removals, the store's version and clock, and the age of the replica. The age counts from the sending of the request, so that it never becomes lower than it is, through any number of entries; a reply that brings nothing newer is no confirmation, and another entry is asked next. A follower that has lost the store does not let it wait for a change, so that a request without a response is given up after the timeout alone.

--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -25,7 +25,9 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/node/railgateway"
+	"github.com/fulmarrail/fulmarrail/internal/node/railpeersource"
 	"github.com/fulmarrail/fulmarrail/internal/node/railrelay"
+	"github.com/fulmarrail/fulmarrail/internal/node/railreplicaserver"
 	"github.com/fulmarrail/fulmarrail/internal/node/railstatus"
 	"github.com/fulmarrail/fulmarrail/internal/report/railentryreport"
 	"github.com/fulmarrail/fulmarrail/internal/store/railreplica"
@@ -62,6 +64,7 @@
 	*railsiteprocess.Process
 	configFollower   *railreplica.Follower
 	instanceFollower *railreplica.Follower
+	entriesFollower  *railreplica.Follower
 	fleet            *railfleet.Fleet
 	quarantine       *railquarantine.Quarantine
 
@@ -150,10 +153,23 @@
 		g.mu.Unlock()
 		g.updateInstances()
 	})
-	entriesFollower := g.NewFollower(railsiteprocess.TableEntries, entriesPollWait, 0, g.setEntries)
-	go g.configFollower.Run(ctx)
-	go g.instanceFollower.Run(ctx)
-	go entriesFollower.Run(ctx)
+	g.entriesFollower = g.NewFollower(railsiteprocess.TableEntries, entriesPollWait, 0, g.setEntries)
+	for _, follower := range []*railreplica.Follower{g.configFollower, g.instanceFollower} {
+		follower.Fallback = g.newPeerSource()
+	}
+	for _, follower := range []*railreplica.Follower{g.configFollower, g.instanceFollower, g.entriesFollower} {
+		go follower.Run(ctx)
+	}
+}
+
+// newPeerSource returns a source that reads a table from other entries.
+func (g *gateway) newPeerSource() *railpeersource.Source {
+	return &railpeersource.Source{
+		Addresses: g.otherEntries, Now: g.Clock.Now,
+		Request: func(ctx context.Context, address string, req *railproto.ReplicaRequest) (*railproto.ReplicaReply, error) {
+			return g.relay.Dialer.Replica(ctx, address).Changes(ctx, req)
+		},
+	}
 }
 
 // updateInstances recomputes the endpoints from the configuration and the replicated rows, and passes them to the other components.
@@ -178,7 +194,11 @@
 func (g *gateway) serveInternal(ctx context.Context, internalListener net.Listener) error {
 	mux := drpcmux.New()
 	reporter := &railstatus.Reporter[railentryreport.Report]{Report: g.report}
-	if err := errors.Join(railproto.DRPCRegisterEntry(mux, g.configServer), railproto.DRPCRegisterAgent(mux, g.relay), railproto.DRPCRegisterNode(mux, reporter)); err != nil {
+	replicas := &railreplicaserver.Server{
+		Followers: map[string]*railreplica.Follower{g.configFollower.Table: g.configFollower, g.instanceFollower.Table: g.instanceFollower}, Now: g.Clock.Now,
+	}
+	if err := errors.Join(railproto.DRPCRegisterEntry(mux, g.configServer), railproto.DRPCRegisterAgent(mux, g.relay), railproto.DRPCRegisterNode(mux, reporter),
+		railproto.DRPCRegisterReplica(mux, replicas)); err != nil {
 		return errors.Wrap(err, "register the internal services")
 	}
 	server := &raillistener.Listener{Key: []byte(g.Site.Process.SharedKey), Handler: mux, Log: raillog.Named(g.Log, "inner")}
@@ -222,6 +242,17 @@
 	g.configServer.NotifyChange()
 }
 
+// otherEntries returns the internal addresses of the other entries.
+func (g *gateway) otherEntries() []string {
+	var addresses []string
+	for _, m := range g.members() {
+		if m.Name != g.Site.Process.Name {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	return addresses
+}
+
 // peerAddresses returns the datagram addresses of the other entries.
 func (g *gateway) peerAddresses() []*net.UDPAddr {
 	g.mu.Lock()
--- a/internal/store/railreplica/follower.go
+++ b/internal/store/railreplica/follower.go
@@ -31,6 +31,9 @@
 // errInterrupted means that another follower has found the store back, so that a response to the present request may never come.
 var errInterrupted = errors.New("the request was abandoned since the store is back")
 
+// errOutdated means that another process knows nothing that is newer than this replica.
+var errOutdated = errors.New("the other process's replica is not newer")
+
 // ErrHistoryGone means that the store no longer has the changes since a version, so that the whole table has to be read again.
 var ErrHistoryGone = errors.New("the store no longer has the requested change history")
 
@@ -47,6 +50,9 @@
 	Rows    []Row
 	Version int64
 	Now     time.Duration
+	// CurrentAt is the earliest local time at which the page may have been current. It is 0 for a page that the store itself has sent, which
+	// was current when it was requested or later.
+	CurrentAt time.Duration
 }
 
 // ByKey returns the rows as a map by key.
@@ -70,7 +76,9 @@
 // Follower maintains a replica of a table. Its exported fields must be set before Run is called.
 type Follower struct {
 	Source Source
-	Table  string
+	// Fallback is read whenever a request to Source has failed, since other processes may still reach the store. It may be nil.
+	Fallback Source
+	Table    string
 	// Wait is the long polling time: the store may delay its response for this time until there is a change.
 	Wait time.Duration
 	// PollDelay is the mean delay between two requests.
@@ -101,6 +109,8 @@
 	// unanswered is set if a request has failed or was abandoned since the last response.
 	unanswered bool
 	storeLost  bool
+	// readElsewhere is set if Fallback has been read since the store was lost.
+	readElsewhere bool
 	// recoveredSinceLoss is closed when another follower has found the store back since this one has lost it.
 	recoveredSinceLoss <-chan struct{}
 }
@@ -120,6 +130,7 @@
 		}
 		if err != nil {
 			f.logLoss(ctx, err)
+			f.pollFallback(ctx)
 			f.waitForRetry(ctx, recovered, retry.NextBackOff())
 			continue
 		}
@@ -196,6 +207,24 @@
 	return f.version
 }
 
+// ChangesSince returns the rows that have changed in the store after a version, as far as this replica knows, for another process. If their
+// history is not known back to that version, whole is true and all rows are returned. It returns false if the replica can't tell the
+// table's state: before the first successful read, and while a restored store may lack rows.
+func (f *Follower) ChangesSince(after int64) (page Page, whole, known bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.loaded || f.rows.awaitsNewerStates(f.Now()) {
+		return Page{}, false, false
+	}
+	page = Page{Version: f.version, Now: f.pageAt, CurrentAt: f.confirmedAt}
+	whole = railversion.Era(after) != railversion.Era(f.version) || after < f.rows.historyStart
+	if whole {
+		after = 0
+	}
+	page.Rows = f.rows.changesSince(after)
+	return page, whole, true
+}
+
 // MaxChangeAge returns the longest time for which the changes that were passed to the last call of OnChange may have been in the
 // store. It is meant to be called by OnChange. It returns 0 for the first page, since nothing was known before that.
 func (f *Follower) MaxChangeAge() time.Duration {
@@ -204,19 +233,44 @@
 	return f.maxChangeAge
 }
 
-// poll sends one request and applies its result.
+// poll sends one request to the store and applies its result. While the store is lost, it does not let the store wait for a change, so that
+// a request that gets no response is given up sooner.
 func (f *Follower) poll(ctx context.Context) error {
+	if f.storeLost {
+		return f.read(ctx, f.Source, 0)
+	}
+	return f.read(ctx, f.Source, f.untilExpiry(f.Wait))
+}
+
+// pollFallback reads from Fallback once, if there is one.
+func (f *Follower) pollFallback(ctx context.Context) {
+	if f.Fallback == nil || ctx.Err() != nil {
+		return
+	}
+	err := f.read(ctx, f.Fallback, 0)
+	age, _ := f.Age()
+	if err != nil {
+		f.Log.Debug("no other process knows more", "table", f.Table, "err", err, "age", age)
+		return
+	}
+	if !f.readElsewhere {
+		f.readElsewhere = true
+		f.Log.Info("table is read from other processes while the store is lost", "table", f.Table, "version", railversion.String(f.Version()), "age", age)
+	}
+}
+
+// read requests the changes since the last page, or the whole table, from a source, and applies the result.
+func (f *Follower) read(ctx context.Context, source Source, wait time.Duration) error {
 	start := f.Now()
 	if !f.isLoaded() {
-		return f.readAll(ctx, start)
+		return f.readAll(ctx, source, start)
 	}
-	wait := f.untilExpiry(f.Wait)
 	ctx, cancel := context.WithTimeout(ctx, wait+f.Timeout)
 	defer cancel()
-	page, err := f.Source.Changes(ctx, f.Table, f.Version(), wait)
+	page, err := source.Changes(ctx, f.Table, f.Version(), wait)
 	if errors.Is(err, ErrHistoryGone) {
 		f.Log.Info("change history is not available; reading the whole table", "table", f.Table, "after", railversion.String(f.Version()))
-		return f.readAll(ctx, start)
+		return f.readAll(ctx, source, start)
 	}
 	if err != nil {
 		return err
@@ -225,26 +279,32 @@
 	if len(page.Rows) == 0 && f.Now()-start >= wait {
 		sentAt += wait // The store has waited for a change until then.
 	}
-	f.apply(page, sentAt, false)
-	return nil
+	return f.apply(page, sentAt, false)
 }
 
-func (f *Follower) readAll(ctx context.Context, start time.Duration) error {
+func (f *Follower) readAll(ctx context.Context, source Source, start time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, f.Timeout)
 	defer cancel()
-	page, err := f.Source.Table(ctx, f.Table)
+	page, err := source.Table(ctx, f.Table)
 	if err != nil {
 		return err
 	}
-	f.apply(page, start, true)
-	return nil
+	return f.apply(page, start, true)
 }
 
-// apply applies a page that the store sent at the given time or later. A full page replaces the replica.
-func (f *Follower) apply(page Page, sentAt time.Duration, full bool) {
+// apply applies a page that the store sent at the given time or later, unless the page itself says since when it is current. A full page
+// replaces the replica. It returns an error if another process's page is not newer than the replica.
+func (f *Follower) apply(page Page, sentAt time.Duration, full bool) error {
 	f.mu.Lock()
 	now := f.Now()
 	restored := f.loaded && railversion.Era(page.Version) != railversion.Era(f.version)
+	if page.CurrentAt != 0 {
+		sentAt = page.CurrentAt
+		if f.loaded && !restored && page.Now <= f.pageAt {
+			f.mu.Unlock()
+			return errOutdated
+		}
+	}
 	confirmedAt := f.observe(page, sentAt, restored)
 	if restored || f.endsOutage(confirmedAt, now) {
 		f.rows.startGrace(f.confirmedAt, now+ReturnGrace)
@@ -252,6 +312,7 @@
 	f.unanswered = false
 	if full {
 		f.rows.replace(page.Rows, restored, now)
+		f.rows.startHistory(page.Version)
 		f.version = page.Version
 	}
 	for _, row := range page.Rows {
@@ -277,6 +338,7 @@
 		f.confirmedAt = max(f.confirmedAt, confirmedAt)
 	}
 	f.mu.Unlock()
+	return nil
 }
 
 // observe updates the store's clock and the longest time for which the changes in a page may have been in the store: they were made
@@ -325,7 +387,7 @@
 
 func (f *Follower) logRecovery() {
 	if f.storeLost {
-		f.storeLost = false
+		f.storeLost, f.readElsewhere = false, false
 		f.Log.Info("store regained", "table", f.Table, "version", railversion.String(f.Version()))
 		select {
 		case <-f.recoveredSinceLoss: // The other followers know, and the requests that they have sent since must not be abandoned.
--- a/internal/store/railreplica/rowset.go
+++ b/internal/store/railreplica/rowset.go
@@ -19,6 +19,8 @@
 	staleTTL = time.Minute
 	// maxReplaced is the number of replaced states that are remembered for a row.
 	maxReplaced = 32
+	// maxRemoved is the number of removals that are remembered for other processes.
+	maxRemoved = 1024
 )
 
 // rowSet holds a table's rows as the store has them, and what is known better than the store has it after an outage or a restore. Its
@@ -31,6 +33,9 @@
 	replaced map[string][]replacedRow
 	// graceEnd is the time until which rows that the store lacks are kept.
 	graceEnd time.Duration
+	// removed holds the versions at which rows were removed since historyStart.
+	removed      map[string]int64
+	historyStart int64
 }
 
 // keptRow is a row that holds in place of the store's until a time: one that the store lacks, until graceEnd, or the newer state of one that a
@@ -143,14 +148,47 @@
 	delete(s.kept, row.Key)
 	if !row.Removed {
 		s.rows[row.Key] = row
+		delete(s.removed, row.Key)
 		return
 	}
 	delete(s.rows, row.Key)
+	s.rememberRemoved(row)
 	if known && now < s.graceEnd {
 		s.kept[row.Key] = keptRow{Row: current, until: s.graceEnd}
 	}
 }
 
+// startHistory forgets all removals, since the table was read whole at a version.
+func (s *rowSet) startHistory(version int64) {
+	s.removed, s.historyStart = map[string]int64{}, version
+}
+
+func (s *rowSet) rememberRemoved(row Row) {
+	if len(s.removed) >= maxRemoved {
+		for _, version := range s.removed {
+			s.historyStart = max(s.historyStart, version)
+		}
+		clear(s.removed)
+	}
+	s.removed[row.Key] = row.Version
+}
+
+// changesSince returns the store's rows, and the removals, that are newer than a version.
+func (s *rowSet) changesSince(after int64) []Row {
+	var changes []Row
+	for _, row := range s.rows {
+		if row.Version > after {
+			changes = append(changes, row)
+		}
+	}
+	for key, version := range s.removed {
+		if version > after {
+			changes = append(changes, Row{Key: key, Version: version, Removed: true})
+		}
+	}
+	return changes
+}
+
 // expire drops the kept rows whose time is over, and reports whether there were any. It also forgets old replaced states.
 func (s *rowSet) expire(now time.Duration) bool {
 	n := len(s.kept)
--- a/internal/wire/raildialer/dialer.go
+++ b/internal/wire/raildialer/dialer.go
@@ -50,6 +50,11 @@
 	return railproto.NewDRPCEntryClient(d.conn(ctx, address))
 }
 
+// Replica returns a client for the replicas of the entry at address.
+func (d *Dialer) Replica(ctx context.Context, address string) railproto.DRPCReplicaClient {
+	return railproto.NewDRPCReplicaClient(d.conn(ctx, address))
+}
+
 // Node returns a client for the RPCs that every process serves.
 func (d *Dialer) Node(ctx context.Context, address string) railproto.DRPCNodeClient {
 	return railproto.NewDRPCNodeClient(d.conn(ctx, address))
