Serve waiting requests in turn for each customer at gateways

Callers see, when one customer sends many times its usual: the others' requests stand behind its requests and are rejected, since they could not begin in time. The admitter of gateways ordered by rank and arrival alone, while entries with agents are fair between customers (railqueue).

Change: the admitter uses railqueue, so one mechanism serves both. What precedes a new request, and so whether it is rejected at once, counts by customer too. Beside that, waiting requests are retried by one timer in place of one for each of them, and a change that is reported within 2 ms after a retry waits for the next: before, each waiting request retried all every 25 ms, and each load digest of another gateway did as well, each time over all endpoints.

--- a/internal/lab/railloadtrial/policy.go
+++ b/internal/lab/railloadtrial/policy.go
@@ -137,7 +137,7 @@
 		Backend: p.backend, PromptTokens: req.promptTokens, OutputTokens: req.kind.OutputTokens, MaxEventGap: req.kind.MaxTokenGap, StartWithin: deadlines.StartWithin,
 		RegionAllowed: func(string) bool { return true }, ZoneOut: func(string) bool { return false },
 	}
-	lease, err := p.admitter.Acquire(ctx, requirements, 0, deadlines.GrantBy)
+	lease, err := p.admitter.Acquire(ctx, requirements, 0, "", deadlines.GrantBy)
 	if err != nil {
 		return placement{}, err
 	}
--- a/internal/node/railgateway/forward.go
+++ b/internal/node/railgateway/forward.go
@@ -141,7 +141,7 @@
 			return nil, err
 		}
 		requirements.IsolationKey = pass.IsolationKey()
-		lease, err := g.admitter(c.service).Acquire(ctx, requirements, rank, grantBy)
+		lease, err := g.admitter(c.service).Acquire(ctx, requirements, rank, c.customer.Name, grantBy)
 		if err != nil {
 			pass.Release()
 			return nil, err
--- a/internal/routing/railadmitter/admitter.go
+++ b/internal/routing/railadmitter/admitter.go
@@ -8,13 +8,20 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fulmarrail/fulmarrail/internal/limit/railqueue"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railfleet"
 )
 
 const (
 	// pollInterval is the interval at which waiting requests are retried even if no change was reported.
 	pollInterval = 25 * time.Millisecond
-	rateWindow   = time.Second
+	// minWakeInterval is the least time between two retries, however many changes are reported.
+	minWakeInterval = 2 * time.Millisecond
+	rateWindow      = time.Second
+	// maxWaiting bounds the number of waiting requests. The predicted wait bounds it long before.
+	maxWaiting = 1 << 14
+	// customerWeight is each customer's weight in the queue.
+	customerWeight = 1
 )
 
 var (
@@ -54,14 +61,20 @@
 type Admitter struct {
 	Fleet *railfleet.Fleet
 
-	mu      sync.Mutex
-	waiting []*waiter
+	mu sync.Mutex
+	// waiting is nil before the first request waits.
+	waiting *railqueue.Queue[*waiter]
 	grants  []time.Time
+	// retriedAt is the time of the last retry of the waiting requests. polling is set while there are any, and changed if a change was reported
+	// since that retry.
+	retriedAt        time.Time
+	polling, changed bool
 }
 
 type waiter struct {
 	requirements railfleet.Requirements
 	rank         int
+	customer     string
 	// grantBy is the latest useful time of a grant. requirements.StartWithin is relative to it.
 	grantBy time.Time
 	granted chan *railfleet.Lease
@@ -69,19 +82,21 @@
 	rejected chan *RejectionError
 }
 
-// Acquire returns a lease on an endpoint, waiting for it until grantBy at most. Requests of a lower rank are served first. An
-// error means that the request was not run; it is a RejectionError unless ctx is done.
-func (a *Admitter) Acquire(ctx context.Context, requirements railfleet.Requirements, rank int, grantBy time.Time) (*railfleet.Lease, error) {
+// Acquire returns a lease on an endpoint, waiting for it until grantBy at most. Requests of a lower rank are served first, and those of the
+// same rank in turn for each customer, so that one customer's requests don't hold up those of others. An error means that the request was not
+// run; it is a RejectionError unless ctx is done.
+func (a *Admitter) Acquire(ctx context.Context, requirements railfleet.Requirements, rank int, customer string, grantBy time.Time) (*railfleet.Lease, error) {
 	a.mu.Lock()
 	now := time.Now()
-	if !a.mustQueue(rank) {
+	a.init()
+	ahead := a.waiting.CountAhead(-rank, customer, customerWeight)
+	if ahead == 0 {
 		if l, ok := a.reserve(requirements, grantBy, now); ok {
 			a.recordGrant(now)
 			a.mu.Unlock()
 			return l, nil
 		}
 	}
-	ahead := a.countAhead(rank)
 	rejection := &RejectionError{Cause: ErrBusy, Eligible: a.Fleet.CountUsable(requirements), Ahead: ahead, ExpectedWait: a.predictWait(now, ahead)}
 	if paused, ok := a.pauseRejection(requirements, grantBy, now); ok {
 		a.mu.Unlock()
@@ -95,45 +110,102 @@
 		a.mu.Unlock()
 		return nil, rejection
 	}
-	w := &waiter{requirements: requirements, rank: rank, grantBy: grantBy, granted: make(chan *railfleet.Lease, 1), rejected: make(chan *RejectionError, 1)}
-	a.enqueue(w)
+	w := &waiter{requirements: requirements, rank: rank, customer: customer, grantBy: grantBy, granted: make(chan *railfleet.Lease, 1), rejected: make(chan *RejectionError, 1)}
+	if evicted, full := a.waiting.Push(w, -rank, customer, customerWeight); full {
+		evicted.rejected <- &RejectionError{Cause: ErrBusy, Ahead: maxWaiting}
+	}
+	a.startPolling()
 	a.mu.Unlock()
 	return a.await(ctx, w, rejection)
 }
 
-// Wake grants leases to waiting requests while there is capacity. A request that can't be granted blocks those behind it, so that
-// small requests don't starve large ones, unless no endpoint could take it regardless of load.
+// Wake grants leases to waiting requests while there is capacity, now or within a few milliseconds.
 func (a *Admitter) Wake() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.waitingLen() == 0 {
+		return
+	}
 	now := time.Now()
-	remaining := a.waiting[:0]
-	for i, w := range a.waiting {
-		l, ok := a.reserve(w.requirements, w.grantBy, now)
+	if now.Sub(a.retriedAt) < minWakeInterval {
+		a.changed = true
+		return
+	}
+	a.retry(now)
+}
+
+// startPolling retries the waiting requests from time to time as long as there are any.
+func (a *Admitter) startPolling() {
+	if !a.polling {
+		a.polling = true
+		time.AfterFunc(minWakeInterval, a.poll)
+	}
+}
+
+// poll retries the waiting requests if that is due.
+func (a *Admitter) poll() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.polling = false
+	if a.waiting.Len() == 0 {
+		return
+	}
+	if now := time.Now(); a.changed || now.Sub(a.retriedAt) >= pollInterval {
+		a.retry(now)
+	}
+	a.startPolling()
+}
+
+// retry grants leases to waiting requests while there is capacity. A request that can't be granted blocks those behind it, so that small
+// requests don't starve large ones, unless no endpoint could take it regardless of load.
+func (a *Admitter) retry(now time.Time) {
+	a.retriedAt, a.changed = now, false
+	var unservable []*waiter
+	for {
+		w, ok := a.waiting.Peek()
 		if !ok {
-			if paused, ok := a.pauseRejection(w.requirements, w.grantBy, now); ok {
-				w.rejected <- paused
-				continue
-			}
-			remaining = append(remaining, w)
-			if a.Fleet.CountUsable(w.requirements) > 0 {
-				remaining = append(remaining, a.waiting[i+1:]...)
-				break
-			}
+			break
+		}
+		if l, ok := a.reserve(w.requirements, w.grantBy, now); ok {
+			a.waiting.Pop()
+			a.recordGrant(now)
+			w.granted <- l
 			continue
 		}
-		a.recordGrant(now)
-		w.granted <- l
+		if paused, ok := a.pauseRejection(w.requirements, w.grantBy, now); ok {
+			a.waiting.DiscardFirst()
+			w.rejected <- paused
+			continue
+		}
+		if a.Fleet.CountUsable(w.requirements) > 0 {
+			break
+		}
+		a.waiting.Pop()
+		unservable = append(unservable, w)
+	}
+	for _, w := range slices.Backward(unservable) {
+		a.waiting.Requeue(w, -w.rank, w.customer, customerWeight) // Refunds what Pop has charged.
 	}
-	clear(a.waiting[len(remaining):])
-	a.waiting = remaining
 }
 
 // Waiting returns the number of waiting requests.
 func (a *Admitter) Waiting() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return len(a.waiting)
+	return a.waitingLen()
+}
+
+func (a *Admitter) waitingLen() int {
+	if a.waiting == nil {
+		return 0
+	}
+	return a.waiting.Len()
+}
+
+func (a *Admitter) init() {
+	if a.waiting == nil {
+		a.waiting = &railqueue.Queue[*waiter]{Capacity: maxWaiting}
+	}
 }
 
 // pauseRejection returns the rejection of a request that no endpoint can take before grantBy, because all that could have asked for no
@@ -160,32 +232,26 @@
 func (a *Admitter) await(ctx context.Context, w *waiter, rejection *RejectionError) (*railfleet.Lease, error) {
 	expired := time.NewTimer(time.Until(w.grantBy))
 	defer expired.Stop()
-	poll := time.NewTicker(pollInterval)
-	defer poll.Stop()
-	for {
-		select {
-		case l := <-w.granted:
-			return l, nil
-		case rejection := <-w.rejected:
-			return nil, rejection
-		case <-poll.C:
-			a.Wake()
-		case <-expired.C:
-			return a.removeWaiter(w, rejection)
-		case <-ctx.Done():
-			l, err := a.removeWaiter(w, ctx.Err())
-			if l != nil {
-				l.Done(railfleet.Answered)
-			}
-			return nil, errors.CombineErrors(ctx.Err(), err)
+	select {
+	case l := <-w.granted:
+		return l, nil
+	case rejection := <-w.rejected:
+		return nil, rejection
+	case <-expired.C:
+		return a.removeWaiter(w, rejection)
+	case <-ctx.Done():
+		l, err := a.removeWaiter(w, ctx.Err())
+		if l != nil {
+			l.Done(railfleet.Answered)
 		}
+		return nil, errors.CombineErrors(ctx.Err(), err)
 	}
 }
 
 // removeWaiter removes a request from the queue. It returns the lease if one was granted in the meantime, or else err.
 func (a *Admitter) removeWaiter(w *waiter, err error) (*railfleet.Lease, error) {
 	a.mu.Lock()
-	a.waiting = slices.DeleteFunc(a.waiting, func(other *waiter) bool { return other == w })
+	a.waiting.RemoveFunc(func(other *waiter) bool { return other == w })
 	a.mu.Unlock()
 	select {
 	case l := <-w.granted:
@@ -195,31 +261,6 @@
 	}
 }
 
-// enqueue inserts a waiter after all waiters of the same or a lower rank.
-func (a *Admitter) enqueue(w *waiter) {
-	at := len(a.waiting)
-	for at > 0 && a.waiting[at-1].rank > w.rank {
-		at--
-	}
-	a.waiting = slices.Insert(a.waiting, at, w)
-}
-
-// mustQueue reports whether waiting requests precede a new one of the rank.
-func (a *Admitter) mustQueue(rank int) bool {
-	return len(a.waiting) > 0 && a.waiting[0].rank <= rank
-}
-
-// countAhead returns the number of waiting requests that precede a new one of the rank.
-func (a *Admitter) countAhead(rank int) int {
-	n := 0
-	for _, w := range a.waiting {
-		if w.rank <= rank {
-			n++
-		}
-	}
-	return n
-}
-
 // predictWait predicts the wait behind the requests ahead from the rate of recent grants.
 func (a *Admitter) predictWait(now time.Time, ahead int) time.Duration {
 	a.dropExpiredGrants(now)
--- a/internal/routing/railadmitter/admitter_test.go
+++ b/internal/routing/railadmitter/admitter_test.go
@@ -15,8 +15,11 @@
 	"github.com/fulmarrail/fulmarrail/internal/routing/railadmitter"
 )
 
-// pollInterval is the interval at which the admitter retries waiting requests.
-const pollInterval = 25 * time.Millisecond
+const (
+	// pollInterval is the interval at which the admitter retries waiting requests.
+	pollInterval = 25 * time.Millisecond
+	customer     = "c"
+)
 
 // newAdmitter returns an admitter for a single plain endpoint with little capacity.
 func newAdmitter() (*railadmitter.Admitter, railfleet.Requirements) {
@@ -34,7 +37,7 @@
 func acquireAll(t *testing.T, a *railadmitter.Admitter, requirements railfleet.Requirements) []*railfleet.Lease {
 	var leases []*railfleet.Lease
 	for {
-		l, err := a.Acquire(t.Context(), requirements, 1, time.Now())
+		l, err := a.Acquire(t.Context(), requirements, 1, customer, time.Now())
 		if err != nil {
 			return leases
 		}
@@ -47,11 +50,11 @@
 		a, requirements := newAdmitter()
 		acquireAll(t, a, requirements)
 		for range 20 {
-			go func() { _, _ = a.Acquire(t.Context(), requirements, 1, time.Now().Add(5*time.Second)) }()
+			go func() { _, _ = a.Acquire(t.Context(), requirements, 1, customer, time.Now().Add(5*time.Second)) }()
 		}
 		time.Sleep(10 * time.Millisecond)
 		start := time.Now()
-		_, err := a.Acquire(t.Context(), requirements, 1, start.Add(100*time.Millisecond))
+		_, err := a.Acquire(t.Context(), requirements, 1, customer, start.Add(100*time.Millisecond))
 		qt.Check(t, err, qt.ErrorIs, railadmitter.ErrBusy)
 		qt.Check(t, time.Since(start), qt.Equals, time.Duration(0))
 	})
@@ -64,7 +67,7 @@
 		order := make(chan int, 2)
 		for _, rank := range []int{2, 0} {
 			go func() {
-				if _, err := a.Acquire(t.Context(), requirements, rank, time.Now().Add(time.Second)); err == nil {
+				if _, err := a.Acquire(t.Context(), requirements, rank, customer, time.Now().Add(time.Second)); err == nil {
 					order <- rank
 				}
 			}()
@@ -83,9 +86,9 @@
 		requirements.Backend.Engine = &railbackend.Engine{Slots: 16, Timing: timing}
 		a.Fleet.SetInstances([]railinstance.Instance{{ID: "1", Service: "orders", Address: "10.0.0.1:1", Slots: 16, WeightsVersion: 1}})
 		requirements.PromptTokens, requirements.StartWithin = 4000, 500*time.Millisecond
-		first, err := a.Acquire(t.Context(), requirements, 1, time.Now())
+		first, err := a.Acquire(t.Context(), requirements, 1, customer, time.Now())
 		qt.Assert(t, err, qt.IsNil)
-		second, err := a.Acquire(t.Context(), requirements, 1, time.Now())
+		second, err := a.Acquire(t.Context(), requirements, 1, customer, time.Now())
 		qt.Check(t, err, qt.IsNil)
 		order := make(chan string, 2)
 		for _, c := range []struct {
@@ -96,7 +99,7 @@
 			waiting.PromptTokens = c.promptTokens
 			waiting.MaxEventGap = 400 * time.Millisecond // The prefill of the two running requests stalls decoding for longer.
 			go func() {
-				if _, err := a.Acquire(t.Context(), waiting, 1, time.Now().Add(time.Second)); err == nil {
+				if _, err := a.Acquire(t.Context(), waiting, 1, customer, time.Now().Add(time.Second)); err == nil {
 					order <- c.name
 				}
 			}()
@@ -118,7 +121,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error)
 		go func() {
-			_, err := a.Acquire(ctx, requirements, 1, time.Now().Add(time.Second))
+			_, err := a.Acquire(ctx, requirements, 1, customer, time.Now().Add(time.Second))
 			done <- err
 		}()
 		time.Sleep(time.Millisecond)
@@ -126,7 +129,7 @@
 		qt.Check(t, <-done, qt.ErrorIs, context.Canceled)
 		qt.Check(t, a.Waiting(), qt.Equals, 0)
 		leases[0].Done(railfleet.Answered)
-		_, err := a.Acquire(t.Context(), requirements, 1, time.Now())
+		_, err := a.Acquire(t.Context(), requirements, 1, customer, time.Now())
 		qt.Check(t, err, qt.IsNil)
 	})
 }
@@ -154,7 +157,7 @@
 				leases := acquireAll(t, a, requirements)
 				start, result := time.Now(), make(chan error, 1)
 				go func() {
-					_, err := a.Acquire(t.Context(), requirements, 1, start.Add(time.Second))
+					_, err := a.Acquire(t.Context(), requirements, 1, customer, start.Add(time.Second))
 					result <- err
 				}()
 				time.Sleep(time.Millisecond) // Until the request is queued.
