Keep the sum of the other gateways' loads at each endpoint

Seen: the choice of an endpoint adds up the loads that each other gateway has reported, for each endpoint, under one lock: 156 endpoints times 17 gateways for each request and for each retry of a waiting one.

The cost grows with the endpoints alone.

--- a/internal/limit/railenginelatency/load.go
+++ b/internal/limit/railenginelatency/load.go
@@ -26,6 +26,11 @@
 	return Load{Running: l.Running + other.Running, PendingPrefill: l.PendingPrefill + other.PendingPrefill}
 }
 
+// Sub returns the load without another one that is part of it.
+func (l Load) Sub(other Load) Load {
+	return Load{Running: l.Running - other.Running, PendingPrefill: l.PendingPrefill - other.PendingPrefill}
+}
+
 // TimeToFirstToken predicts the time to the first token of an additional request whose prompt takes the given time to prefill.
 func (l Load) TimeToFirstToken(t railbackend.Timing, prefill time.Duration) time.Duration {
 	return l.PendingPrefill + prefill + time.Duration(passesBeforeFirstToken*float64(l.decodePassTime(t)))
--- a/internal/membership/railfleet/benchmark_test.go
+++ b/internal/membership/railfleet/benchmark_test.go
@@ -6,16 +6,23 @@
 
 	"github.com/fulmarrail/fulmarrail/internal/membership/railfleet"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
+	"github.com/fulmarrail/fulmarrail/internal/routing/railhash"
+	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
 
-// BenchmarkReserve measures the cost of one choice among 100 endpoints.
+// BenchmarkReserve measures the cost of one choice among 160 endpoints, at which 17 other entries have reported load.
 func BenchmarkReserve(b *testing.B) {
 	var list []railinstance.Instance
-	for i := range 100 {
+	var loads []*railproto.EndpointLoad
+	for i := range 160 {
 		list = append(list, engine(strconv.Itoa(i)))
+		loads = append(loads, &railproto.EndpointLoad{Endpoint: uint32(railhash.Score(list[i].ID, list[i].Address)), Running: 1})
 	}
 	f, req := newFleet(1, list...)
 	req.Backend.ColdPerSecond = 0
+	for i := range 17 {
+		f.MergeDigest(&railproto.LoadDigest{Entry: strconv.Itoa(i), Sequence: 1, Loads: loads[:len(loads)*i/17]})
+	}
 	b.ReportAllocs()
 	for b.Loop() {
 		l, ok := f.Reserve(req)
--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fulmarrail/fulmarrail/internal/config/railbackend"
+	"github.com/fulmarrail/fulmarrail/internal/limit/railenginelatency"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/routing/railhash"
 	"github.com/fulmarrail/fulmarrail/internal/store/railstoreclock"
@@ -58,8 +59,10 @@
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
 	// reports holds the latest instance's report by the ID of the endpoint.
-	reports       map[string]*reportSlot
-	peers         map[string]*peer
+	reports map[string]*reportSlot
+	peers   map[string]*peer
+	// peerLoads holds the sum of the other entries' loads by endpoint hash.
+	peerLoads     map[uint32]railenginelatency.Load
 	sequence      uint64
 	once          sync.Once
 	loadIncreased chan struct{}
@@ -149,6 +152,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
+	f.expirePeers(now)
 	var best *endpoint
 	var earliest time.Duration
 	for _, e := range f.endpoints {
@@ -193,6 +197,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
+	f.expirePeers(now)
 	var list []EndpointStatus
 	for _, id := range slices.Sorted(maps.Keys(f.endpoints)) {
 		e := f.endpoints[id]
--- a/internal/membership/railfleet/peers.go
+++ b/internal/membership/railfleet/peers.go
@@ -16,8 +16,9 @@
 	lastSeen    time.Time
 	// fullSequence is the sequence number of the last full digest.
 	fullSequence uint64
-	// loads holds the reported loads by endpoint hash.
-	loads map[uint32]peerLoad
+	// loads holds the reported loads by endpoint hash. They are part of the fleet's peerLoads unless expired is set.
+	loads   map[uint32]peerLoad
+	expired bool
 }
 
 // peerLoad is the load at one endpoint, with the sequence number of the digest that reported it.
@@ -75,7 +76,9 @@
 // MergeDigest merges a load digest from another entry. It returns false if the digest is outdated, or partial and without loads.
 func (f *Fleet) MergeDigest(digest *railproto.LoadDigest) bool {
 	f.mu.Lock()
-	changed := f.peer(digest).merge(digest)
+	p := f.peer(digest)
+	f.renew(p)
+	changed := p.merge(digest, f.addPeerLoad)
 	f.mu.Unlock()
 	if changed {
 		f.OnChange()
@@ -87,19 +90,22 @@
 // requests are in flight.
 func (f *Fleet) peer(digest *railproto.LoadDigest) *peer {
 	if f.peers == nil {
-		f.peers = map[string]*peer{}
+		f.peers, f.peerLoads = map[string]*peer{}, map[uint32]railenginelatency.Load{}
 	}
 	p := f.peers[digest.GetEntry()]
 	if p == nil || p.incarnation != digest.GetIncarnation() {
+		if p != nil {
+			f.expire(p)
+		}
 		p = &peer{incarnation: digest.GetIncarnation(), loads: map[uint32]peerLoad{}}
 		f.peers[digest.GetEntry()] = p
 	}
 	return p
 }
 
-// merge applies the loads that are not older than the known ones, since datagrams may arrive out of order. It reports whether it
-// applied any, or a full digest.
-func (p *peer) merge(digest *railproto.LoadDigest) bool {
+// merge applies the loads that are not older than the known ones, since datagrams may arrive out of order, and calls add with what changes at
+// each endpoint. It reports whether it applied any, or a full digest.
+func (p *peer) merge(digest *railproto.LoadDigest, add func(hash uint32, change railenginelatency.Load)) bool {
 	p.lastSeen = time.Now()
 	sequence := digest.GetSequence()
 	if sequence < p.fullSequence {
@@ -107,11 +113,13 @@
 	}
 	changed := false
 	for _, l := range digest.GetLoads() {
-		if known := p.loads[l.GetEndpoint()]; sequence < known.sequence {
+		known := p.loads[l.GetEndpoint()]
+		if sequence < known.sequence {
 			continue
 		}
 		load := railenginelatency.Load{Running: int(l.GetRunning()), PendingPrefill: time.Duration(l.GetUnreadMillis()) * time.Millisecond}
 		p.loads[l.GetEndpoint()] = peerLoad{load: load, sequence: sequence}
+		add(l.GetEndpoint(), load.Sub(known.load))
 		changed = true
 	}
 	if digest.GetPartial() {
@@ -120,22 +128,57 @@
 	for hash, known := range p.loads {
 		if known.sequence < sequence {
 			delete(p.loads, hash)
+			add(hash, railenginelatency.Load{}.Sub(known.load))
 		}
 	}
 	p.fullSequence = sequence
 	return true
 }
 
-// peersLoad returns the load at an endpoint from the other entries.
-func (f *Fleet) peersLoad(hash uint32) railenginelatency.Load {
-	var sum railenginelatency.Load
-	now := time.Now()
+// expirePeers drops the loads of entries that have not reported for peerTTL.
+func (f *Fleet) expirePeers(now time.Time) {
 	for _, p := range f.peers {
-		if now.Sub(p.lastSeen) < peerTTL {
-			sum = sum.Add(p.loads[hash].load)
+		if now.Sub(p.lastSeen) >= peerTTL {
+			f.expire(p)
 		}
 	}
-	return sum
+}
+
+// expire takes an entry's loads out of the sum.
+func (f *Fleet) expire(p *peer) {
+	if p.expired {
+		return
+	}
+	p.expired = true
+	for hash, known := range p.loads {
+		f.addPeerLoad(hash, railenginelatency.Load{}.Sub(known.load))
+	}
+}
+
+// renew adds the last loads of an entry that reports again.
+func (f *Fleet) renew(p *peer) {
+	if !p.expired {
+		return
+	}
+	p.expired = false
+	for hash, known := range p.loads {
+		f.addPeerLoad(hash, known.load)
+	}
+}
+
+// addPeerLoad adds to the load at an endpoint from the other entries.
+func (f *Fleet) addPeerLoad(hash uint32, change railenginelatency.Load) {
+	sum := f.peerLoads[hash].Add(change)
+	if sum == (railenginelatency.Load{}) {
+		delete(f.peerLoads, hash)
+		return
+	}
+	f.peerLoads[hash] = sum
+}
+
+// peersLoad returns the load at an endpoint from the other entries.
+func (f *Fleet) peersLoad(hash uint32) railenginelatency.Load {
+	return f.peerLoads[hash]
 }
 
 func (e *endpoint) toProto() *railproto.EndpointLoad {
