Name the leaving header of the product's own endpoints apart from the users' platform

Endpoints of deployments with agents say it with Fulmarrail-Leaving; the platform's header stays in platform/, as do its tests. No behaviour of the users' deployments changes.

--- a/internal/endpoint/railendpoint/endpoint.go
+++ b/internal/endpoint/railendpoint/endpoint.go
@@ -9,6 +9,9 @@
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
 
+// LeavingHeader is the header of an endpoint's responses in which it says, with the value 1, that it is leaving.
+const LeavingHeader = "Fulmarrail-Leaving"
+
 // Endpoint is a model engine or a plain service. A plain service has no weights.
 type Endpoint interface {
 	// Run forwards a request to the endpoint and emits the data frames and the end frame of the complete answer. On error, the
--- a/internal/standin/railengine/selfreport.go
+++ b/internal/standin/railengine/selfreport.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/fulmarrail/fulmarrail/internal/endpoint/railendpoint"
 )
 
 // selfReport is what the engine says of itself in its responses.
@@ -45,6 +47,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.selfReport.leaving {
-		ctx.Response.Header.Set("Server-Leaving", "1")
+		ctx.Response.Header.Set(railendpoint.LeavingHeader, "1")
 	}
 }
