--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"maps"
-	"math"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -26,7 +25,9 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/node/railgateway"
+	"github.com/fulmarrail/fulmarrail/internal/node/railpeersource"
 	"github.com/fulmarrail/fulmarrail/internal/node/railrelay"
+	"github.com/fulmarrail/fulmarrail/internal/node/railreplicaserver"
 	"github.com/fulmarrail/fulmarrail/internal/node/railstatus"
 	"github.com/fulmarrail/fulmarrail/internal/report/railentryreport"
 	"github.com/fulmarrail/fulmarrail/internal/store/railreplica"
@@ -38,14 +39,11 @@
 )
 
 const (
-	// configPollFraction is the long polling time for the configuration, as a fraction of the setting configuration.
-	configPollFraction = 0.8
-	// instancePollFraction is the delay between two reads of the endpoint list, as a fraction of the setting drain.
-	instancePollFraction = 0.4
 	// entriesPollWait is the long polling time for the table of entries.
 	entriesPollWait = 20 * time.Second
-	// keyTrustFraction is the maximum age of a configuration that may accept customers' keys, as a fraction of the setting revocation.
-	keyTrustFraction = 0.8
+	// peerTimeoutShare is the timeout for reading a table from another entry, as a share of that of reading the configuration from the store, so
+	// that several entries can be asked.
+	peerTimeoutShare = 0.3
 	// publishRetryDelay is the mean delay after a failed write of the entry's row. It varies by half, since all entries write after a restore.
 	publishRetryDelay = time.Second
 	// exitTime is the part of the grace period that is left for the end of the process once its drain is over.
@@ -69,6 +67,7 @@
 	*railsiteprocess.Process
 	configFollower   *railreplica.Follower
 	instanceFollower *railreplica.Follower
+	entriesFollower  *railreplica.Follower
 	fleet            *railfleet.Fleet
 	quarantine       *railquarantine.Quarantine
 
@@ -106,11 +105,11 @@
 		return errors.Wrap(err, "listen on inner")
 	}
 	g.entries = &railentries.Entries{Self: site.Process.Name, Log: raillog.Named(p.Log, "entries")}
-	g.configServer = &railconfigserver.Server{Config: p.Config, Age: g.configAge, Instances: g.currentInstances, Entries: g.members}
+	g.configServer = &railconfigserver.Server{Config: p.Config, Age: g.configAge, MaxAge: p.Limits.MaxServedAge, Instances: g.currentInstances, Entries: g.members}
 	g.quarantine = &railquarantine.Quarantine{Log: raillog.Named(p.Log, "quarantine")}
 	g.frontend = &railgateway.Gateway{
 		CallerListener: callerListener, ReadyListener: readyListener, ReadyPath: platform.ReadyPath, Translator: platform.Translator{}, Catalog: g.catalog, MinVersion: p.Config.MinVersion, NextMinVersion: p.Config.NextMinVersion,
-		EntriesKnown: g.entriesKnown, ConfigAge: g.configAge, EndpointListAge: g.instancesAge, MaxConfigAge: maxConfigAge(site.Bounds.RevocationDelay), RetryShare: site.Bounds.RetryShare / 2,
+		EntriesKnown: g.entriesKnown, ConfigAge: g.configAge, EndpointListAge: g.instancesAge, MaxConfigAge: p.Limits.MaxKeyAge, RetryShare: site.Bounds.RetryShare / 2,
 		ObjectivePercent: site.Process.ObjectivePercent, Quarantine: g.quarantine,
 		Log: raillog.Named(p.Log, "front"),
 	}
@@ -147,21 +146,33 @@
 
 // startFollowers starts to replicate the store's tables of configuration, endpoints and entries.
 func (g *gateway) startFollowers(ctx context.Context) {
-	bounds := g.Site.Bounds
-	g.configFollower = g.NewConfigFollower(railtimer.Scale(configPollFraction, bounds.ConfigDelay), g.updateInstances)
+	g.configFollower = g.NewConfigFollower(g.updateInstances)
 	g.Config.OnWantedVersion = func(model string, version int64, age time.Duration, guessed bool) {
 		go g.ShareWantedVersion(ctx, model, version, age, guessed)
 	}
-	g.instanceFollower = g.NewFollower(platform.TableInstances, 0, railtimer.Scale(instancePollFraction, bounds.DrainDelay), func(rows map[string]railreplica.Row) {
+	g.instanceFollower = g.NewFollower(platform.TableInstances, 0, g.Limits.ListDelay, func(rows map[string]railreplica.Row) {
 		g.mu.Lock()
 		g.instanceRows = rows
 		g.mu.Unlock()
 		g.updateInstances()
 	})
-	entriesFollower := g.NewFollower(railsiteprocess.TableEntries, entriesPollWait, 0, g.setEntries)
-	go g.configFollower.Run(ctx)
-	go g.instanceFollower.Run(ctx)
-	go entriesFollower.Run(ctx)
+	g.entriesFollower = g.NewFollower(railsiteprocess.TableEntries, entriesPollWait, 0, g.setEntries)
+	for _, follower := range []*railreplica.Follower{g.configFollower, g.instanceFollower} {
+		follower.Fallback = g.newPeerSource()
+	}
+	for _, follower := range []*railreplica.Follower{g.configFollower, g.instanceFollower, g.entriesFollower} {
+		go follower.Run(ctx)
+	}
+}
+
+// newPeerSource returns a source that reads a table from other entries.
+func (g *gateway) newPeerSource() *railpeersource.Source {
+	return &railpeersource.Source{
+		Addresses: g.otherEntries, Timeout: railtimer.Scale(peerTimeoutShare, g.Limits.ConfigTimeout), Now: g.Clock.Now,
+		Request: func(ctx context.Context, address string, req *railproto.ReplicaRequest) (*railproto.ReplicaReply, error) {
+			return g.relay.Dialer.Replica(ctx, address).Changes(ctx, req)
+		},
+	}
 }
 
 // updateInstances recomputes the endpoints from the configuration and the replicated rows, and passes them to the other components.
@@ -186,7 +197,11 @@
 func (g *gateway) serveInternal(ctx context.Context, internalListener net.Listener) error {
 	mux := drpcmux.New()
 	reporter := &railstatus.Reporter[railentryreport.Report]{Report: g.report}
-	if err := errors.Join(railproto.DRPCRegisterEntry(mux, g.configServer), railproto.DRPCRegisterAgent(mux, g.relay), railproto.DRPCRegisterNode(mux, reporter)); err != nil {
+	replicas := &railreplicaserver.Server{
+		Followers: map[string]*railreplica.Follower{g.configFollower.Table: g.configFollower, g.instanceFollower.Table: g.instanceFollower}, Now: g.Clock.Now,
+	}
+	if err := errors.Join(railproto.DRPCRegisterEntry(mux, g.configServer), railproto.DRPCRegisterAgent(mux, g.relay), railproto.DRPCRegisterNode(mux, reporter),
+		railproto.DRPCRegisterReplica(mux, replicas)); err != nil {
 		return errors.Wrap(err, "register the internal services")
 	}
 	server := &raillistener.Listener{Key: []byte(g.Site.Process.SharedKey), Handler: mux, Log: raillog.Named(g.Log, "inner")}
@@ -230,6 +245,17 @@
 	g.configServer.NotifyChange()
 }
 
+// otherEntries returns the internal addresses of the other entries.
+func (g *gateway) otherEntries() []string {
+	var addresses []string
+	for _, m := range g.members() {
+		if m.Name != g.Site.Process.Name {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	return addresses
+}
+
 // peerAddresses returns the datagram addresses of the other entries.
 func (g *gateway) peerAddresses() []*net.UDPAddr {
 	g.mu.Lock()
@@ -264,11 +290,3 @@
 		g.fleet.ApplyNotice(n.GetAddress(), n.GetVersion(), time.Duration(n.GetChangesInMillis())*time.Millisecond)
 	}
 }
-
-// maxConfigAge returns the maximum age of a configuration that may accept customers' keys. There is no limit if revocation is 0.
-func maxConfigAge(revocation time.Duration) time.Duration {
-	if revocation == 0 {
-		return math.MaxInt64
-	}
-	return railtimer.Scale(keyTrustFraction, revocation)
-}
