Split the follower of a table by what its parts do

follower.go had grown to 404 lines: the source's types, the end of an outage and the reading from other processes stand in files of their own.

--- a/internal/store/railreplica/follower.go
+++ b/internal/store/railreplica/follower.go
@@ -28,51 +28,6 @@
 	ReturnGrace = 2 * time.Second
 )
 
-// errInterrupted means that another follower has found the store back, so that a response to the present request may never come.
-var errInterrupted = errors.New("the request was abandoned since the store is back")
-
-// errOutdated means that another process knows nothing that is newer than this replica.
-var errOutdated = errors.New("the other process's replica is not newer")
-
-// ErrHistoryGone means that the store no longer has the changes since a version, so that the whole table has to be read again.
-var ErrHistoryGone = errors.New("the store no longer has the requested change history")
-
-// Row is one row of a table.
-type Row struct {
-	Key     string
-	Value   []byte
-	Version int64
-	Removed bool
-}
-
-// Page is the result of a read: rows, with the store's version and its monotonic clock at that time.
-type Page struct {
-	Rows    []Row
-	Version int64
-	Now     time.Duration
-	// CurrentAt is the earliest local time at which the page may have been current. It is 0 for a page that the store itself has sent, which
-	// was current when it was requested or later.
-	CurrentAt time.Duration
-}
-
-// ByKey returns the rows as a map by key.
-func ByKey(rows []Row) map[string]Row {
-	byKey := make(map[string]Row, len(rows))
-	for _, row := range rows {
-		byKey[row.Key] = row
-	}
-	return byKey
-}
-
-// Source reads the platform's store.
-type Source interface {
-	// Table returns a consistent snapshot of all rows of a table.
-	Table(ctx context.Context, table string) (Page, error)
-	// Changes returns the rows changed after a version. If there are none, it waits for the next change, for at most the given
-	// time. It returns ErrHistoryGone if the store does not have these changes, and the error of ctx as soon as that is done.
-	Changes(ctx context.Context, table string, after int64, wait time.Duration) (Page, error)
-}
-
 // Follower maintains a replica of a table. Its exported fields must be set before Run is called.
 type Follower struct {
 	Source Source
@@ -140,47 +95,6 @@
 	}
 }
 
-// recoverySignal returns a channel that is closed when another follower finds that the store responds again, or nil.
-func (f *Follower) recoverySignal() <-chan struct{} {
-	if f.Recovered == nil {
-		return nil
-	}
-	return f.Recovered.Changed()
-}
-
-// waitForRetry waits for the interval, or until the store responds to another follower again.
-func (f *Follower) waitForRetry(ctx context.Context, recovered <-chan struct{}, interval time.Duration) {
-	select {
-	case <-recovered:
-	case <-time.After(interval):
-	case <-ctx.Done():
-	}
-}
-
-// interruptiblePoll is like poll, but returns errInterrupted if the store responds to another follower again before it responds to this one.
-func (f *Follower) interruptiblePoll(ctx context.Context, recovered <-chan struct{}) error {
-	pollCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	interrupted := make(chan struct{})
-	go func() {
-		select {
-		case <-recovered:
-			close(interrupted)
-			cancel()
-		case <-pollCtx.Done():
-		}
-	}()
-	err := f.poll(pollCtx)
-	select {
-	case <-interrupted:
-		if err != nil {
-			return errInterrupted
-		}
-	default:
-	}
-	return err
-}
-
 // Refresh updates the replica once and returns the error, if any. It works without Run.
 func (f *Follower) Refresh(ctx context.Context) error {
 	return f.poll(ctx)
@@ -207,24 +121,6 @@
 	return f.version
 }
 
-// ChangesSince returns the rows that have changed in the store after a version, as far as this replica knows, for another process. If their
-// history is not known back to that version, whole is true and all rows are returned. It returns false if the replica can't tell the
-// table's state: before the first successful read, and while a restored store may lack rows.
-func (f *Follower) ChangesSince(after int64) (page Page, whole, known bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.loaded || f.rows.awaitsNewerStates(f.Now()) {
-		return Page{}, false, false
-	}
-	page = Page{Version: f.version, Now: f.pageAt, CurrentAt: f.confirmedAt}
-	whole = railversion.Era(after) != railversion.Era(f.version) || after < f.rows.historyStart
-	if whole {
-		after = 0
-	}
-	page.Rows = f.rows.changesSince(after)
-	return page, whole, true
-}
-
 // MaxChangeAge returns the longest time for which the changes that were passed to the last call of OnChange may have been in the
 // store. It is meant to be called by OnChange. It returns 0 for the first page, since nothing was known before that.
 func (f *Follower) MaxChangeAge() time.Duration {
@@ -242,23 +138,6 @@
 	return f.read(ctx, f.Source, f.untilExpiry(f.Wait))
 }
 
-// pollFallback reads from Fallback once, if there is one.
-func (f *Follower) pollFallback(ctx context.Context) {
-	if f.Fallback == nil || ctx.Err() != nil {
-		return
-	}
-	err := f.read(ctx, f.Fallback, 0)
-	age, _ := f.Age()
-	if err != nil {
-		f.Log.Debug("no other process knows more", "table", f.Table, "err", err, "age", age)
-		return
-	}
-	if !f.readElsewhere {
-		f.readElsewhere = true
-		f.Log.Info("table is read from other processes while the store is lost", "table", f.Table, "version", railversion.String(f.Version()), "age", age)
-	}
-}
-
 // read requests the changes since the last page, or the whole table, from a source, and applies the result.
 func (f *Follower) read(ctx context.Context, source Source, wait time.Duration) error {
 	start := f.Now()
@@ -372,33 +251,3 @@
 	defer f.mu.Unlock()
 	return f.loaded
 }
-
-func (f *Follower) logLoss(ctx context.Context, err error) {
-	if f.storeLost || ctx.Err() != nil {
-		return
-	}
-	f.storeLost, f.recoveredSinceLoss = true, f.recoverySignal()
-	if age, known := f.Age(); known {
-		f.Log.Warn("store lost", "table", f.Table, "err", err, "age", age)
-		return
-	}
-	f.Log.Warn("store does not answer yet", "table", f.Table, "err", err)
-}
-
-func (f *Follower) logRecovery() {
-	if f.storeLost {
-		f.storeLost, f.readElsewhere = false, false
-		f.Log.Info("store regained", "table", f.Table, "version", railversion.String(f.Version()))
-		select {
-		case <-f.recoveredSinceLoss: // The other followers know, and the requests that they have sent since must not be abandoned.
-		default:
-			f.notifyRecovery()
-		}
-	}
-}
-
-func (f *Follower) notifyRecovery() {
-	if f.Recovered != nil {
-		f.Recovered.Notify()
-	}
-}
