--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -67,7 +67,6 @@
 	*railsiteprocess.Process
 	configFollower   *railreplica.Follower
 	instanceFollower *railreplica.Follower
-	entriesFollower  *railreplica.Follower
 	fleet            *railfleet.Fleet
 	quarantine       *railquarantine.Quarantine
 
@@ -156,11 +155,11 @@
 		g.mu.Unlock()
 		g.updateInstances()
 	})
-	g.entriesFollower = g.NewFollower(railsiteprocess.TableEntries, entriesPollWait, 0, g.setEntries)
+	entriesFollower := g.NewFollower(railsiteprocess.TableEntries, entriesPollWait, 0, g.setEntries)
 	for _, follower := range []*railreplica.Follower{g.configFollower, g.instanceFollower} {
 		follower.Fallback = g.newPeerSource()
 	}
-	for _, follower := range []*railreplica.Follower{g.configFollower, g.instanceFollower, g.entriesFollower} {
+	for _, follower := range []*railreplica.Follower{g.configFollower, g.instanceFollower, entriesFollower} {
 		go follower.Run(ctx)
 	}
 }
