--- a/internal/routing/railadmitter/overload_test.go
+++ b/internal/routing/railadmitter/overload_test.go
@@ -30,16 +30,15 @@
 	capacity, usualLoad = float64(endpoints*(slots+maxQueuedAtEndpoint)) / 0.5, 0.6
 )
 
-// servedCounts is the number of requests that were served, by customer.
+// servedCounts is the number of requests that were asked for and served, by customer, and of those that were rejected, at once or after a wait.
 type servedCounts struct {
-	mu       sync.Mutex
-	asked    map[string]int
-	served   map[string]int
-	longest  time.Duration
-	rejected int
+	mu                           sync.Mutex
+	asked                        map[string]int
+	served                       map[string]int
+	rejectedAtOnce, rejectedLate int
 }
 
-// hotFactors holds how many times its usual load the customer "hot" asks for; the others are named by numbers.
+// playLoad plays a load in which each customer asks for the same, but for the customer "hot", which asks for hotFactor times that.
 func playLoad(t *testing.T, hotFactor float64) *servedCounts {
 	f := &railfleet.Fleet{Share: func(_ string, total int) int { return total }, Log: slog.New(slog.DiscardHandler)}
 	a := &railadmitter.Admitter{Fleet: f}
@@ -62,8 +61,11 @@
 		counts.mu.Lock()
 		counts.asked[customer]++
 		if err != nil {
-			counts.rejected++
-			counts.longest = max(counts.longest, time.Since(start))
+			if time.Since(start) == 0 {
+				counts.rejectedAtOnce++
+			} else {
+				counts.rejectedLate++
+			}
 		} else {
 			counts.served[customer]++
 		}
@@ -121,6 +123,7 @@
 				}
 				want := 0.9 * min(capacity, usualLoad*capacity*(customers-1+factor)/customers) * loadTime.Seconds()
 				qt.Check(t, float64(total) >= want, qt.IsTrue, qt.Commentf("%d served, want %.0f", total, want))
+				t.Logf("%d rejected at once, %d after a wait", counts.rejectedAtOnce, counts.rejectedLate)
 			})
 		})
 	}
