End the process in the gateway's tests of its drain

What callers saw: nothing by itself. The tests that say that no request is cut at the end of the grace period could not fail by a cut.

Cause: newDrainableDeployment started a goroutine that reads the field 'stopped' once Run has returned. By then newEndingDeployment had put its own channel there, so that the goroutine that waited on the first channel waited forever, and EndProcess was never called in this package: requests went on in the test's process after the drain.

The deployment of the package now ends its process itself, for all tests: it closes the listener and the connections that were accepted as soon as Run has returned, and only then passes on the result. The listener of the lab closes itself too, and what it accepts after the end.

--- a/internal/lab/railendinglistener/listener.go
+++ b/internal/lab/railendinglistener/listener.go
@@ -11,6 +11,7 @@
 
 	mu    sync.Mutex
 	conns []net.Conn
+	ended bool
 }
 
 // Accept returns the next connection, or the error of the underlying listener.
@@ -21,14 +22,19 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.ended {
+		_ = conn.Close()
+	}
 	l.conns = append(l.conns, conn)
 	return conn, nil
 }
 
-// EndProcess closes all connections that were accepted.
+// EndProcess closes the listener and all connections that were accepted.
 func (l *Listener) EndProcess() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.ended = true
+	_ = l.Close() // It may be closed already.
 	for _, conn := range l.conns {
 		_ = conn.Close()
 	}
--- a/internal/node/railgateway/deployment_test.go
+++ b/internal/node/railgateway/deployment_test.go
@@ -20,6 +20,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/config/railcatalog"
 	"github.com/fulmarrail/fulmarrail/internal/config/railcustomer"
 	"github.com/fulmarrail/fulmarrail/internal/config/railroute"
+	"github.com/fulmarrail/fulmarrail/internal/lab/railendinglistener"
 	"github.com/fulmarrail/fulmarrail/internal/limit/railquarantine"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railfleet"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
@@ -114,7 +115,8 @@
 	log            lockedBuffer
 	mu             sync.Mutex
 	stop           func()
-	stopped        chan error
+	// stopped receives the result of the gateway's Run once the process has ended.
+	stopped chan error
 }
 
 func newDeployment(t *testing.T, endpoints ...*endpoint) *deployment {
@@ -128,7 +130,8 @@
 	return newDrainableDeployment(t, 5*time.Second, customize, endpoints...)
 }
 
-// newDrainableDeployment is newCustomDeployment with a gateway that waits up to drainTimeout for requests in flight.
+// newDrainableDeployment is newCustomDeployment with a gateway that waits up to drainTimeout for requests in flight. Once its Run has returned, its
+// connections are closed, as the kernel does at the end of a process.
 func newDrainableDeployment(t *testing.T, drainTimeout time.Duration, customize func(*railgateway.Gateway), endpoints ...*endpoint) *deployment {
 	t.Helper()
 	d := &deployment{catalog: newCatalog(), stopped: make(chan error, 1)}
@@ -159,9 +162,15 @@
 	d.instances = serve(t, endpoints)
 	d.gateway.Fleet.SetInstances(d.instances)
 	customize(d.gateway)
+	process := &railendinglistener.Listener{Listener: d.gateway.CallerListener}
+	d.gateway.CallerListener = process
 	ctx, stop := context.WithCancel(context.Background())
 	d.stop = stop
-	go func() { d.stopped <- d.gateway.Run(ctx, drainTimeout) }()
+	go func() {
+		err := d.gateway.Run(ctx, drainTimeout)
+		process.EndProcess()
+		d.stopped <- err
+	}()
 	t.Cleanup(stop)
 	return d
 }
--- a/internal/node/railgateway/drain_end_test.go
+++ b/internal/node/railgateway/drain_end_test.go
@@ -18,28 +18,16 @@
 
 	"github.com/fulmarrail/fulmarrail/internal/config/railcatalog"
 	"github.com/fulmarrail/fulmarrail/internal/config/railroute"
-	"github.com/fulmarrail/fulmarrail/internal/lab/railendinglistener"
 	"github.com/fulmarrail/fulmarrail/internal/node/railgateway"
 )
 
-// newEndingDeployment returns a deployment whose process ends when its drain has, and a channel that is closed once the drain has dealt with the
-// open connections.
-func newEndingDeployment(t *testing.T, drainTimeout time.Duration, e *endpoint) (*deployment, <-chan struct{}) {
+// newDrainWatchedDeployment is newDrainableDeployment with a channel that is closed once the drain has dealt with the open connections.
+func newDrainWatchedDeployment(t *testing.T, drainTimeout time.Duration, e *endpoint) (*deployment, <-chan struct{}) {
 	t.Helper()
 	draining := make(chan struct{})
-	var lis *railendinglistener.Listener
 	d := newDrainableDeployment(t, drainTimeout, func(g *railgateway.Gateway) {
-		lis = &railendinglistener.Listener{Listener: g.CallerListener}
-		g.CallerListener = lis
 		g.Log = slog.New(messageHandler{Handler: slog.DiscardHandler, prefix: drainMessage, seen: draining, once: &sync.Once{}})
 	}, e)
-	drained, ended := d.stopped, make(chan error, 1)
-	go func() {
-		err := <-drained
-		lis.EndProcess()
-		ended <- err
-	}()
-	d.stopped = ended
 	return d, draining
 }
 
@@ -74,7 +62,7 @@
 			t.Parallel()
 			started := make(chan struct{}, 1)
 			near := &endpoint{name: "near", handlers: sequence(respondNever(started, c.first))}
-			d, _ := newEndingDeployment(t, time.Second, near)
+			d := newDrainableDeployment(t, time.Second, func(*railgateway.Gateway) {}, near)
 			responses := make(chan response, 1)
 			go func() { responses <- d.call(t, c.path, validKey) }()
 			<-started
@@ -93,7 +81,7 @@
 	const most = 20 // More than an endpoint holds.
 	started := make(chan struct{}, most)
 	near := &endpoint{name: "near", handlers: sequence(respondNever(started, func(http.ResponseWriter, *http.Request) {}))}
-	d, _ := newEndingDeployment(t, time.Second, near)
+	d := newDrainableDeployment(t, time.Second, func(*railgateway.Gateway) {}, near)
 	d.instances[0].Slots = 1
 	d.gateway.Fleet.SetInstances(d.instances)
 	responses := make(chan response, most)
@@ -127,7 +115,7 @@
 			t.Parallel()
 			const drainTimeout = 20 * time.Second
 			near := &endpoint{name: "near", handlers: sequence(respondOK)}
-			d, draining := newEndingDeployment(t, drainTimeout, near)
+			d, draining := newDrainWatchedDeployment(t, drainTimeout, near)
 			d.changeCatalog(func(c railcatalog.Catalog) railcatalog.Catalog {
 				return c.WithRoutes(mapRoutes(c, func(r *railroute.Route) { r.Timeout = time.Minute }))
 			})
@@ -187,7 +175,7 @@
 			broken, release, started := make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
 			near := &endpoint{name: "near", handlers: sequence(respondInParts(started, release, respondNothing, respondOK))}
 			d := newDrainableDeployment(t, 5*time.Second, func(g *railgateway.Gateway) {
-				g.CallerListener = &railendinglistener.Listener{Listener: &brokenListener{Listener: g.CallerListener, err: err, broken: broken}}
+				g.CallerListener = &brokenListener{Listener: g.CallerListener, err: err, broken: broken}
 			}, near)
 			responses := make(chan response, 1)
 			go func() { responses <- d.call(t, "/unsafe/x", validKey) }()
