Add failing tests of requests that arrive slowly while an entry stops

What callers saw: a request that takes more than a second to arrive is cut without an answer when an entry stops, early in the grace period.

--- /dev/null
+++ b/internal/node/railentry/drain_receive_test.go
@@ -0,0 +1,76 @@
+package railentry_test
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// halves are the two halves of requests that arrive slowly.
+func halves() map[string][2]string {
+	request := requestTo("/lookups/x", "0123456789", "")
+	return map[string][2]string{
+		"in the head": {request[:40], request[40:]},
+		"in the body": {request[:len(request)-5], request[len(request)-5:]},
+	}
+}
+
+// Guards against a request that is cut without an answer, since it arrives slowly while the entry stops.
+func TestRequestThatArrivesSlowlyDuringDrainIsAnswered(t *testing.T) {
+	for name, request := range halves() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDrainDeployment(t, longDrain, asIs)
+			caller := d.connect(t)
+			_, err := io.WriteString(caller, request[0])
+			qt.Assert(t, err, qt.IsNil)
+			time.Sleep(pollInterval)
+			d.stop()
+			time.Sleep(6 * time.Second) // The HTTP server's shutdown ends connections that are older than 5 s before they have sent a head.
+			_, err = io.WriteString(caller, request[1])
+			qt.Assert(t, err, qt.IsNil)
+			got := caller.receive(t)
+			qt.Assert(t, got.err, qt.IsNil)
+			qt.Check(t, got.status, qt.Equals, http.StatusServiceUnavailable)
+			qt.Check(t, got.verdict, qt.Equals, "notRun")
+			qt.Check(t, got.closes, qt.IsTrue)
+			qt.Check(t, <-d.stopped, qt.IsNil)
+		})
+	}
+}
+
+// Guards against a request that ends without a word, since it has not arrived in full when the drain ends.
+func TestEndOfDrainRejectsRequestThatHasNotArrived(t *testing.T) {
+	for name, request := range halves() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDrainDeployment(t, 300*time.Millisecond, asIs)
+			caller := d.connect(t)
+			_, err := io.WriteString(caller, request[0])
+			qt.Assert(t, err, qt.IsNil)
+			time.Sleep(pollInterval)
+			d.stop()
+			got := caller.receive(t)
+			qt.Assert(t, got.err, qt.IsNil)
+			qt.Check(t, got.status, qt.Equals, http.StatusServiceUnavailable)
+			qt.Check(t, got.verdict, qt.Equals, "notRun")
+			qt.Check(t, got.closes, qt.IsTrue)
+			<-d.stopped
+		})
+	}
+}
+
+// Guards against a drain that waits for callers which have opened a connection and send nothing.
+func TestDrainDoesNotWaitForConnectionWithoutRequest(t *testing.T) {
+	d := newDrainDeployment(t, longDrain, asIs)
+	caller := d.connect(t)
+	start := time.Now()
+	d.stop()
+	_, err := caller.reader.ReadByte()
+	qt.Check(t, err, qt.ErrorIs, io.EOF)
+	qt.Check(t, <-d.stopped, qt.IsNil)
+	qt.Check(t, time.Since(start) < longDrain, qt.IsTrue)
+}
