Answer requests that arrive slowly while an entry stops

What callers saw: a request that takes more than a second to arrive (a slow link, a large body, a caller that waits for 100 Continue) was cut without a byte when its entry stopped, from 2.5 s after the signal, though most of the grace period was left. An entry of an own deployment cut a head that took longer than five seconds, and both kinds cut what had not arrived at the end of the grace period.

Cause: the drain asked which connections are pending, and a connection was pending for one second from the first byte of a request. After that a request that was being received counted as nothing, and the process ended under it. In railentry the drain counted only requests that had arrived, and left the rest to the HTTP server's shutdown, which closes connections that are five seconds old and have not sent a head.

Change: a connection is new until its first byte has arrived; only there, a second's wait is bounded. A drain waits until no connection is open (railgateway) or busy (railentry): idle connections are closed, new ones too once their request is overdue, and requests that have begun to arrive are awaited. When it is time for the last responses, reading them fails with a timeout, and the server's error handler says 503: not run, with Retry-After. After a response that was written before its request had arrived in full, what still arrives is discarded for a moment before the connection is closed, since a reset could cost the caller the response.

Why this works: every connection is in one state at any time, and the drain ends by the number of open connections, not by a guess of what may still come on them; so nothing can be read after it has ended.

Tests: TestRequestThatArrivesSlowlyDuringDrainIsAnswered and TestEndOfDrainRejectsRequestThatHasNotArrived of both packages failed before; with this change all cases pass but those of two requests on one connection, which show another fault: the response to the first is not written until the second one has arrived.

--- a/internal/node/railconn/conn.go
+++ b/internal/node/railconn/conn.go
@@ -11,22 +11,29 @@
 )
 
 const (
-	// connReceiving means that a request is being received, or that the first one is awaited.
-	connReceiving connState = iota
+	// connNew means that the connection has been opened and that nothing has been received yet.
+	connNew connState = iota
+	// connReceiving means that a part of a request has been received.
+	connReceiving
 	// connAnswering means that a request has been received and that its response has not been written in full.
 	connAnswering
 	// connAnswered means that a response has been written and that the server has not turned to the next request yet.
 	connAnswered
 	// connIdle means that the server waits for the first byte of the next request.
 	connIdle
+	// connEnding means that the end of the connection has been sent, and that input is discarded.
+	connEnding
 )
 
 // lingerTimeout is how long input is discarded after the end of the connection has been sent, unless the caller closes it sooner.
 const lingerTimeout = time.Second
 
-// newRequestTime is the time for which a request that is being received, or the first one on a connection, is awaited.
+// newRequestTime is how long a drain awaits the first byte of the first request on a connection.
 const newRequestTime = time.Second
 
+// discardBufferBytes is the size of the buffer with which input is discarded.
+const discardBufferBytes = 4 << 10
+
 // past is a deadline that interrupts a read.
 var past = time.Unix(1, 0)
 
@@ -49,6 +56,10 @@
 	stateSince time.Time
 	// draining is set if the connection is to be closed when it is idle.
 	draining bool
+	// cutOff is set if no request that has not arrived in full is awaited any longer.
+	cutOff bool
+	// respondedEarly is set if a response was begun before its request had been received in full.
+	respondedEarly bool
 }
 
 // Watch calls onDisconnect if the caller disconnects before stop is called. The connection must not be read until stop has returned.
@@ -78,7 +89,7 @@
 }
 
 // Read reads from the connection, beginning with the data that was received during Watch. If the connection is drained while it is
-// idle, Read closes it and returns io.EOF.
+// idle, Read closes it and returns io.EOF. If a request has been cut off, Read returns an error that is a timeout.
 func (c *Conn) Read(p []byte) (int, error) {
 	if n, err := c.takeSavedRead(p); n > 0 || err != nil {
 		return n, err
@@ -88,15 +99,27 @@
 	if drained := c.endWait(); !drained || n > 0 {
 		return n, err
 	}
-	if c.hasUnreadData() {
+	if !c.isCutOff() && c.hasUnreadData() {
 		return c.Conn.Read(p) // A request that has arrived is still answered.
 	}
 	c.sendEnd(p)
 	return 0, io.EOF
 }
 
-// Close closes the connection and calls onClose.
+// Write writes to the connection.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.respondedEarly = c.state == connReceiving
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+// Close closes the connection and calls onClose. If the last response was written before its request had arrived in full, what still arrives is
+// discarded for a moment, since a reset could cost the caller the response.
 func (c *Conn) Close() error {
+	if c.hasRespondedEarly() {
+		c.sendEnd(make([]byte, discardBufferBytes))
+	}
 	c.onClose()
 	return c.Conn.Close()
 }
@@ -121,7 +144,12 @@
 
 // MarkAnswering records that a request has been received in full.
 func (c *Conn) MarkAnswering() {
-	c.setState(connAnswering)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state, c.stateSince = connAnswering, time.Now()
+	if c.cutOff {
+		_ = c.SetReadDeadline(time.Time{}) // Otherwise, Watch would take the deadline for the caller's leaving.
+	}
 }
 
 // MarkAnswered records that a response has been written. The connection becomes idle when the server reads the next request from it.
@@ -137,42 +165,57 @@
 	_ = c.Close()
 }
 
-// drain makes Read close the connection now if it is idle, or else once it becomes idle. It reports whether it is idle.
+// drain makes Read close the connection now if it is idle, once its first request is overdue, or else once it becomes idle. It reports whether it
+// is idle.
 func (c *Conn) drain() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.draining = true
-	if c.state != connIdle {
-		return false
+	c.limitRead()
+	return c.state == connIdle
+}
+
+// endReceiving makes Read fail with a timeout where a request has not arrived in full, and close the connection where none has begun to. It reports
+// whether a request has begun to arrive.
+func (c *Conn) endReceiving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.draining, c.cutOff = true, true
+	c.limitRead()
+	return c.state == connReceiving
+}
+
+// limitRead sets the deadline of the current read, or of the next one, as the drain requires it. The caller must hold the lock.
+func (c *Conn) limitRead() {
+	switch {
+	case !c.draining:
+	case c.state == connIdle, c.cutOff && (c.state == connNew || c.state == connReceiving):
+		_ = c.SetReadDeadline(past) // On a closed connection, the read has already returned.
+	case c.state == connNew:
+		_ = c.SetReadDeadline(c.stateSince.Add(newRequestTime))
 	}
-	_ = c.SetReadDeadline(past) // On a closed connection, the read has already returned.
-	return true
 }
 
-// beginWait makes the connection idle if its last request has been answered. The following read is interrupted if the connection is
-// to be drained.
+// beginWait makes the connection idle if its last request has been answered, and limits the following read as the drain requires it.
 func (c *Conn) beginWait() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state != connAnswered {
-		return
-	}
-	c.state = connIdle
-	if c.draining {
-		_ = c.SetReadDeadline(past) // On a closed connection, the read fails anyway.
+	if c.state == connAnswered {
+		c.state = connIdle
 	}
+	c.limitRead()
 }
 
-// endWait ends the idle state after a read and removes the deadline by which the drain interrupted it. It reports whether the
-// connection was idle and is to be drained.
+// endWait ends the wait for the first byte of a request after a read, and removes the deadline by which the drain interrupted it. It reports
+// whether the connection has waited and is to be drained.
 func (c *Conn) endWait() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state != connIdle {
+	if c.state != connIdle && c.state != connNew {
 		return false
 	}
 	c.state, c.stateSince = connReceiving, time.Now()
-	if c.draining {
+	if c.draining && !c.cutOff {
 		_ = c.SetReadDeadline(time.Time{}) // On a closed connection, the next read fails anyway.
 	}
 	return c.draining
@@ -181,6 +224,7 @@
 // sendEnd closes the connection for sending and discards what still arrives, using p as a buffer. Closing it entirely would reset it
 // if a request arrived meanwhile, and a reset can cost the caller the response before it.
 func (c *Conn) sendEnd(p []byte) {
+	c.setState(connEnding)
 	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok || half.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
 		return // The connection is closed already, or is closed entirely by the server.
@@ -235,11 +279,23 @@
 	return c.state == connAnswering
 }
 
-// isPending reports whether a response is due on the connection, or a request may still arrive in full.
-func (c *Conn) isPending(now time.Time) bool {
+// isBusy reports whether a response is due on the connection, or a request has begun to arrive.
+func (c *Conn) isBusy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state == connAnswering || c.state == connReceiving
+}
+
+func (c *Conn) isCutOff() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cutOff
+}
+
+func (c *Conn) hasRespondedEarly() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state == connAnswering || c.state == connReceiving && now.Sub(c.stateSince) < newRequestTime
+	return c.respondedEarly && c.state == connReceiving
 }
 
 func (c *Conn) setState(state connState) {
--- a/internal/node/railconn/listener.go
+++ b/internal/node/railconn/listener.go
@@ -33,38 +33,43 @@
 }
 
 // Drain makes connections close when they are idle, now or later, and returns the number of those that are idle now. A connection
-// without any request yet is not idle, since one is likely on its way.
+// without any request yet is not idle before a moment has passed, since one is likely on its way.
 func (l *Listener) Drain() int {
 	l.mu.Lock()
 	l.draining = true
 	l.mu.Unlock()
-	idle := 0
-	for _, c := range l.openConns() {
-		if c.drain() {
-			idle++
-		}
-	}
-	return idle
+	return l.count((*Conn).drain)
+}
+
+// EndReceiving makes reading a request that has not arrived in full fail with a timeout, and closes connections on which none has begun to
+// arrive. It returns the number of requests that have begun to arrive.
+func (l *Listener) EndReceiving() int {
+	return l.count((*Conn).endReceiving)
 }
 
 // Answering returns the number of open connections on which a request has been received and its response has not been written in
 // full.
 func (l *Listener) Answering() int {
-	n := 0
-	for _, c := range l.openConns() {
-		if c.isAnswering() {
-			n++
-		}
-	}
-	return n
+	return l.count((*Conn).isAnswering)
+}
+
+// Busy returns the number of open connections on which a response is due or a request has begun to arrive.
+func (l *Listener) Busy() int {
+	return l.count((*Conn).isBusy)
+}
+
+// Open returns the number of open connections.
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
 }
 
-// Pending returns the number of open connections on which a response is due, or which were opened, or began to receive a request, less than
-// newRequestTime ago.
-func (l *Listener) Pending() int {
+// count returns the number of open connections for which f returns true.
+func (l *Listener) count(f func(*Conn) bool) int {
 	n := 0
 	for _, c := range l.openConns() {
-		if c.isPending(time.Now()) {
+		if f(c) {
 			n++
 		}
 	}
--- a/internal/node/railentry/drain.go
+++ b/internal/node/railentry/drain.go
@@ -32,26 +32,33 @@
 	}
 }
 
+// rejectUnreadable responds to a request that could not be read.
+func (e *Entry) rejectUnreadable(ctx *fasthttp.RequestCtx, err error) {
+	status, reason := railconn.UnreadableStatus(err, e.router.Stopping())
+	e.front.RejectUnreadable(ctx, status, reason)
+}
+
 // drain fails the readiness check, rejects new requests, closes connections as they become idle and waits until all responses have been
-// written. Shortly before the timeout it interrupts the requests that are still running, whose responses say so.
+// written. Shortly before the timeout it interrupts the requests that are still running or have not arrived in full, whose responses say so.
 func (e *Entry) drain(ctx context.Context, server *fasthttp.Server, callers *railconn.Listener, timeout time.Duration) error {
 	deadline := time.Now().Add(timeout)
+	lastResponses := deadline.Add(-min(lastResponsesTime, railtimer.Scale(lastResponsesShare, timeout)))
 	e.router.StopAccepting()
 	e.Log.Info("entry draining, waiting for requests in flight", "running", callers.Answering(), "idle", callers.Drain())
-	allAnswered := func() bool { return callers.Answering() == 0 }
-	interrupted := 0
-	if !waitUntil(ctx, deadline.Add(-min(lastResponsesTime, railtimer.Scale(lastResponsesShare, timeout))), allAnswered) {
-		interrupted = e.front.Running()
+	notBusy := func() bool { return callers.Busy() == 0 }
+	interrupted, incomplete := 0, 0
+	if !waitUntil(ctx, lastResponses, notBusy) {
+		interrupted, incomplete = e.front.Running(), callers.EndReceiving()
 	}
 	// Without running requests, this affects only those that were accepted at the moment of the stop.
 	e.front.Interrupt()
 	unanswered := 0
-	if !waitUntil(ctx, time.Now().Add(lastResponsesTime), allAnswered) {
+	if !waitUntil(ctx, time.Now().Add(lastResponsesTime), notBusy) {
 		unanswered = callers.Answering()
 	} else {
 		waitUntil(ctx, time.Now().Add(closeTime), func() bool { return server.GetOpenConnectionsCount() == 0 })
 	}
-	err := shutdown(ctx, server, deadline)
+	err := shutdown(ctx, server, callers, lastResponses, deadline)
 	switch {
 	case unanswered > 0:
 		return errors.Newf("drain did not complete: %d requests have no response", unanswered)
@@ -60,12 +67,17 @@
 	case err != nil:
 		return errors.Wrap(err, "drain did not complete")
 	}
-	e.Log.Info("entry drained, no request was interrupted")
+	e.Log.Info("entry drained, no request was interrupted", "incomplete", incomplete)
 	return nil
 }
 
-// shutdown closes the listener and waits until the deadline for connections on which a request is being received.
-func shutdown(ctx context.Context, server *fasthttp.Server, deadline time.Time) error {
+// shutdown closes the listener and waits until the deadline for connections on which a request is being received. Those that have not arrived in
+// full when it is time for the last responses are rejected.
+func shutdown(ctx context.Context, server *fasthttp.Server, callers *railconn.Listener, lastResponses, deadline time.Time) error {
+	receiveCtx, cancelReceive := context.WithDeadline(ctx, lastResponses)
+	defer cancelReceive()
+	stop := context.AfterFunc(receiveCtx, func() { callers.EndReceiving() })
+	defer stop()
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	return server.ShutdownWithContext(ctx)
--- a/internal/node/railentry/entry.go
+++ b/internal/node/railentry/entry.go
@@ -70,7 +70,7 @@
 	server := &fasthttp.Server{
 		Handler: e.handle, MaxRequestBodySize: maxBodyBytes, Concurrency: maxConnections, NoDefaultServerHeader: true,
 		ReadBufferSize: maxHeaderBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, Logger: discardLogger{}, CloseOnShutdown: true,
-		ConnState: railconn.TrackState,
+		ConnState: railconn.TrackState, ErrorHandler: e.rejectUnreadable,
 	}
 	callers := &railconn.Listener{Listener: &railacceptor.Acceptor{Listener: e.CallerListener, Log: e.Log}}
 	failed := make(chan error, 2)
--- a/internal/node/railfront/reject.go
+++ b/internal/node/railfront/reject.go
@@ -59,6 +59,14 @@
 	return strconv.Itoa(int(math.Ceil(d.Seconds())))
 }
 
+// RejectUnreadable responds to a request that could not be read, and so has not run.
+func (f *Front) RejectUnreadable(ctx *fasthttp.RequestCtx, status int, reason string) {
+	if status == fasthttp.StatusServiceUnavailable {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfterSeconds)
+	}
+	reject(ctx, status, railverdict.NotRun, reason)
+}
+
 func reject(ctx *fasthttp.RequestCtx, status int, verdict railverdict.Verdict, reason string) {
 	ctx.SetStatusCode(status)
 	ctx.SetContentType("application/json")
--- a/internal/node/railgateway/drain.go
+++ b/internal/node/railgateway/drain.go
@@ -71,25 +71,28 @@
 	return float64(time.Until(time.Unix(0, d.endNanos.Load()))) < minDrainShare*float64(requestTime)
 }
 
-// drain fails the readiness check, closes connections as they become idle and waits until all responses have been written. Requests that are
-// left shortly before the timeout get their final response then.
+// drain fails the readiness check, closes connections as they become idle and waits until all of them have ended. Requests that are left
+// shortly before the timeout get their final response then, also those that have not arrived in full.
 func (g *Gateway) drain(listener *railconn.Listener, timeout time.Duration) error {
 	start := time.Now()
 	untilEnd := g.drainState.start(start, timeout)
 	g.Log.Info("gateway draining, waiting for requests in flight", "running", listener.Answering(), "idle", listener.Drain())
-	interrupted, closed := 0, false
+	interrupted, incomplete, closed := 0, 0, false
 	for time.Since(start) < timeout {
-		if time.Since(start) > balancerRemovalDelay && listener.Pending() == 0 {
-			if closed {
+		ends := time.Since(start) > untilEnd
+		if ends && g.drainState.ctx.Err() == nil {
+			interrupted = int(g.inFlight.Load())
+			g.drainState.cancel(errStopping)
+		}
+		if ends || time.Since(start) > balancerRemovalDelay && listener.Open() == 0 {
+			if closed && listener.Open() == 0 {
 				break
 			}
 			closed = true
 			_ = listener.Close() // Connections that were accepted before this are served; later ones are refused by the kernel.
-			continue
 		}
-		if time.Since(start) > untilEnd && g.drainState.ctx.Err() == nil {
-			interrupted = int(g.inFlight.Load())
-			g.drainState.cancel(errStopping)
+		if ends {
+			incomplete = max(incomplete, listener.EndReceiving())
 		}
 		time.Sleep(drainPollInterval)
 	}
@@ -99,6 +102,6 @@
 	if interrupted > 0 {
 		return errors.Newf("drain timed out, %d requests got no response of an endpoint", interrupted)
 	}
-	g.Log.Info("gateway drained, no request was interrupted")
+	g.Log.Info("gateway drained, no request was interrupted", "incomplete", incomplete)
 	return nil
 }
--- a/internal/node/railgateway/gateway.go
+++ b/internal/node/railgateway/gateway.go
@@ -90,7 +90,7 @@
 	server := &fasthttp.Server{
 		Handler: g.handle, Concurrency: maxConnections, ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, IdleTimeout: idleTimeout, Logger: discardLogger{},
-		DisablePreParseMultipartForm: true, ConnState: railconn.TrackState,
+		DisablePreParseMultipartForm: true, ConnState: railconn.TrackState, ErrorHandler: g.rejectUnreadable,
 	}
 	listener := &railconn.Listener{Listener: &railacceptor.Acceptor{Listener: g.CallerListener, Log: g.Log}}
 	ready := &fasthttp.Server{Handler: g.readiness, NoDefaultServerHeader: true, Logger: discardLogger{}}
--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"strconv"
 	"strings"
 	"time"
 
@@ -165,7 +164,7 @@
 	c.ctx.SetBodyString(rejected.reason + "\n")
 	if rejected.status == fasthttp.StatusServiceUnavailable {
 		retryAfter := cmp.Or(rejected.retryAfter, railretrydetector.RetryAfter(c.Timeout, time.Since(c.start), rand.Float64()))
-		c.ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+		c.ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, formatSeconds(retryAfter))
 	}
 	countRequest(c, rejected.status)
 	if rejected.status >= fasthttp.StatusInternalServerError && !rejected.quarantined {
--- /dev/null
+++ b/internal/node/railgateway/unreadable.go
@@ -0,0 +1,26 @@
+package railgateway
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/fulmarrail/fulmarrail/internal/node/railconn"
+	"github.com/fulmarrail/fulmarrail/internal/request/railretrydetector"
+)
+
+// rejectUnreadable responds to a request that could not be read.
+func (g *Gateway) rejectUnreadable(ctx *fasthttp.RequestCtx, err error) {
+	status, reason := railconn.UnreadableStatus(err, g.drainState.draining.Load())
+	ctx.Error(reason+"\n", status)
+	if status == fasthttp.StatusServiceUnavailable {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, formatSeconds(railretrydetector.RetryAfter(0, 0, rand.Float64())))
+	}
+}
+
+// formatSeconds formats a duration as a number of seconds.
+func formatSeconds(d time.Duration) string {
+	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+}
