Write a response without waiting for the next request on its connection

What callers saw: a caller that sends its next request before it has the response to the first got that response only when the second request had arrived in full. If its body came slowly, or the entry stopped meanwhile, the first request, read and answered, ended without a word.

Cause: the HTTP server flushes a response only if it holds no bytes of the next request, or sees that the head of that one is incomplete; a complete head with a part of its body keeps the response in the buffer.

Change: handlers set the connection's write deadline (to none), which makes the server flush each response. Looked for in both kinds of entries; the agents' and carriers' connections are drpc, which has no such buffer between responses.

--- a/internal/node/railconn/conn.go
+++ b/internal/node/railconn/conn.go
@@ -137,6 +137,11 @@
 	}
 }
 
+// RespondAtOnce makes the HTTP server write the response to a request without waiting for the next one, of which a part may have arrived.
+func RespondAtOnce(ctx *fasthttp.RequestCtx) {
+	_ = ctx.SetWriteDeadline(time.Time{}) // Where a handler sets one, the server flushes. On a closed connection, writing fails anyway.
+}
+
 // MarkReceiving records that the server has turned to the next request, whose first bytes it may have read with the one before.
 func (c *Conn) MarkReceiving() {
 	c.setState(connReceiving)
--- a/internal/node/railentry/drain.go
+++ b/internal/node/railentry/drain.go
@@ -26,6 +26,7 @@
 	if conn, ok := ctx.Conn().(*railconn.Conn); ok {
 		conn.MarkAnswering()
 	}
+	railconn.RespondAtOnce(ctx)
 	e.front.Handle(ctx)
 	if e.router.Stopping() {
 		ctx.SetConnectionClose()
--- a/internal/node/railentry/drain_receive_test.go
+++ b/internal/node/railentry/drain_receive_test.go
@@ -74,3 +74,15 @@
 	qt.Check(t, <-d.stopped, qt.IsNil)
 	qt.Check(t, time.Since(start) < longDrain, qt.IsTrue)
 }
+
+// Guards against a response that is not written until the next request on its connection has arrived in full.
+func TestResponseDoesNotWaitForNextRequest(t *testing.T) {
+	d := newDrainDeployment(t, longDrain, asIs)
+	caller := d.connect(t)
+	request := requestTo("/lookups/x", "0123456789", "")
+	_, err := io.WriteString(caller, request+request[:len(request)-5])
+	qt.Assert(t, err, qt.IsNil)
+	got := caller.receive(t)
+	qt.Assert(t, got.err, qt.IsNil)
+	qt.Check(t, got.status, qt.Equals, http.StatusOK)
+}
--- a/internal/node/railgateway/drain_receive_test.go
+++ b/internal/node/railgateway/drain_receive_test.go
@@ -127,3 +127,9 @@
 	qt.Check(t, <-d.stopped, qt.IsNil)
 	qt.Check(t, time.Since(start) < drainTimeout, qt.IsTrue)
 }
+
+// Guards against a response that is not written until the next request on its connection has arrived in full.
+func TestResponseDoesNotWaitForNextRequest(t *testing.T) {
+	d := newDeployment(t, &endpoint{name: "near", handlers: sequence(respondOK)})
+	d.sendSlowly(t, slowRequests()["in the second of two"])
+}
--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -70,6 +70,7 @@
 
 // handle serves one request. During a drain, the response announces the end of its connection, also if the request came before.
 func (g *Gateway) handle(ctx *fasthttp.RequestCtx) {
+	railconn.RespondAtOnce(ctx)
 	g.serve(ctx)
 	if g.drainState.draining.Load() {
 		ctx.SetConnectionClose()
