--- a/internal/node/railconn/conn_test.go
+++ b/internal/node/railconn/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -94,3 +95,70 @@
 	_, err := caller.Read(make([]byte, 1))
 	qt.Check(t, err, qt.ErrorIs, io.EOF)
 }
+
+// Guards against a request that is taken for one whose caller has left, since it arrived in full as the drain gave up waiting for it.
+func TestRequestThatArrivesAsReceivingEndsIsStillWatched(t *testing.T) {
+	listener, conn, caller := connect(t)
+	_, err := caller.Write([]byte("1"))
+	qt.Assert(t, err, qt.IsNil)
+	_, err = conn.Read(make([]byte, 1))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, listener.Busy(), qt.Equals, 1)
+	qt.Check(t, listener.EndReceiving(), qt.Equals, 1)
+	conn.MarkAnswering()
+	left := make(chan struct{})
+	stop := conn.Watch(func() { close(left) })
+	select {
+	case <-left:
+		t.Error("the caller has not left")
+	case <-time.After(50 * time.Millisecond):
+	}
+	qt.Assert(t, caller.Close(), qt.IsNil)
+	<-left
+	stop()
+}
+
+// Guards against reading a request on a connection that the drain has given up.
+func TestEndReceivingInterruptsRead(t *testing.T) {
+	for name, c := range map[string]struct {
+		sent string
+		err  error
+	}{
+		"a request has begun":  {"1", os.ErrDeadlineExceeded},
+		"no request has begun": {"", io.EOF},
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, conn, caller := connect(t)
+			_, err := io.WriteString(caller, c.sent)
+			qt.Assert(t, err, qt.IsNil)
+			if c.sent != "" {
+				_, err = conn.Read(make([]byte, 1))
+				qt.Assert(t, err, qt.IsNil)
+			}
+			listener.EndReceiving()
+			qt.Assert(t, caller.(*net.TCPConn).CloseWrite(), qt.IsNil) // Ends what the connection still discards.
+			_, err = conn.Read(make([]byte, 1))
+			qt.Check(t, err, qt.ErrorIs, c.err)
+		})
+	}
+}
+
+// Guards against a response that is lost by a reset, since its caller still sends when the connection is closed.
+func TestResponseToRequestThatStillArrivesIsNotLost(t *testing.T) {
+	_, conn, caller := connect(t)
+	_, err := caller.Write([]byte("1"))
+	qt.Assert(t, err, qt.IsNil)
+	_, err = conn.Read(make([]byte, 1))
+	qt.Assert(t, err, qt.IsNil)
+	_, err = conn.Write([]byte("rejected"))
+	qt.Assert(t, err, qt.IsNil)
+	_, err = caller.Write([]byte("the rest"))
+	qt.Assert(t, err, qt.IsNil)
+	closed := make(chan error, 1)
+	go func() { closed <- conn.Close() }()
+	got, err := io.ReadAll(caller)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, string(got), qt.Equals, "rejected")
+	qt.Assert(t, caller.Close(), qt.IsNil)
+	qt.Check(t, <-closed, qt.IsNil)
+}
