Give the last responses of a drain the time that a delayed process needs

What callers saw: in the tests with the process ended, requests that still ran at the end of the grace period were cut without an answer on a busy machine, where they should have got 504, or 503 if they were queued.

Cause: they are ended 0.2 s before the process, and a process that doesn't get the processor for that long (a busy machine, a core with a quota, a pause) has ended before the responses are written. The end was counted from the signal, so that a delay before the responses took their time from them.

Change: requests get their final response 0.5 s before the end, and the process waits until all connections have ended, up to a second from then on. The platform ends the process at the end of the grace period in any case.

Test: TestDelayedProcessGivesLastResponsesTheirTime delays the process by a log line at that moment.

--- a/internal/node/railgateway/drain.go
+++ b/internal/node/railgateway/drain.go
@@ -16,8 +16,9 @@
 	// checks readiness once a second and acts on two equal results in a row.
 	balancerRemovalDelay = 2500 * time.Millisecond
 	// finalResponseTime is the time before the end of the drain at which all requests get their final response, so that it can still be
-	// written.
-	finalResponseTime = 200 * time.Millisecond
+	// written. A process that is delayed may take up to finalResponseTimeout.
+	finalResponseTime    = 500 * time.Millisecond
+	finalResponseTimeout = time.Second
 	// minDrainShare is the share of a request's time that has to be left in the drain if the request is to be accepted.
 	minDrainShare = 0.5
 )
@@ -75,33 +76,42 @@
 // shortly before the timeout get their final response then, also those that have not arrived in full.
 func (g *Gateway) drain(listener *railconn.Listener, timeout time.Duration) error {
 	start := time.Now()
-	untilEnd := g.drainState.start(start, timeout)
+	lastResponses := start.Add(g.drainState.start(start, timeout))
+	noneOpen := func() bool { return listener.Open() == 0 }
 	g.Log.Info("gateway draining, waiting for requests in flight", "running", listener.Answering(), "idle", listener.Drain())
-	interrupted, incomplete, closed := 0, 0, false
-	for time.Since(start) < timeout {
-		ends := time.Since(start) > untilEnd
-		if ends && g.drainState.ctx.Err() == nil {
-			interrupted = int(g.inFlight.Load())
-			g.drainState.cancel(errStopping)
-		}
-		if ends || time.Since(start) > balancerRemovalDelay && listener.Open() == 0 {
-			if closed && listener.Open() == 0 {
-				break
-			}
-			closed = true
-			_ = listener.Close() // Connections that were accepted before this are served; later ones are refused by the kernel.
-		}
-		if ends {
-			incomplete = max(incomplete, listener.EndReceiving())
-		}
-		time.Sleep(drainPollInterval)
-	}
-	if unwritten := listener.Answering(); unwritten > 0 {
+	time.Sleep(min(balancerRemovalDelay, time.Until(lastResponses)))
+	waitUntil(lastResponses, noneOpen)
+	_ = listener.Close() // Connections that were accepted before this are served; later ones are refused by the kernel.
+	time.Sleep(drainPollInterval)
+	waitUntil(lastResponses, noneOpen)
+	interrupted, incomplete := g.endRequests(listener)
+	waitUntil(time.Now().Add(finalResponseTimeout), func() bool {
+		incomplete += listener.EndReceiving()
+		return noneOpen()
+	})
+	switch unwritten := listener.Answering(); {
+	case unwritten > 0:
 		return errors.Newf("drain timed out with %d requests in flight", unwritten)
-	}
-	if interrupted > 0 {
+	case interrupted > 0:
 		return errors.Newf("drain timed out, %d requests got no response of an endpoint", interrupted)
 	}
 	g.Log.Info("gateway drained, no request was interrupted", "incomplete", incomplete)
 	return nil
 }
+
+// endRequests makes all requests get their final response. It returns how many were running, and how many had not arrived in full.
+func (g *Gateway) endRequests(listener *railconn.Listener) (running, incomplete int) {
+	running = int(g.inFlight.Load())
+	if running > 0 {
+		g.Log.Info("gateway ends the requests that are left", "running", running)
+	}
+	g.drainState.cancel(errStopping)
+	return running, listener.EndReceiving()
+}
+
+// waitUntil waits until a condition holds or the deadline passes.
+func waitUntil(deadline time.Time, condition func() bool) {
+	for !condition() && time.Until(deadline) > 0 {
+		time.Sleep(drainPollInterval)
+	}
+}
--- a/internal/node/railgateway/drain_end_test.go
+++ b/internal/node/railgateway/drain_end_test.go
@@ -1,6 +1,7 @@
 package railgateway_test
 
 import (
+	"context"
 	"io"
 	"log/slog"
 	"net"
@@ -101,6 +102,40 @@
 	qt.Check(t, near.requests(), qt.HasLen, sent-1)
 }
 
+// Guards against a final response that is cut, since the process was delayed and ends as soon as it has ended the requests.
+func TestDelayedProcessGivesLastResponsesTheirTime(t *testing.T) {
+	started, delayed := make(chan struct{}, 1), make(chan struct{})
+	near := &endpoint{name: "near", handlers: sequence(respondNever(started, func(http.ResponseWriter, *http.Request) {}))}
+	d := newDrainableDeployment(t, time.Second, func(g *railgateway.Gateway) {
+		g.Log = slog.New(delayingHandler{messageHandler{Handler: slog.DiscardHandler, prefix: "gateway ends the requests", seen: delayed, once: &sync.Once{}}})
+	}, near)
+	responses := make(chan response, 1)
+	go func() { responses <- d.call(t, "/unsafe/x", validKey) }()
+	<-started
+	d.stop()
+	<-delayed
+	got := <-responses
+	qt.Check(t, got.err, qt.IsNil)
+	qt.Check(t, got.status, qt.Equals, http.StatusGatewayTimeout)
+	<-d.stopped
+}
+
+// delayingHandler delays the process for longer than its drain when it logs the message that its messageHandler waits for.
+type delayingHandler struct {
+	messageHandler
+}
+
+func (h delayingHandler) Handle(ctx context.Context, record slog.Record) error {
+	if strings.HasPrefix(record.Message, h.prefix) {
+		time.Sleep(time.Second)
+	}
+	return h.messageHandler.Handle(ctx, record)
+}
+
+func (h delayingHandler) WithAttrs([]slog.Attr) slog.Handler {
+	return h
+}
+
 // Guards against requests that are accepted late in the grace period, and against endpoints that are handed more time than is left of it.
 func TestDrainAcceptsOnlyRequestsThatFit(t *testing.T) {
 	for name, c := range map[string]struct {
