Keep idle connections open until the load balancer sends no new ones

What callers saw: a request that was sent on a kept connection just as its entry began to stop crossed the end of the connection, and ended without a word. It had not been passed on, but its caller can't know that, and can't repeat one that may run only once.

Cause: a drain ended all idle connections as soon as the signal came, when callers still use them most: the entry is still in rotation, and takes requests on new connections for another 2.5 s. What arrived after the end had been sent was read and discarded.

Change: for these 2.5 s, requests on kept connections are served, and their responses announce the end of the connection. Those that are still idle after that are ended as before: few callers that have sent nothing for so long send just then. Since a process no longer ends under a request that has begun to arrive, one that comes later is served if all of its time is left in the drain, and refused as not run otherwise, as before.

Test: TestRequestOnKeptConnectionIsAnsweredAsDrainBegins failed before (EOF). The tests of drain_test.go that need the drain to have dealt with idle connections wait for the new log line, and have a drain timeout that leaves requests their time after it; what they check is unchanged. TestDrainAcceptsOnlyRequestsThatFit has cases for requests that come late, beside a request that keeps the drain going.

--- a/internal/node/railgateway/drain.go
+++ b/internal/node/railgateway/drain.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
 	"github.com/fulmarrail/fulmarrail/internal/node/railconn"
 )
 
@@ -19,8 +20,10 @@
 	// written. A process that is delayed may take up to finalResponseTimeout.
 	finalResponseTime    = 500 * time.Millisecond
 	finalResponseTimeout = time.Second
-	// minDrainShare is the share of a request's time that has to be left in the drain if the request is to be accepted.
-	minDrainShare = 0.5
+	// minDrainShare is the share of a request's time that has to be left in the drain if the request is to be accepted, and minLateDrainShare the one
+	// once the load balancer sends no new connections, when most callers have gone elsewhere.
+	minDrainShare     = 0.5
+	minLateDrainShare = 1.0
 )
 
 var errStopping = errors.New("the entry stops")
@@ -60,26 +63,28 @@
 	return deadline
 }
 
-// rejects reports whether a new request must be rejected: the load balancer sends none any more, so that the process may stop at any moment, or
-// too little of the request's time is left in the drain.
+// rejects reports whether a new request must be rejected, since too little of its time is left in the drain.
 func (d *drainState) rejects(requestTime time.Duration) bool {
 	if !d.draining.Load() {
 		return false
 	}
+	share := minDrainShare
 	if time.Since(time.Unix(0, d.startNanos.Load())) > balancerRemovalDelay {
-		return true
+		share = minLateDrainShare
 	}
-	return float64(time.Until(time.Unix(0, d.endNanos.Load()))) < minDrainShare*float64(requestTime)
+	return time.Until(time.Unix(0, d.endNanos.Load())) < railtimer.Scale(share, requestTime)
 }
 
-// drain fails the readiness check, closes connections as they become idle and waits until all of them have ended. Requests that are left
+// drain fails the readiness check and waits until all connections have ended. Responses announce the end of theirs; connections that are idle are closed
+// only when the load balancer sends no new ones any more, since a request that crosses the close is lost to its caller. Requests that are left
 // shortly before the timeout get their final response then, also those that have not arrived in full.
 func (g *Gateway) drain(listener *railconn.Listener, timeout time.Duration) error {
 	start := time.Now()
 	lastResponses := start.Add(g.drainState.start(start, timeout))
 	noneOpen := func() bool { return listener.Open() == 0 }
-	g.Log.Info("gateway draining, waiting for requests in flight", "running", listener.Answering(), "idle", listener.Drain())
+	g.Log.Info("gateway draining, waiting for requests in flight", "running", listener.Answering(), "open", listener.Open())
 	time.Sleep(min(balancerRemovalDelay, time.Until(lastResponses)))
+	g.Log.Info("gateway ends idle connections", "idle", listener.Drain())
 	waitUntil(lastResponses, noneOpen)
 	_ = listener.Close() // Connections that were accepted before this are served; later ones are refused by the kernel.
 	time.Sleep(drainPollInterval)
--- a/internal/node/railgateway/drain_end_test.go
+++ b/internal/node/railgateway/drain_end_test.go
@@ -22,12 +22,12 @@
 	"github.com/fulmarrail/fulmarrail/internal/node/railgateway"
 )
 
-// newDrainWatchedDeployment is newDrainableDeployment with a channel that is closed once the drain has dealt with the open connections.
-func newDrainWatchedDeployment(t *testing.T, drainTimeout time.Duration, e *endpoint) (*deployment, <-chan struct{}) {
+// newDrainWatchedDeployment is newDrainableDeployment with a channel that is closed at a log message with a prefix.
+func newDrainWatchedDeployment(t *testing.T, drainTimeout time.Duration, prefix string, e *endpoint) (*deployment, <-chan struct{}) {
 	t.Helper()
 	draining := make(chan struct{})
 	d := newDrainableDeployment(t, drainTimeout, func(g *railgateway.Gateway) {
-		g.Log = slog.New(messageHandler{Handler: slog.DiscardHandler, prefix: drainMessage, seen: draining, once: &sync.Once{}})
+		g.Log = slog.New(messageHandler{Handler: slog.DiscardHandler, prefix: prefix, seen: draining, once: &sync.Once{}})
 	}, e)
 	return d, draining
 }
@@ -140,20 +140,25 @@
 func TestDrainAcceptsOnlyRequestsThatFit(t *testing.T) {
 	for name, c := range map[string]struct {
 		deadline string
-		status   int
+		// prefix is that of the log message after which the request is sent.
+		prefix string
+		status int
 	}{
-		"fits":                    {"1000", http.StatusOK},
-		"may end after the drain": {"21000", http.StatusOK},
-		"needs far more":          {"60000", http.StatusServiceUnavailable},
+		"fits":                          {"1000", drainMessage, http.StatusOK},
+		"may end after the drain":       {"21000", drainMessage, http.StatusOK},
+		"needs far more":                {"60000", drainMessage, http.StatusServiceUnavailable},
+		"late, fits":                    {"1000", idleMessage, http.StatusOK},
+		"late, may end after the drain": {"18000", idleMessage, http.StatusServiceUnavailable},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			const drainTimeout = 20 * time.Second
 			near := &endpoint{name: "near", handlers: sequence(respondOK)}
-			d, draining := newDrainWatchedDeployment(t, drainTimeout, near)
+			d, draining := newDrainWatchedDeployment(t, drainTimeout, c.prefix, near)
 			d.changeCatalog(func(c railcatalog.Catalog) railcatalog.Catalog {
 				return c.WithRoutes(mapRoutes(c, func(r *railroute.Route) { r.Timeout = time.Minute }))
 			})
+			held, _ := d.sendSlowly(t, slowRequests()["in the body"]) // Without it, the drain may end before the request is sent.
 			d.stop()
 			<-draining
 			req, err := http.NewRequest(http.MethodPost, d.url+"/unsafe/x", nil)
@@ -172,6 +177,7 @@
 				qt.Check(t, time.Duration(handed)*time.Millisecond < drainTimeout, qt.IsTrue, qt.Commentf("%d ms", handed))
 			}
 			qt.Check(t, len(near.requests()) == 1, qt.Equals, c.status == http.StatusOK)
+			qt.Assert(t, held.Close(), qt.IsNil)
 			qt.Check(t, <-d.stopped, qt.IsNil)
 		})
 	}
--- a/internal/node/railgateway/drain_receive_test.go
+++ b/internal/node/railgateway/drain_receive_test.go
@@ -72,7 +72,7 @@
 			t.Run(fmt.Sprintf("%s, %s", name, pause), func(t *testing.T) {
 				t.Parallel()
 				near := &endpoint{name: "near", handlers: sequence(respondOK)}
-				d, draining := newDrainWatchedDeployment(t, 8*time.Second, near)
+				d, draining := newDrainWatchedDeployment(t, 8*time.Second, drainMessage, near)
 				conn, reader := d.sendSlowly(t, request)
 				answered := len(near.requests())
 				d.stop()
@@ -133,3 +133,23 @@
 	d := newDeployment(t, &endpoint{name: "near", handlers: sequence(respondOK)})
 	d.sendSlowly(t, slowRequests()["in the second of two"])
 }
+
+// Guards against a request that gets no answer, since it is sent on a kept connection as its entry begins to stop, and crosses the end of the connection.
+func TestRequestOnKeptConnectionIsAnsweredAsDrainBegins(t *testing.T) {
+	near := &endpoint{name: "near", handlers: sequence(respondOK)}
+	d, draining := newDrainWatchedDeployment(t, 8*time.Second, drainMessage, near)
+	conn, reader := d.sendSlowly(t, slowRequest{first: request("id-1")})
+	qt.Assert(t, readStatus(t, reader), qt.Equals, http.StatusOK)
+	d.stop()
+	<-draining
+	time.Sleep(100 * time.Millisecond) // The end of the connection, if the drain sends it, has arrived.
+	_, err := io.WriteString(conn, request("id-2"))
+	qt.Assert(t, err, qt.IsNil)
+	resp, err := http.ReadResponse(reader, nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, resp.StatusCode, qt.Equals, http.StatusOK)
+	qt.Check(t, resp.Close, qt.IsTrue)
+	_, err = io.Copy(io.Discard, resp.Body)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, <-d.stopped, qt.IsNil)
+}
--- a/internal/node/railgateway/drain_test.go
+++ b/internal/node/railgateway/drain_test.go
@@ -18,8 +18,13 @@
 )
 
 const (
-	// drainMessage is the prefix of the log message by which a test learns that the drain has dealt with the open connections.
+	// drainMessage is the prefix of the log message by which a test learns that the drain has begun, and idleMessage that of the one by which it
+	// learns that the drain has dealt with idle connections.
 	drainMessage = "gateway draining"
+	idleMessage  = "gateway ends idle connections"
+	// longDrain is a drain timeout that leaves a request all its time after idle connections have been ended, and shortDrain one that a test reaches.
+	longDrain  = 20 * time.Second
+	shortDrain = 5 * time.Second
 	// eofTimeout is how long a test waits for the end of a connection.
 	eofTimeout = 10 * time.Second
 )
@@ -91,19 +96,19 @@
 	*deployment
 	listener *holdingListener
 	near     *endpoint
-	// draining is closed once the drain has dealt with the open connections.
+	// draining is closed once the drain has dealt with idle connections.
 	draining chan struct{}
 	conn     net.Conn
 	reader   *bufio.Reader
 }
 
-func newDrainDeployment(t *testing.T, beforeWrite bool) *drainDeployment {
+func newDrainDeployment(t *testing.T, drainTimeout time.Duration, beforeWrite bool) *drainDeployment {
 	t.Helper()
 	d := &drainDeployment{near: &endpoint{name: "near", handlers: sequence(respondOK)}, draining: make(chan struct{})}
-	d.deployment = newCustomDeployment(t, func(g *railgateway.Gateway) {
+	d.deployment = newDrainableDeployment(t, drainTimeout, func(g *railgateway.Gateway) {
 		d.listener = &holdingListener{Listener: g.CallerListener, beforeWrite: beforeWrite, held: make(chan struct{}), release: make(chan struct{})}
 		g.CallerListener = d.listener
-		g.Log = slog.New(messageHandler{Handler: slog.DiscardHandler, prefix: drainMessage, seen: d.draining, once: &sync.Once{}})
+		g.Log = slog.New(messageHandler{Handler: slog.DiscardHandler, prefix: idleMessage, seen: d.draining, once: &sync.Once{}})
 	}, d.near)
 	conn, err := net.Dial("tcp", strings.TrimPrefix(d.url, "http://"))
 	qt.Assert(t, err, qt.IsNil)
@@ -143,7 +148,7 @@
 // Guards against a connection that stays open because the drain looked for idle connections after the caller had read its response
 // but before the server marked the connection as idle.
 func TestDrainClosesConnectionThatBecomesIdleLater(t *testing.T) {
-	d := newDrainDeployment(t, false)
+	d := newDrainDeployment(t, longDrain, false)
 	d.write(t, request("id-1"))
 	d.readResponse(t)
 	<-d.listener.held
@@ -168,7 +173,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			d := newDrainDeployment(t, false)
+			d := newDrainDeployment(t, longDrain, false)
 			d.write(t, sent.first)
 			<-d.listener.held
 			d.write(t, sent.beforeDrain)
@@ -226,7 +231,7 @@
 	for name, path := range map[string]string{"response of an endpoint": "/safe/x", "rejection": "/none/x"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			d := newDrainDeployment(t, true)
+			d := newDrainDeployment(t, shortDrain, true)
 			defer close(d.listener.release)
 			d.write(t, requestTo(path, "id-1"))
 			<-d.listener.held
