--- a/internal/node/railentry/drain_receive_test.go
+++ b/internal/node/railentry/drain_receive_test.go
@@ -58,7 +58,7 @@
 			qt.Check(t, got.status, qt.Equals, http.StatusServiceUnavailable)
 			qt.Check(t, got.verdict, qt.Equals, "notRun")
 			qt.Check(t, got.closes, qt.IsTrue)
-			<-d.stopped
+			qt.Check(t, <-d.stopped, qt.IsNil)
 		})
 	}
 }
--- a/internal/node/railgateway/drain_end_test.go
+++ b/internal/node/railgateway/drain_end_test.go
@@ -117,7 +117,7 @@
 	got := <-responses
 	qt.Check(t, got.err, qt.IsNil)
 	qt.Check(t, got.status, qt.Equals, http.StatusGatewayTimeout)
-	<-d.stopped
+	qt.Check(t, <-d.stopped, qt.ErrorMatches, "drain timed out, 1 requests got no response of an endpoint")
 }
 
 // delayingHandler delays the process for longer than its drain when it logs the message that its messageHandler waits for.
--- a/internal/node/railgateway/drain_receive_test.go
+++ b/internal/node/railgateway/drain_receive_test.go
@@ -48,21 +48,22 @@
 	reader := bufio.NewReader(conn)
 	switch {
 	case request.interim:
-		qt.Assert(t, readStatus(t, reader), qt.Equals, http.StatusContinue)
+		qt.Assert(t, readFrom(t, reader).status, qt.Equals, http.StatusContinue)
 	case strings.Contains(request.first, "id-0"):
-		qt.Assert(t, readStatus(t, reader), qt.Equals, http.StatusOK)
+		qt.Assert(t, readFrom(t, reader).status, qt.Equals, http.StatusOK)
 	}
 	return conn, reader
 }
 
-// readStatus reads a complete response and returns its status.
-func readStatus(t *testing.T, r *bufio.Reader) int {
+// readFrom reads a complete response.
+func readFrom(t *testing.T, r *bufio.Reader) response {
 	t.Helper()
 	resp, err := http.ReadResponse(r, nil)
 	qt.Assert(t, err, qt.IsNil)
-	_, err = io.Copy(io.Discard, resp.Body)
+	body, err := io.ReadAll(resp.Body)
 	qt.Check(t, err, qt.IsNil)
-	return resp.StatusCode
+	qt.Check(t, resp.Body.Close(), qt.IsNil)
+	return response{status: resp.StatusCode, close: resp.Close, header: resp.Header, body: string(body)}
 }
 
 // Guards against a request that is cut without an answer, since it takes more than a second to arrive while the entry stops.
@@ -80,7 +81,7 @@
 				time.Sleep(pause)
 				_, err := io.WriteString(conn, request.rest)
 				qt.Assert(t, err, qt.IsNil)
-				status := readStatus(t, reader)
+				status := readFrom(t, reader).status
 				qt.Check(t, status == http.StatusOK || status == http.StatusServiceUnavailable, qt.IsTrue, qt.Commentf("%d", status))
 				qt.Check(t, len(near.requests())-answered == 1, qt.Equals, status == http.StatusOK)
 				_, err = reader.ReadByte()
@@ -102,13 +103,10 @@
 			_, reader := d.sendSlowly(t, request)
 			answered := len(near.requests())
 			d.stop()
-			resp, err := http.ReadResponse(reader, nil)
-			qt.Assert(t, err, qt.IsNil)
-			qt.Check(t, resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
-			qt.Check(t, resp.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
-			qt.Check(t, resp.Close, qt.IsTrue)
-			_, err = io.Copy(io.Discard, resp.Body)
-			qt.Check(t, err, qt.IsNil)
+			got := readFrom(t, reader)
+			qt.Check(t, got.status, qt.Equals, http.StatusServiceUnavailable)
+			qt.Check(t, got.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+			qt.Check(t, got.close, qt.IsTrue)
 			qt.Check(t, near.requests(), qt.HasLen, answered)
 			qt.Check(t, <-d.stopped, qt.IsNil)
 		})
@@ -139,17 +137,14 @@
 	near := &endpoint{name: "near", handlers: sequence(respondOK)}
 	d, draining := newDrainWatchedDeployment(t, 8*time.Second, drainMessage, near)
 	conn, reader := d.sendSlowly(t, slowRequest{first: request("id-1")})
-	qt.Assert(t, readStatus(t, reader), qt.Equals, http.StatusOK)
+	qt.Assert(t, readFrom(t, reader).status, qt.Equals, http.StatusOK)
 	d.stop()
 	<-draining
 	time.Sleep(100 * time.Millisecond) // The end of the connection, if the drain sends it, has arrived.
 	_, err := io.WriteString(conn, request("id-2"))
 	qt.Assert(t, err, qt.IsNil)
-	resp, err := http.ReadResponse(reader, nil)
-	qt.Assert(t, err, qt.IsNil)
-	qt.Check(t, resp.StatusCode, qt.Equals, http.StatusOK)
-	qt.Check(t, resp.Close, qt.IsTrue)
-	_, err = io.Copy(io.Discard, resp.Body)
-	qt.Check(t, err, qt.IsNil)
+	got := readFrom(t, reader)
+	qt.Check(t, got.status, qt.Equals, http.StatusOK)
+	qt.Check(t, got.close, qt.IsTrue)
 	qt.Check(t, <-d.stopped, qt.IsNil)
 }
