Refuse requests in a drain by their connection, not by the time

What callers saw: more requests refused in all while several entries stop at once. Since idle connections are kept for longer, a request that came late in a drain was served if it fitted; where the balancer sends to all entries of a zone because most of them stop, this prolonged their drains.

Change: a request on a connection that was accepted after the balancer has stopped to send any is refused as not run, so that the drain ends soon; on a connection from before, it is served if half of its time is left. The time since the start of the drain is no longer needed for that.

--- a/internal/node/railconn/listener.go
+++ b/internal/node/railconn/listener.go
@@ -23,7 +23,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := &Conn{Conn: conn, draining: l.draining, stateSince: time.Now()}
+	c := &Conn{Conn: conn, draining: l.draining, acceptedInDrain: l.draining, stateSince: time.Now()}
 	c.onClose = func() { l.remove(c) }
 	if l.conns == nil {
 		l.conns = map[*Conn]bool{}
--- a/internal/node/railgateway/drain.go
+++ b/internal/node/railgateway/drain.go
@@ -20,10 +20,8 @@
 	// written. A process that is delayed may take up to finalResponseTimeout.
 	finalResponseTime    = 500 * time.Millisecond
 	finalResponseTimeout = time.Second
-	// minDrainShare is the share of a request's time that has to be left in the drain if the request is to be accepted, and minLateDrainShare the one
-	// once the load balancer sends no new connections, when most callers have gone elsewhere.
-	minDrainShare     = 0.5
-	minLateDrainShare = 1.0
+	// minDrainShare is the share of a request's time that has to be left in the drain if the request is to be accepted.
+	minDrainShare = 0.5
 )
 
 var errStopping = errors.New("the entry stops")
@@ -31,9 +29,8 @@
 // drainState says whether the entry drains, and until when requests may run. Its methods are safe for concurrent use.
 type drainState struct {
 	draining atomic.Bool
-	// startNanos and endNanos are the times at which the drain started and at which requests get their final response, in nanoseconds
-	// since the Unix epoch.
-	startNanos, endNanos atomic.Int64
+	// endNanos is the time at which requests get their final response, in nanoseconds since the Unix epoch.
+	endNanos atomic.Int64
 	// ctx is canceled with errStopping when requests get their final response.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -46,7 +43,6 @@
 // start starts the drain. It returns the time after which the requests that are left get their final response.
 func (d *drainState) start(now time.Time, timeout time.Duration) time.Duration {
 	untilEnd := max(timeout-finalResponseTime, timeout/2)
-	d.startNanos.Store(now.UnixNano())
 	d.endNanos.Store(now.Add(untilEnd).UnixNano())
 	d.draining.Store(true)
 	return untilEnd
@@ -68,11 +64,7 @@
 	if !d.draining.Load() {
 		return false
 	}
-	share := minDrainShare
-	if time.Since(time.Unix(0, d.startNanos.Load())) > balancerRemovalDelay {
-		share = minLateDrainShare
-	}
-	return time.Until(time.Unix(0, d.endNanos.Load())) < railtimer.Scale(share, requestTime)
+	return time.Until(time.Unix(0, d.endNanos.Load())) < railtimer.Scale(minDrainShare, requestTime)
 }
 
 // drain fails the readiness check and waits until all connections have ended. Responses announce the end of theirs; connections that are idle are closed
--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -96,7 +96,7 @@
 // admit sets a request's route, customer, service and deadline, and whether it is likely to be a retry. It returns a rejection if the
 // request can't be accepted.
 func (g *Gateway) admit(c *call) *rejection {
-	if g.drainState.rejects(0) {
+	if g.drainState.rejects(0) || c.conn != nil && c.conn.AcceptedInDrain() {
 		return &rejection{status: fasthttp.StatusServiceUnavailable, reason: "the entry is about to stop"}
 	}
 	catalog, known := g.Catalog()
