Check that a connection that becomes idle in a drain closes before the process ends

TestDrainClosesConnectionThatBecomesIdleLater could not fail: since the test's process ends with the drain, the connection it looks at is closed by the end of the process too, and the test read the same end of the connection. With the check for the drain in railconn.beginWait taken away, the test passed.

Another request runs now until the connection has been closed, so that the process can't have ended before. With the check taken away again, the test fails: the other request gets the response of the drain's end in place of its own. Without the fault it passes.

--- a/internal/node/railgateway/drain_test.go
+++ b/internal/node/railgateway/drain_test.go
@@ -20,15 +20,18 @@
 const (
 	// drainMessage is the prefix of the log message by which a test learns that the drain has dealt with the open connections.
 	drainMessage = "gateway draining"
+	// drainTimeout is the time for which the drain of a drainDeployment waits.
+	drainTimeout = 5 * time.Second
 	// eofTimeout is how long a test waits for the end of a connection.
 	eofTimeout = 10 * time.Second
 )
 
-// holdingListener accepts connections on which the server's first call of Write returns only once release is closed. Its data is
+// holdingListener accepts connections, on the first of which the server's first call of Write returns only once release is closed. Its data is
 // written before that, or after it if beforeWrite is set.
 type holdingListener struct {
 	net.Listener
 	beforeWrite bool
+	once        sync.Once
 	// held is closed once the first call of Write is held.
 	held, release chan struct{}
 }
@@ -44,7 +47,6 @@
 type holdingConn struct {
 	*net.TCPConn
 	listener *holdingListener
-	once     sync.Once
 }
 
 func (c *holdingConn) Write(p []byte) (int, error) {
@@ -57,7 +59,7 @@
 }
 
 func (c *holdingConn) hold() {
-	c.once.Do(func() {
+	c.listener.once.Do(func() {
 		close(c.listener.held)
 		<-c.listener.release
 	})
@@ -86,7 +88,7 @@
 	return h
 }
 
-// drainDeployment is a deployment with one connection, on which the first response is held.
+// drainDeployment is a deployment with a connection on which the first response is held.
 type drainDeployment struct {
 	*deployment
 	listener *holdingListener
@@ -97,10 +99,11 @@
 	reader   *bufio.Reader
 }
 
-func newDrainDeployment(t *testing.T, beforeWrite bool) *drainDeployment {
+// newDrainDeployment returns a deployment whose endpoint serves requests with the handlers in turn.
+func newDrainDeployment(t *testing.T, beforeWrite bool, handlers ...handler) *drainDeployment {
 	t.Helper()
-	d := &drainDeployment{near: &endpoint{name: "near", handlers: sequence(respondOK)}, draining: make(chan struct{})}
-	d.deployment = newCustomDeployment(t, func(g *railgateway.Gateway) {
+	d := &drainDeployment{near: &endpoint{name: "near", handlers: handlers}, draining: make(chan struct{})}
+	d.deployment = newDrainableDeployment(t, drainTimeout, func(g *railgateway.Gateway) {
 		d.listener = &holdingListener{Listener: g.CallerListener, beforeWrite: beforeWrite, held: make(chan struct{}), release: make(chan struct{})}
 		g.CallerListener = d.listener
 		g.Log = slog.New(messageHandler{Handler: slog.DiscardHandler, prefix: drainMessage, seen: d.draining, once: &sync.Once{}})
@@ -143,15 +146,23 @@
 // Guards against a connection that stays open because the drain looked for idle connections after the caller had read its response
 // but before the server marked the connection as idle.
 func TestDrainClosesConnectionThatBecomesIdleLater(t *testing.T) {
-	d := newDrainDeployment(t, false)
+	started, release := make(chan struct{}, 1), make(chan struct{})
+	d := newDrainDeployment(t, false, respondOK, respondInParts(started, release, respondNothing, respondOK))
 	d.write(t, request("id-1"))
 	d.readResponse(t)
 	<-d.listener.held
+	responses := make(chan response, 1)
+	go func() { responses <- d.call(t, "/unsafe/x", validKey) }() // Until it is answered, the process doesn't end.
+	<-started
 	d.stop()
 	<-d.draining
 	close(d.listener.release)
 	_, err := d.reader.ReadByte()
 	qt.Check(t, err, qt.ErrorIs, io.EOF)
+	close(release)
+	got := <-responses
+	qt.Check(t, got.err, qt.IsNil)
+	qt.Check(t, got.body, qt.Equals, "done")
 	qt.Check(t, <-d.stopped, qt.IsNil)
 }
 
@@ -168,7 +179,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			d := newDrainDeployment(t, false)
+			d := newDrainDeployment(t, false, respondOK)
 			d.write(t, sent.first)
 			<-d.listener.held
 			d.write(t, sent.beforeDrain)
@@ -226,7 +237,7 @@
 	for name, path := range map[string]string{"response of an endpoint": "/safe/x", "rejection": "/none/x"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			d := newDrainDeployment(t, true)
+			d := newDrainDeployment(t, true, respondOK)
 			defer close(d.listener.release)
 			d.write(t, requestTo(path, "id-1"))
 			<-d.listener.held
