Check that a drain lasts as long as a response is unwritten

TestDrainWaitsUntilResponsesAreWritten could not fail on a drain that ends early: it read only the error of the drain, which counts the unwritten responses at its end, whenever that is. With a drain that waits not at all, and with one that waits until requests are handled in place of written, it passed.

It now checks too that the drain has lasted for its whole time, and fails with either fault put back, and with responses that count as written once their requests are handled. Without a fault it passes.

--- a/internal/node/railgateway/drain_test.go
+++ b/internal/node/railgateway/drain_test.go
@@ -241,8 +241,11 @@
 			defer close(d.listener.release)
 			d.write(t, requestTo(path, "id-1"))
 			<-d.listener.held
+			begun := time.Now()
 			d.stop()
 			qt.Check(t, <-d.stopped, qt.ErrorMatches, "drain timed out with 1 requests in flight")
+			lasted := time.Since(begun)
+			qt.Check(t, lasted >= drainTimeout, qt.IsTrue, qt.Commentf("the drain has ended after %s", lasted))
 		})
 	}
 }
