Send the rest of a request only once the server waits for it in the test of requests that have arrived

TestDrainAnswersRequestThatHasArrived could not fail on a drain that takes a connection for idle whose next request was read in part together with the one before: the test sent the other part at once, so that it had arrived when the server read. With railconn not told that the server turns to the next request, all cases passed.

The test waits now until the server reads, and the case 'in part together with the first one' fails with the fault put back (the connection ends in place of a response). Without it the test passes.

--- a/internal/node/railgateway/drain_test.go
+++ b/internal/node/railgateway/drain_test.go
@@ -22,6 +22,8 @@
 	drainMessage = "gateway draining"
 	// drainTimeout is the time for which the drain of a drainDeployment waits.
 	drainTimeout = 5 * time.Second
+	// maxReads is more calls of Read than a test makes on the connections of a holdingListener.
+	maxReads = 1000
 	// eofTimeout is how long a test waits for the end of a connection.
 	eofTimeout = 10 * time.Second
 )
@@ -34,6 +36,8 @@
 	once        sync.Once
 	// held is closed once the first call of Write is held.
 	held, release chan struct{}
+	// reads receives a value for each call of Read that begins after release has been closed.
+	reads chan struct{}
 }
 
 func (l *holdingListener) Accept() (net.Conn, error) {
@@ -58,6 +62,15 @@
 	return n, err
 }
 
+func (c *holdingConn) Read(p []byte) (int, error) {
+	select {
+	case <-c.listener.release:
+		c.listener.reads <- struct{}{}
+	default:
+	}
+	return c.TCPConn.Read(p)
+}
+
 func (c *holdingConn) hold() {
 	c.listener.once.Do(func() {
 		close(c.listener.held)
@@ -104,7 +117,7 @@
 	t.Helper()
 	d := &drainDeployment{near: &endpoint{name: "near", handlers: handlers}, draining: make(chan struct{})}
 	d.deployment = newDrainableDeployment(t, drainTimeout, func(g *railgateway.Gateway) {
-		d.listener = &holdingListener{Listener: g.CallerListener, beforeWrite: beforeWrite, held: make(chan struct{}), release: make(chan struct{})}
+		d.listener = &holdingListener{Listener: g.CallerListener, beforeWrite: beforeWrite, held: make(chan struct{}), release: make(chan struct{}), reads: make(chan struct{}, maxReads)}
 		g.CallerListener = d.listener
 		g.Log = slog.New(messageHandler{Handler: slog.DiscardHandler, prefix: drainMessage, seen: d.draining, once: &sync.Once{}})
 	}, d.near)
@@ -170,12 +183,16 @@
 func TestDrainAnswersRequestThatHasArrived(t *testing.T) {
 	first, second := request("id-1"), request("id-2")
 	half := len(second) / 2
-	for name, sent := range map[string]struct{ first, beforeDrain, afterDrain string }{
-		"after the first response":              {first, second, ""},
-		"together with the first request":       {first + second, "", ""},
-		"in part after the first response":      {first, second[:half], second[half:]},
-		"in part together with the first one":   {first + second[:half], "", second[half:]},
-		"in part on both sides of the response": {first + second[:half], second[half:], ""},
+	for name, sent := range map[string]struct {
+		first, beforeDrain, afterDrain string
+		// reads is the number of calls of Read after the first response, of which the last waits for what is sent in the drain.
+		reads int
+	}{
+		"after the first response":              {first, second, "", 0},
+		"together with the first request":       {first + second, "", "", 0},
+		"in part after the first response":      {first, second[:half], second[half:], 2},
+		"in part together with the first one":   {first + second[:half], "", second[half:], 1},
+		"in part on both sides of the response": {first + second[:half], second[half:], "", 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -187,6 +204,9 @@
 			<-d.draining
 			close(d.listener.release)
 			d.readResponse(t)
+			for range sent.reads {
+				<-d.listener.reads
+			}
 			d.write(t, sent.afterDrain)
 			d.readResponse(t)
 			_, err := d.reader.ReadByte()
