Check that connections are refused at the end of the drain, before the process ends

TestNoConnectionIsAcceptedOnceDrainHasEnded could not fail: it dialed once the test's process had ended, which closes the listener too.

--- a/internal/node/railgateway/drain_end_test.go
+++ b/internal/node/railgateway/drain_end_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -26,7 +25,7 @@
 	t.Helper()
 	draining := make(chan struct{})
 	d := newDrainableDeployment(t, drainTimeout, func(g *railgateway.Gateway) {
-		g.Log = slog.New(messageHandler{Handler: slog.DiscardHandler, prefix: drainMessage, seen: draining, once: &sync.Once{}})
+		g.Log = slog.New(newMessageHandler(drainMessage, draining))
 	}, e)
 	return d, draining
 }
@@ -144,9 +143,21 @@
 
 // Guards against a request that is read after the drain has ended, and is cut when the process ends.
 func TestNoConnectionIsAcceptedOnceDrainHasEnded(t *testing.T) {
-	d := newDeployment(t)
+	const drainedMessage = "gateway drained"
+	dialed := make(chan error, 1)
+	d := newCustomDeployment(t, func(g *railgateway.Gateway) {
+		address := g.CallerListener.Addr().String()
+		g.Log = slog.New(callingHandler{Handler: slog.DiscardHandler, prefix: drainedMessage, call: func() { // The process has not ended.
+			conn, err := net.Dial("tcp", address)
+			if err == nil {
+				_ = conn.Close()
+			}
+			dialed <- err
+		}})
+	})
 	d.stop()
 	qt.Assert(t, <-d.stopped, qt.IsNil)
+	qt.Check(t, <-dialed, qt.ErrorIs, syscall.ECONNREFUSED)
 	_, err := net.Dial("tcp", strings.TrimPrefix(d.url, "http://"))
 	qt.Check(t, err, qt.ErrorIs, syscall.ECONNREFUSED)
 }
--- a/internal/node/railgateway/drain_test.go
+++ b/internal/node/railgateway/drain_test.go
@@ -78,29 +78,34 @@
 	})
 }
 
-// messageHandler closes seen at the first log message with a prefix.
-type messageHandler struct {
+// callingHandler calls a function at each log message with a prefix.
+type callingHandler struct {
 	slog.Handler
 	prefix string
-	seen   chan struct{}
-	once   *sync.Once
+	call   func()
 }
 
-func (h messageHandler) Enabled(context.Context, slog.Level) bool {
+func (h callingHandler) Enabled(context.Context, slog.Level) bool {
 	return true
 }
 
-func (h messageHandler) Handle(_ context.Context, record slog.Record) error {
+func (h callingHandler) Handle(_ context.Context, record slog.Record) error {
 	if strings.HasPrefix(record.Message, h.prefix) {
-		h.once.Do(func() { close(h.seen) })
+		h.call()
 	}
 	return nil
 }
 
-func (h messageHandler) WithAttrs([]slog.Attr) slog.Handler {
+func (h callingHandler) WithAttrs([]slog.Attr) slog.Handler {
 	return h
 }
 
+// newMessageHandler returns a handler that closes seen at the first log message with a prefix.
+func newMessageHandler(prefix string, seen chan<- struct{}) slog.Handler {
+	var once sync.Once
+	return callingHandler{Handler: slog.DiscardHandler, prefix: prefix, call: func() { once.Do(func() { close(seen) }) }}
+}
+
 // drainDeployment is a deployment with a connection on which the first response is held.
 type drainDeployment struct {
 	*deployment
@@ -119,7 +124,7 @@
 	d.deployment = newDrainableDeployment(t, drainTimeout, func(g *railgateway.Gateway) {
 		d.listener = &holdingListener{Listener: g.CallerListener, beforeWrite: beforeWrite, held: make(chan struct{}), release: make(chan struct{}), reads: make(chan struct{}, maxReads)}
 		g.CallerListener = d.listener
-		g.Log = slog.New(messageHandler{Handler: slog.DiscardHandler, prefix: drainMessage, seen: d.draining, once: &sync.Once{}})
+		g.Log = slog.New(newMessageHandler(drainMessage, d.draining))
 	}, d.near)
 	conn, err := net.Dial("tcp", strings.TrimPrefix(d.url, "http://"))
 	qt.Assert(t, err, qt.IsNil)
@@ -235,7 +240,7 @@
 				test.respond(w, r)
 			})}
 			d := newCustomDeployment(t, func(g *railgateway.Gateway) {
-				g.Log = slog.New(messageHandler{Handler: slog.DiscardHandler, prefix: drainMessage, seen: draining, once: &sync.Once{}})
+				g.Log = slog.New(newMessageHandler(drainMessage, draining))
 			}, near)
 			responses := make(chan response, 1)
 			go func() { responses <- d.call(t, test.path, validKey) }()
