Check that an entry serves new connections after a shortage of descriptors

The case 'no descriptors' of TestFailedListenerCutsNoRequest could not fail on a server that gives up for want of descriptors: the drain that this starts serves the one request that the test looked at. With an acceptor that passes the shortage on, the test passed.

The listener heals now, and a request on a new connection has to be answered. The case fails with the fault put back (the connection is reset at the end of the drain). The case of a listener that has failed for good checks now too that the drain ends with its error. Without a fault the test passes.

--- a/internal/node/railgateway/deployment_test.go
+++ b/internal/node/railgateway/deployment_test.go
@@ -269,6 +269,11 @@
 }
 
 func (d *deployment) send(t *testing.T, path, key, parts string) response {
+	t.Helper()
+	return roundTrip(d.newRequest(t, path, key, parts))
+}
+
+func (d *deployment) newRequest(t *testing.T, path, key, parts string) *http.Request {
 	t.Helper()
 	req, err := http.NewRequest(http.MethodPost, d.url+path, strings.NewReader("body"))
 	qt.Assert(t, err, qt.IsNil)
@@ -280,7 +285,7 @@
 	if parts != "" {
 		req.Header.Set(promptHeader, parts)
 	}
-	return roundTrip(req)
+	return req
 }
 
 // roundTrip sends a request and reads its response.
--- a/internal/node/railgateway/drain_end_test.go
+++ b/internal/node/railgateway/drain_end_test.go
@@ -162,12 +162,13 @@
 	qt.Check(t, err, qt.ErrorIs, syscall.ECONNREFUSED)
 }
 
-// brokenListener accepts one connection, and fails with err for ever after it.
+// brokenListener accepts one connection, and fails with err after it until it is healed.
 type brokenListener struct {
 	net.Listener
 	err      error
 	accepted atomic.Bool
 	broken   chan struct{}
+	healed   atomic.Bool
 }
 
 func (l *brokenListener) Accept() (net.Conn, error) {
@@ -175,23 +176,35 @@
 		return l.Listener.Accept()
 	}
 	<-l.broken
+	if l.healed.Load() {
+		return l.Listener.Accept()
+	}
 	return nil, l.err
 }
 
-// Guards against requests that are cut since the process can accept no further connection.
+// Guards against requests that are cut since the process can accept no further connection, and against a process that serves nobody any more, and
+// ends, since there was no descriptor for a while.
 func TestFailedListenerCutsNoRequest(t *testing.T) {
-	for name, err := range map[string]error{"no descriptors": syscall.EMFILE, "for good": errors.New("the listener is gone")} {
+	for name, c := range map[string]struct {
+		err   error
+		heals bool
+	}{
+		"no descriptors": {syscall.EMFILE, true},
+		"for good":       {errors.New("the listener is gone"), false},
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			broken, release, started := make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
-			near := &endpoint{name: "near", handlers: sequence(respondInParts(started, release, respondNothing, respondOK))}
+			release, started := make(chan struct{}), make(chan struct{}, 1)
+			near := &endpoint{name: "near", handlers: sequence(respondInParts(started, release, respondNothing, respondOK), respondOK)}
+			lis := &brokenListener{err: c.err, broken: make(chan struct{})}
 			d := newDrainableDeployment(t, 5*time.Second, func(g *railgateway.Gateway) {
-				g.CallerListener = &brokenListener{Listener: g.CallerListener, err: err, broken: broken}
+				lis.Listener = g.CallerListener
+				g.CallerListener = lis
 			}, near)
 			responses := make(chan response, 1)
 			go func() { responses <- d.call(t, "/unsafe/x", validKey) }()
 			<-started
-			close(broken)
+			close(lis.broken)
 			select {
 			case err := <-d.stopped:
 				t.Fatalf("the process ends while a request is in flight: %v", err)
@@ -201,6 +214,17 @@
 			got := <-responses
 			qt.Check(t, got.err, qt.IsNil)
 			qt.Check(t, got.body, qt.Equals, "done")
+			if !c.heals {
+				qt.Check(t, <-d.stopped, qt.ErrorIs, c.err)
+				return
+			}
+			lis.healed.Store(true)
+			late := &http.Transport{} // With a connection of its own.
+			defer late.CloseIdleConnections()
+			resp, err := late.RoundTrip(d.newRequest(t, "/unsafe/x", validKey, ""))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, resp.StatusCode, qt.Equals, http.StatusOK)
+			qt.Check(t, resp.Body.Close(), qt.IsNil)
 		})
 	}
 }
