Test that a drain rejects requests once the load balancer sends none

TestDrainAcceptsOnlyRequestsThatFit names requests that are accepted late in the grace period, and could not fail on those that fit into what is left of it: with the rule that rejects requests once the load balancer sends none any more taken away, it and all other tests of the drain that were run passed.

A test of its own holds a drain of a minute open by a request and sends others. It fails with the rule taken away (requests are accepted until its limit), and with one that rejects from the start of the drain. Without a fault it passes.

--- a/internal/node/railgateway/drain_end_test.go
+++ b/internal/node/railgateway/drain_end_test.go
@@ -141,6 +141,39 @@
 	}
 }
 
+// Guards against requests that are accepted in the drain after the load balancer has stopped to send any, though the process may end at any moment.
+func TestDrainRejectsRequestsOnceBalancerSendsNone(t *testing.T) {
+	const drainTimeout = time.Minute // So that all requests fit.
+	started, release := make(chan struct{}, 1), make(chan struct{})
+	near := &endpoint{name: "near", handlers: sequence(respondInParts(started, release, respondNothing, respondOK), respondOK)}
+	d, draining := newDrainWatchedDeployment(t, drainTimeout, near)
+	responses := make(chan response, 1)
+	go func() { responses <- d.call(t, "/unsafe/x", validKey) }() // Until it is answered, the drain doesn't end.
+	<-started
+	begun := time.Now()
+	d.stop()
+	<-draining
+	accepted := 0
+	for ; ; accepted++ {
+		got := d.call(t, "/unsafe/x", validKey)
+		qt.Assert(t, got.err, qt.IsNil)
+		qt.Check(t, got.close, qt.IsTrue)
+		if got.status == http.StatusServiceUnavailable {
+			break
+		}
+		qt.Assert(t, got.status, qt.Equals, http.StatusOK)
+		qt.Assert(t, time.Since(begun) < requestTimeout, qt.IsTrue, qt.Commentf("%d requests were accepted", accepted))
+		time.Sleep(10 * time.Millisecond)
+	}
+	qt.Check(t, accepted > 0, qt.IsTrue, qt.Commentf("a request was rejected while the load balancer may send some"))
+	close(release)
+	got := <-responses
+	qt.Check(t, got.err, qt.IsNil)
+	qt.Check(t, got.body, qt.Equals, "done")
+	qt.Check(t, near.requests(), qt.HasLen, accepted+1)
+	qt.Check(t, <-d.stopped, qt.IsNil)
+}
+
 // Guards against a request that is read after the drain has ended, and is cut when the process ends.
 func TestNoConnectionIsAcceptedOnceDrainHasEnded(t *testing.T) {
 	const drainedMessage = "gateway drained"
