Let each event take effect before the endpoint goes on in the test of requests that end

TestRequestEndsWithAnswerWhateverHappens let the endpoint go on at once after the event, so that a fault that takes a moment to act came too late: the request had been answered. With an attempt that is canceled within 100 ms of the event (a look at the configuration, the list or the drain at that interval), all of these cases passed: the route, the service or the key is gone, the time-out is shorter, the route goes to another service, the zones are out of service, the store is out of reach, the endpoint leaves the list, the drain starts.

The test waits now for 250 ms, or until the request has ended. With the same faults put back, each of the nine fails in the six phases in which an attempt runs. The two phases without an attempt ('queued' and 'waiting for a trial') pass with these faults, which do not act there.

--- a/internal/node/railgateway/ending_test.go
+++ b/internal/node/railgateway/ending_test.go
@@ -22,6 +22,8 @@
 	sharedPart = "a1"
 	// shortDeadline ends a request in a test of deadlines.
 	shortDeadline = 700 * time.Millisecond
+	// effectTime is the time for an event to take effect on a request before its endpoint goes on.
+	effectTime = 250 * time.Millisecond
 )
 
 // endingPhase is a phase in which something happens to a request that has been received in full.
@@ -199,6 +201,11 @@
 				t.Parallel()
 				c := startEndingCase(t, phase, requestTimeout, requestTimeout)
 				happen(c.d)
+				select {
+				case got := <-c.responses:
+					c.responses <- got // The event has ended the request.
+				case <-time.After(effectTime):
+				}
 				c.release()
 				c.checkCompleted(t)
 			})
