Let an endpoint be silent for longer than the entry's patience in the test of requests that end

In three phases of TestRequestEndsWithAnswerWhateverHappens ('sent, safe', 'before the first event' and 'resuming') the event 'the endpoint is silent' could not fail: the pause of 1.5 s ended before the entry sought another endpoint, which it does after 30 s or 20 s for the target of these routes. With a silent attempt that is canceled before another one goes on, only the case 'in the stream' failed.

The routes of this event have a short target now, and the pause is that of the other tests of silence. With the fault put back all four cases in which another endpoint may be sought fail; without it the whole test passes.

--- a/internal/node/railgateway/ending_test.go
+++ b/internal/node/railgateway/ending_test.go
@@ -20,6 +20,8 @@
 const (
 	// sharedPart is the part of the prompt of all requests of endingCase.
 	sharedPart = "a1"
+	// silence is the name of the event that an endpoint is silent.
+	silence = "the endpoint is silent"
 	// shortDeadline ends a request in a test of deadlines.
 	shortDeadline = 700 * time.Millisecond
 	// effectTime is the time for an event to take effect on a request before its endpoint goes on.
@@ -33,7 +35,9 @@
 	reach func(d *deployment, near, far *endpoint, reached chan<- struct{}) (release func())
 	// sent is set if the request may have run, and begun if its response has begun.
 	sent, begun bool
-	body        string
+	// impatient is set if another endpoint is sought soon for a response that has not begun.
+	impatient bool
+	body      string
 }
 
 // respondInParts returns a handler that responds with first, and with rest once release is closed.
@@ -154,7 +158,7 @@
 			d.configAge = time.Minute
 		},
 		"the endpoint leaves the list": func(d *deployment) { d.gateway.Fleet.SetInstances(nil) },
-		"the endpoint is silent":       func(*deployment) { time.Sleep(1500 * time.Millisecond) },
+		silence:                        func(*deployment) { time.Sleep(pause) },
 		"the drain starts":             func(d *deployment) { d.stop() },
 	}
 }
@@ -175,6 +179,9 @@
 	t.Helper()
 	c := &endingCase{endingPhase: phase, near: &endpoint{name: "near"}, far: &endpoint{name: "far", handlers: sequence(respondNotRun)}, responses: make(chan response, 1)}
 	c.d = newDrainableDeployment(t, drainTimeout, func(*railgateway.Gateway) {}, c.near, c.far)
+	if phase.impatient {
+		c.d.changeCatalog(withShortTarget)
+	}
 	reached := make(chan struct{}, 1)
 	c.release = phase.reach(c.d, c.near, c.far, reached)
 	ctx, leave := context.WithCancel(context.Background())
@@ -199,6 +206,8 @@
 		for event, happen := range endingEvents() {
 			t.Run(phaseName+", "+event, func(t *testing.T) {
 				t.Parallel()
+				phase := phase
+				phase.impatient = event == silence && phase.sent // Or the silence would end before another endpoint is sought.
 				c := startEndingCase(t, phase, requestTimeout, requestTimeout)
 				happen(c.d)
 				select {
