Test that a search for which no endpoint has room costs no retry

TestReturnedRetryMayBeWithdrawnAgain looks at the budget alone, and could not fail on a gateway that gives no retry back. With the return in admitWithinBudget taken away, it and the tests of silence passed.

A test of its own lets 30 streams pause while no other endpoint is there, more than the budget has retries, and then lets a safe request fail at its endpoint. It fails with the fault put back (502 in place of 200), and passes without it.

--- a/internal/node/railgateway/silence_test.go
+++ b/internal/node/railgateway/silence_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -143,6 +144,33 @@
 	}
 }
 
+// Guards against retries that are lost from the budget, since no endpoint had room for them: one that fails later is not replaced then.
+func TestSearchWithoutRoomCostsNoRetry(t *testing.T) {
+	const streams = 30 // More than the budget's retries.
+	near := &endpoint{name: "near"}
+	for range streams {
+		near.handlers = append(near.handlers, respondWithPause(2, func() {}))
+	}
+	near.handlers = append(near.handlers, abortConnection)
+	d := newDeployment(t, near, &endpoint{name: "far", handlers: sequence(respondOK)})
+	instances := slices.Clone(d.instances)
+	instances[0].Slots = streams
+	d.gateway.Fleet.SetInstances(instances[:1])
+	responses := make(chan response, streams)
+	for range streams {
+		go func() { responses <- d.call(t, "/stream/x", validKey) }()
+	}
+	for range streams {
+		got := <-responses
+		qt.Check(t, got.err, qt.IsNil)
+		qt.Check(t, got.body, qt.Equals, allEvents)
+	}
+	d.gateway.Fleet.SetInstances(instances)
+	got := d.call(t, "/safe/x", validKey)
+	qt.Check(t, got.status, qt.Equals, http.StatusOK)
+	qt.Check(t, near.requests(), qt.HasLen, streams+1)
+}
+
 // A stream whose endpoint stays silent goes on at another endpoint, and the silent one is left once that has begun. No event is lost or doubled.
 func TestSilentStreamGoesOnElsewhere(t *testing.T) {
 	for name, begun := range map[string]int{"before its first event": 0, "in the middle": 2} {
