--- a/internal/node/railgateway/drain_end_test.go
+++ b/internal/node/railgateway/drain_end_test.go
@@ -1,14 +1,12 @@
 package railgateway_test
 
 import (
-	"context"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -27,7 +25,7 @@
 	t.Helper()
 	draining := make(chan struct{})
 	d := newDrainableDeployment(t, drainTimeout, func(g *railgateway.Gateway) {
-		g.Log = slog.New(messageHandler{Handler: slog.DiscardHandler, prefix: prefix, seen: draining, once: &sync.Once{}})
+		g.Log = slog.New(newMessageHandler(prefix, draining))
 	}, e)
 	return d, draining
 }
@@ -104,38 +102,21 @@
 
 // Guards against a final response that is cut, since the process was delayed and ends as soon as it has ended the requests.
 func TestDelayedProcessGivesLastResponsesTheirTime(t *testing.T) {
-	started, delayed := make(chan struct{}, 1), make(chan struct{})
+	started := make(chan struct{}, 1)
 	near := &endpoint{name: "near", handlers: sequence(respondNever(started, func(http.ResponseWriter, *http.Request) {}))}
 	d := newDrainableDeployment(t, time.Second, func(g *railgateway.Gateway) {
-		g.Log = slog.New(delayingHandler{messageHandler{Handler: slog.DiscardHandler, prefix: "gateway ends the requests", seen: delayed, once: &sync.Once{}}})
+		g.Log = slog.New(callingHandler{Handler: slog.DiscardHandler, prefix: "gateway ends the requests", call: func() { time.Sleep(time.Second) }})
 	}, near)
 	responses := make(chan response, 1)
 	go func() { responses <- d.call(t, "/unsafe/x", validKey) }()
 	<-started
 	d.stop()
-	<-delayed
 	got := <-responses
 	qt.Check(t, got.err, qt.IsNil)
 	qt.Check(t, got.status, qt.Equals, http.StatusGatewayTimeout)
 	qt.Check(t, <-d.stopped, qt.ErrorMatches, "drain timed out, 1 requests got no response of an endpoint")
 }
 
-// delayingHandler delays the process for longer than its drain when it logs the message that its messageHandler waits for.
-type delayingHandler struct {
-	messageHandler
-}
-
-func (h delayingHandler) Handle(ctx context.Context, record slog.Record) error {
-	if strings.HasPrefix(record.Message, h.prefix) {
-		time.Sleep(time.Second)
-	}
-	return h.messageHandler.Handle(ctx, record)
-}
-
-func (h delayingHandler) WithAttrs([]slog.Attr) slog.Handler {
-	return h
-}
-
 // Guards against requests that are accepted late in the grace period, and against endpoints that are handed more time than is left of it.
 func TestDrainAcceptsOnlyRequestsThatFit(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -182,21 +163,67 @@
 	}
 }
 
+// Guards against requests that are accepted in the drain after the load balancer has stopped to send any, though the process may end at any moment.
+func TestDrainRejectsRequestsOnceBalancerSendsNone(t *testing.T) {
+	const drainTimeout = time.Minute // So that all requests fit.
+	started, release := make(chan struct{}, 1), make(chan struct{})
+	near := &endpoint{name: "near", handlers: sequence(respondInParts(started, release, respondNothing, respondOK), respondOK)}
+	d, draining := newDrainWatchedDeployment(t, drainTimeout, drainMessage, near)
+	responses := make(chan response, 1)
+	go func() { responses <- d.call(t, "/unsafe/x", validKey) }() // Until it is answered, the drain doesn't end.
+	<-started
+	begun := time.Now()
+	d.stop()
+	<-draining
+	accepted := 0
+	for ; ; accepted++ {
+		got := d.call(t, "/unsafe/x", validKey)
+		qt.Assert(t, got.err, qt.IsNil)
+		qt.Check(t, got.close, qt.IsTrue)
+		if got.status == http.StatusServiceUnavailable {
+			break
+		}
+		qt.Assert(t, got.status, qt.Equals, http.StatusOK)
+		qt.Assert(t, time.Since(begun) < requestTimeout, qt.IsTrue, qt.Commentf("%d requests were accepted", accepted))
+		time.Sleep(10 * time.Millisecond)
+	}
+	qt.Check(t, accepted > 0, qt.IsTrue, qt.Commentf("a request was rejected while the load balancer may send some"))
+	close(release)
+	got := <-responses
+	qt.Check(t, got.err, qt.IsNil)
+	qt.Check(t, got.body, qt.Equals, "done")
+	qt.Check(t, near.requests(), qt.HasLen, accepted+1)
+	qt.Check(t, <-d.stopped, qt.IsNil)
+}
+
 // Guards against a request that is read after the drain has ended, and is cut when the process ends.
 func TestNoConnectionIsAcceptedOnceDrainHasEnded(t *testing.T) {
-	d := newDeployment(t)
+	const drainedMessage = "gateway drained"
+	dialed := make(chan error, 1)
+	d := newCustomDeployment(t, func(g *railgateway.Gateway) {
+		address := g.CallerListener.Addr().String()
+		g.Log = slog.New(callingHandler{Handler: slog.DiscardHandler, prefix: drainedMessage, call: func() { // The process has not ended.
+			conn, err := net.Dial("tcp", address)
+			if err == nil {
+				_ = conn.Close()
+			}
+			dialed <- err
+		}})
+	})
 	d.stop()
 	qt.Assert(t, <-d.stopped, qt.IsNil)
+	qt.Check(t, <-dialed, qt.ErrorIs, syscall.ECONNREFUSED)
 	_, err := net.Dial("tcp", strings.TrimPrefix(d.url, "http://"))
 	qt.Check(t, err, qt.ErrorIs, syscall.ECONNREFUSED)
 }
 
-// brokenListener accepts one connection, and fails with err for ever after it.
+// brokenListener accepts one connection, and fails with err after it until it is healed.
 type brokenListener struct {
 	net.Listener
 	err      error
 	accepted atomic.Bool
 	broken   chan struct{}
+	healed   atomic.Bool
 }
 
 func (l *brokenListener) Accept() (net.Conn, error) {
@@ -204,23 +231,35 @@
 		return l.Listener.Accept()
 	}
 	<-l.broken
+	if l.healed.Load() {
+		return l.Listener.Accept()
+	}
 	return nil, l.err
 }
 
-// Guards against requests that are cut since the process can accept no further connection.
+// Guards against requests that are cut since the process can accept no further connection, and against a process that serves nobody any more, and
+// ends, since there was no descriptor for a while.
 func TestFailedListenerCutsNoRequest(t *testing.T) {
-	for name, err := range map[string]error{"no descriptors": syscall.EMFILE, "for good": errors.New("the listener is gone")} {
+	for name, c := range map[string]struct {
+		err   error
+		heals bool
+	}{
+		"no descriptors": {syscall.EMFILE, true},
+		"for good":       {errors.New("the listener is gone"), false},
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			broken, release, started := make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
-			near := &endpoint{name: "near", handlers: sequence(respondInParts(started, release, respondNothing, respondOK))}
+			release, started := make(chan struct{}), make(chan struct{}, 1)
+			near := &endpoint{name: "near", handlers: sequence(respondInParts(started, release, respondNothing, respondOK), respondOK)}
+			lis := &brokenListener{err: c.err, broken: make(chan struct{})}
 			d := newDrainableDeployment(t, 5*time.Second, func(g *railgateway.Gateway) {
-				g.CallerListener = &brokenListener{Listener: g.CallerListener, err: err, broken: broken}
+				lis.Listener = g.CallerListener
+				g.CallerListener = lis
 			}, near)
 			responses := make(chan response, 1)
 			go func() { responses <- d.call(t, "/unsafe/x", validKey) }()
 			<-started
-			close(broken)
+			close(lis.broken)
 			select {
 			case err := <-d.stopped:
 				t.Fatalf("the process ends while a request is in flight: %v", err)
@@ -230,6 +269,17 @@
 			got := <-responses
 			qt.Check(t, got.err, qt.IsNil)
 			qt.Check(t, got.body, qt.Equals, "done")
+			if !c.heals {
+				qt.Check(t, <-d.stopped, qt.ErrorIs, c.err)
+				return
+			}
+			lis.healed.Store(true)
+			late := &http.Transport{} // With a connection of its own.
+			defer late.CloseIdleConnections()
+			resp, err := late.RoundTrip(d.newRequest(t, "/unsafe/x", validKey, ""))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, resp.StatusCode, qt.Equals, http.StatusOK)
+			qt.Check(t, resp.Body.Close(), qt.IsNil)
 		})
 	}
 }
--- a/internal/node/railgateway/drain_test.go
+++ b/internal/node/railgateway/drain_test.go
@@ -25,17 +25,22 @@
 	// longDrain is a drain timeout that leaves a request all its time after idle connections have been ended, and shortDrain one that a test reaches.
 	longDrain  = 20 * time.Second
 	shortDrain = 5 * time.Second
+	// maxReads is more calls of Read than a test makes on the connections of a holdingListener.
+	maxReads = 1000
 	// eofTimeout is how long a test waits for the end of a connection.
 	eofTimeout = 10 * time.Second
 )
 
-// holdingListener accepts connections on which the server's first call of Write returns only once release is closed. Its data is
+// holdingListener accepts connections, on the first of which the server's first call of Write returns only once release is closed. Its data is
 // written before that, or after it if beforeWrite is set.
 type holdingListener struct {
 	net.Listener
 	beforeWrite bool
+	once        sync.Once
 	// held is closed once the first call of Write is held.
 	held, release chan struct{}
+	// reads receives a value for each call of Read that begins after release has been closed.
+	reads chan struct{}
 }
 
 func (l *holdingListener) Accept() (net.Conn, error) {
@@ -49,7 +54,6 @@
 type holdingConn struct {
 	*net.TCPConn
 	listener *holdingListener
-	once     sync.Once
 }
 
 func (c *holdingConn) Write(p []byte) (int, error) {
@@ -61,37 +65,51 @@
 	return n, err
 }
 
+func (c *holdingConn) Read(p []byte) (int, error) {
+	select {
+	case <-c.listener.release:
+		c.listener.reads <- struct{}{}
+	default:
+	}
+	return c.TCPConn.Read(p)
+}
+
 func (c *holdingConn) hold() {
-	c.once.Do(func() {
+	c.listener.once.Do(func() {
 		close(c.listener.held)
 		<-c.listener.release
 	})
 }
 
-// messageHandler closes seen at the first log message with a prefix.
-type messageHandler struct {
+// callingHandler calls a function at each log message with a prefix.
+type callingHandler struct {
 	slog.Handler
 	prefix string
-	seen   chan struct{}
-	once   *sync.Once
+	call   func()
 }
 
-func (h messageHandler) Enabled(context.Context, slog.Level) bool {
+func (h callingHandler) Enabled(context.Context, slog.Level) bool {
 	return true
 }
 
-func (h messageHandler) Handle(_ context.Context, record slog.Record) error {
+func (h callingHandler) Handle(_ context.Context, record slog.Record) error {
 	if strings.HasPrefix(record.Message, h.prefix) {
-		h.once.Do(func() { close(h.seen) })
+		h.call()
 	}
 	return nil
 }
 
-func (h messageHandler) WithAttrs([]slog.Attr) slog.Handler {
+func (h callingHandler) WithAttrs([]slog.Attr) slog.Handler {
 	return h
 }
 
-// drainDeployment is a deployment with one connection, on which the first response is held.
+// newMessageHandler returns a handler that closes seen at the first log message with a prefix.
+func newMessageHandler(prefix string, seen chan<- struct{}) slog.Handler {
+	var once sync.Once
+	return callingHandler{Handler: slog.DiscardHandler, prefix: prefix, call: func() { once.Do(func() { close(seen) }) }}
+}
+
+// drainDeployment is a deployment with a connection on which the first response is held.
 type drainDeployment struct {
 	*deployment
 	listener *holdingListener
@@ -102,13 +120,14 @@
 	reader   *bufio.Reader
 }
 
-func newDrainDeployment(t *testing.T, drainTimeout time.Duration, beforeWrite bool) *drainDeployment {
+// newDrainDeployment returns a deployment whose endpoint serves requests with the handlers in turn.
+func newDrainDeployment(t *testing.T, drainTimeout time.Duration, beforeWrite bool, handlers ...handler) *drainDeployment {
 	t.Helper()
-	d := &drainDeployment{near: &endpoint{name: "near", handlers: sequence(respondOK)}, draining: make(chan struct{})}
+	d := &drainDeployment{near: &endpoint{name: "near", handlers: handlers}, draining: make(chan struct{})}
 	d.deployment = newDrainableDeployment(t, drainTimeout, func(g *railgateway.Gateway) {
-		d.listener = &holdingListener{Listener: g.CallerListener, beforeWrite: beforeWrite, held: make(chan struct{}), release: make(chan struct{})}
+		d.listener = &holdingListener{Listener: g.CallerListener, beforeWrite: beforeWrite, held: make(chan struct{}), release: make(chan struct{}), reads: make(chan struct{}, maxReads)}
 		g.CallerListener = d.listener
-		g.Log = slog.New(messageHandler{Handler: slog.DiscardHandler, prefix: idleMessage, seen: d.draining, once: &sync.Once{}})
+		g.Log = slog.New(newMessageHandler(idleMessage, d.draining))
 	}, d.near)
 	conn, err := net.Dial("tcp", strings.TrimPrefix(d.url, "http://"))
 	qt.Assert(t, err, qt.IsNil)
@@ -148,15 +167,23 @@
 // Guards against a connection that stays open because the drain looked for idle connections after the caller had read its response
 // but before the server marked the connection as idle.
 func TestDrainClosesConnectionThatBecomesIdleLater(t *testing.T) {
-	d := newDrainDeployment(t, longDrain, false)
+	started, release := make(chan struct{}, 1), make(chan struct{})
+	d := newDrainDeployment(t, longDrain, false, respondOK, respondInParts(started, release, respondNothing, respondOK))
 	d.write(t, request("id-1"))
 	d.readResponse(t)
 	<-d.listener.held
+	responses := make(chan response, 1)
+	go func() { responses <- d.call(t, "/unsafe/x", validKey) }() // Until it is answered, the process doesn't end.
+	<-started
 	d.stop()
 	<-d.draining
 	close(d.listener.release)
 	_, err := d.reader.ReadByte()
 	qt.Check(t, err, qt.ErrorIs, io.EOF)
+	close(release)
+	got := <-responses
+	qt.Check(t, got.err, qt.IsNil)
+	qt.Check(t, got.body, qt.Equals, "done")
 	qt.Check(t, <-d.stopped, qt.IsNil)
 }
 
@@ -164,16 +191,20 @@
 func TestDrainAnswersRequestThatHasArrived(t *testing.T) {
 	first, second := request("id-1"), request("id-2")
 	half := len(second) / 2
-	for name, sent := range map[string]struct{ first, beforeDrain, afterDrain string }{
-		"after the first response":              {first, second, ""},
-		"together with the first request":       {first + second, "", ""},
-		"in part after the first response":      {first, second[:half], second[half:]},
-		"in part together with the first one":   {first + second[:half], "", second[half:]},
-		"in part on both sides of the response": {first + second[:half], second[half:], ""},
+	for name, sent := range map[string]struct {
+		first, beforeDrain, afterDrain string
+		// reads is the number of calls of Read after the first response, of which the last waits for what is sent in the drain.
+		reads int
+	}{
+		"after the first response":              {first, second, "", 0},
+		"together with the first request":       {first + second, "", "", 0},
+		"in part after the first response":      {first, second[:half], second[half:], 2},
+		"in part together with the first one":   {first + second[:half], "", second[half:], 1},
+		"in part on both sides of the response": {first + second[:half], second[half:], "", 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			d := newDrainDeployment(t, longDrain, false)
+			d := newDrainDeployment(t, longDrain, false, respondOK)
 			d.write(t, sent.first)
 			<-d.listener.held
 			d.write(t, sent.beforeDrain)
@@ -181,6 +212,9 @@
 			<-d.draining
 			close(d.listener.release)
 			d.readResponse(t)
+			for range sent.reads {
+				<-d.listener.reads
+			}
 			d.write(t, sent.afterDrain)
 			d.readResponse(t)
 			_, err := d.reader.ReadByte()
@@ -209,7 +243,7 @@
 				test.respond(w, r)
 			})}
 			d := newCustomDeployment(t, func(g *railgateway.Gateway) {
-				g.Log = slog.New(messageHandler{Handler: slog.DiscardHandler, prefix: drainMessage, seen: draining, once: &sync.Once{}})
+				g.Log = slog.New(newMessageHandler(drainMessage, draining))
 			}, near)
 			responses := make(chan response, 1)
 			go func() { responses <- d.call(t, test.path, validKey) }()
@@ -231,12 +265,15 @@
 	for name, path := range map[string]string{"response of an endpoint": "/safe/x", "rejection": "/none/x"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			d := newDrainDeployment(t, shortDrain, true)
+			d := newDrainDeployment(t, shortDrain, true, respondOK)
 			defer close(d.listener.release)
 			d.write(t, requestTo(path, "id-1"))
 			<-d.listener.held
+			begun := time.Now()
 			d.stop()
 			qt.Check(t, <-d.stopped, qt.ErrorMatches, "drain timed out with 1 requests in flight")
+			lasted := time.Since(begun)
+			qt.Check(t, lasted >= shortDrain, qt.IsTrue, qt.Commentf("the drain has ended after %s", lasted))
 		})
 	}
 }
