Contain a panic in the work of one request at the gateway

What callers saw: all requests of an entry, waiting, running or streaming, and those that were just being read, ended without a word when the work of one of them panicked, since nothing recovered and the process ended.

A unit of work is contained where its end is decided: - the request, in the handler: its response is 503 if no attempt has begun, or each has said that it has not run, else 502. The panic's value is not told to the caller. - the stream, in fasthttp's goroutine for its body: the connection is reset, so that the part does not look complete. - the attempt, in exchange: a panic before the request is sent is one that has not run, a later one may have run. It ends the request (the same work would panic at the next endpoint) and counts neither as the endpoint's failure nor as an engine's end. - the search for a standby, in its own goroutine: it has found nothing. The silent attempt stays open, as after any failed search. - a queued request, in the admitter: its choice of an endpoint runs in the goroutine of whoever frees capacity, or of the timer. It alone is rejected, as not run. A panic elsewhere in a retry ends that retry only: each waiting request still ends by itself. - the readiness check: not ready. - a body that is sent apart from its response (railexchange): an error of the send. What a request holds is given back by defers: its count in flight, the watch of its connection, lease, quarantine pass, exchange, withdrawn retry, place in the queue. The admitter's lock is held by functions that defer its release; before, a panic in Acquire would have left it locked, and every later request of the service with it. The records of an ending (log, counters, objective) are contained on their own, since they may be what has panicked. railpanic counts each panic and logs one a second for each kind of work, with its stack.

--- a/internal/endpoint/railexchange/exchange.go
+++ b/internal/endpoint/railexchange/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 
+	"github.com/fulmarrail/fulmarrail/internal/core/railpanic"
 	"github.com/fulmarrail/fulmarrail/internal/request/railverdict"
 )
 
@@ -109,10 +110,20 @@
 	}
 	clone := &fasthttp.Request{}
 	req.CopyTo(clone)
-	go func() { e.sendResult <- e.write(clone) }()
+	go func() { e.sendResult <- e.writeContained(clone) }()
 	return nil
 }
 
+// writeContained is write, which returns a panic as an error: it runs apart from the request's other work, which contains its own.
+func (e *Exchange) writeContained(req *fasthttp.Request) (err error) {
+	defer func() {
+		if p := railpanic.Recovered(recover(), nil, "send"); p != nil {
+			err = p
+		}
+	}()
+	return e.write(req)
+}
+
 func (e *Exchange) write(req *fasthttp.Request) error {
 	w := writerPool.Get().(*bufio.Writer)
 	defer writerPool.Put(w)
--- a/internal/node/railgateway/attempt.go
+++ b/internal/node/railgateway/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/fulmarrail/fulmarrail/internal/config/railroute"
+	"github.com/fulmarrail/fulmarrail/internal/core/railpanic"
 	"github.com/fulmarrail/fulmarrail/internal/endpoint/railexchange"
 	"github.com/fulmarrail/fulmarrail/internal/limit/railquarantine"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railfleet"
@@ -44,12 +45,12 @@
 
 // close ends the attempt and releases its lease.
 func (a *attempt) close(outcome railfleet.Outcome) {
+	defer a.lease.Done(outcome)
+	defer a.pass.Release()
 	a.cancel(nil)
 	if a.exchange != nil {
 		a.exchange.Close()
 	}
-	a.pass.Release()
-	a.lease.Done(outcome)
 }
 
 // runAttempt makes one attempt, and others while its endpoint is silent. It returns the first that goes on.
@@ -62,6 +63,12 @@
 		defer expiry.Stop()
 	}
 	watch := g.watchSilence(parent, c, a, startPatience(c))
+	settled := false
+	defer func() {
+		if !settled {
+			a.abandon(watch)
+		}
+	}()
 	watch.wait(lastEventID)
 	verdict, err := g.exchange(c, a, lastEventID)
 	var successor *attempt
@@ -69,12 +76,14 @@
 		successor = watch.wentOn()
 	}
 	if err == nil && successor == nil {
+		settled = true
 		return a, nil
 	}
 	g.fail(c, a, verdict, err)
 	if successor == nil {
 		successor = watch.failed()
 	}
+	settled = true
 	if successor != nil {
 		return successor, nil
 	}
@@ -84,12 +93,19 @@
 // watchSilence returns a watch that looks for an attempt to take over from another.
 func (g *Gateway) watchSilence(ctx context.Context, c *call, a *attempt, patience time.Duration) *silenceWatch {
 	return &silenceWatch{
-		ctx: ctx, patience: patience, silent: a.lease.Silent, giveUp: func() { a.cancel(errReplaced) },
-		search: func(ctx context.Context, lastEventID string) (*attempt, error) {
+		ctx: ctx, patience: patience, giveUp: func() { a.cancel(errReplaced) },
+		search: func(ctx context.Context, lastEventID string) (found *attempt, err error) {
+			defer func() {
+				if p := railpanic.Recovered(recover(), g.Log, unitSearch, "request", c.ID); p != nil {
+					found.closeUnless(false)
+					found, err = nil, p
+				}
+			}()
+			a.lease.Silent()
 			if c.tries.count() >= maxTotalAttempts {
 				return nil, errTooManyAttempts
 			}
-			found, err := g.dispatch(ctx, c, lastEventID)
+			found, err = g.dispatch(ctx, c, lastEventID)
 			if err == nil {
 				if err = found.checkSuccessor(lastEventID); err != nil {
 					g.fail(c, found, railverdict.MayHaveRun, err)
@@ -113,8 +129,15 @@
 }
 
 // exchange sends the request and reads the response: a stream up to its first event, any other in full. The verdict covers this attempt only.
-func (g *Gateway) exchange(c *call, a *attempt, lastEventID string) (railverdict.Verdict, error) {
+func (g *Gateway) exchange(c *call, a *attempt, lastEventID string) (verdict railverdict.Verdict, err error) {
+	sent := railverdict.NotRun
+	defer func() {
+		if p := railpanic.Recovered(recover(), g.Log, unitAttempt, "request", c.ID, "endpoint", a.lease.Instance.ID); p != nil {
+			verdict, err = sent, p
+		}
+	}()
 	req := g.newRequest(c, a.lease, lastEventID)
+	sent = railverdict.MayHaveRun
 	exchange, verdict, err := railexchange.Start(a.ctx, a.lease.Instance.Address, req)
 	fasthttp.ReleaseRequest(req)
 	a.exchange = exchange
@@ -150,7 +173,7 @@
 
 // isAnswer reports whether an attempt failed although the endpoint has answered.
 func isAnswer(err error) bool {
-	return errors.IsAny(err, errWrongResponse, errServerError, errRejected, errUnprovenRefusal, errEventGap)
+	return errors.IsAny(err, errWrongResponse, errServerError, errRejected, errUnprovenRefusal, errEventGap) || isPanic(err)
 }
 
 // readResponse checks a response's headers, and reads a stream up to its first event and any other response completely.
@@ -230,15 +253,15 @@
 	return plainTimeoutFactor * c.route.TargetLatency
 }
 
-// leaseOutcome returns the outcome to report for the endpoint of a failed attempt. Disconnected callers, expired weights and server
-// errors do not count as failures of the endpoint.
+// leaseOutcome returns the outcome to report for the endpoint of a failed attempt. Disconnected callers, expired weights, server
+// errors and this entry's own panics do not count as failures of the endpoint.
 func leaseOutcome(c *call, err error) railfleet.Outcome {
 	switch {
 	case errors.Is(err, errMisdirected):
 		return railfleet.Misdirected
 	case errors.Is(err, errRejected):
 		return railfleet.Rejected
-	case errors.IsAny(err, errServerError, errWeightsExpired, errNotNeeded, errCallerDisconnected), errors.Is(c.workCtx.Err(), context.Canceled):
+	case isPanic(err), errors.IsAny(err, errServerError, errWeightsExpired, errNotNeeded, errCallerDisconnected), errors.Is(c.workCtx.Err(), context.Canceled):
 		return railfleet.Answered
 	}
 	return railfleet.Failed
--- a/internal/node/railgateway/ending.go
+++ b/internal/node/railgateway/ending.go
@@ -121,20 +121,25 @@
 	return errors.Is(context.Cause(c.workCtx), errCallerDisconnected)
 }
 
-// finish records the request's duration, releases its resources and removes it from the count in flight.
+// finish records the request's duration, releases its resources and removes it from the count in flight. Further calls have no effect.
 func (g *Gateway) finish(c *call) {
-	metrics.GetOrCreateHistogram(fmt.Sprintf(`fulmarrail_gateway_request_seconds{service=%q}`, c.service)).UpdateDuration(c.start)
+	if c.finished {
+		return
+	}
 	c.cause = c.endCause()
 	c.disconnected, c.finished = c.cause == causeCaller, true
+	defer g.inFlight.Add(-1)
+	defer c.stopWatch()
 	c.cancel(nil)
-	c.stopWatch()
-	g.inFlight.Add(-1)
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`fulmarrail_gateway_request_seconds{service=%q}`, c.service)).UpdateDuration(c.start)
 }
 
 // rejectUnanswered responds to a request that no endpoint answered. The status depends on whether the request may have run.
 func (g *Gateway) rejectUnanswered(c *call, verdict railverdict.Verdict, err error) {
 	rejected := &rejection{status: fasthttp.StatusBadGateway, reason: "the endpoint did not answer"}
 	switch cause := c.endCause(); {
+	case isPanic(err):
+		rejected = panicRejection(verdict)
 	case verdict == railverdict.NotRun:
 		rejected = &rejection{
 			status: fasthttp.StatusServiceUnavailable, reason: "the request has not run: " + errors.UnwrapAll(err).Error(), logAttrs: rejectionAttrs(err),
--- a/internal/node/railgateway/forward.go
+++ b/internal/node/railgateway/forward.go
@@ -44,9 +44,12 @@
 		g.rejectUnanswered(c, verdict, err)
 		return
 	}
+	streaming := false
+	defer func() { a.closeUnless(streaming) }()
 	c.sendDelay, c.firstDelay = a.sentAt.Sub(c.start), time.Since(c.start)
 	if a.isStream {
 		g.stream(c, a)
+		streaming = true
 		return
 	}
 	a.close(railfleet.Answered)
@@ -78,7 +81,7 @@
 			return a, nil
 		}
 		lastErr = err
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || isPanic(err) {
 			return nil, err
 		}
 	}
@@ -94,10 +97,14 @@
 	if !budget.TryWithdraw() {
 		return nil, errBudgetExhausted
 	}
+	admitted := false
+	defer func() {
+		if !admitted {
+			budget.Return()
+		}
+	}()
 	a, err := g.admitAttempt(ctx, c, true)
-	if err != nil {
-		budget.Return()
-	}
+	admitted = err == nil
 	return a, err
 }
 
@@ -136,27 +143,42 @@
 // acquireLease waits until a request may run with the parts of its prompt and an endpoint has room for it.
 func (g *Gateway) acquireLease(ctx context.Context, c *call, requirements railfleet.Requirements, rank int, grantBy time.Time) (*attempt, error) {
 	for {
-		pass, err := g.Quarantine.Enter(ctx, c.quarantineParts(), grantBy)
-		if err != nil {
-			return nil, err
-		}
-		requirements.IsolationKey = pass.IsolationKey()
-		lease, err := g.admitter(c.service).Acquire(ctx, requirements, rank, c.customer.Name, grantBy)
-		if err != nil {
-			pass.Release()
-			return nil, err
+		a, err := g.tryAcquire(ctx, c, requirements, rank, grantBy)
+		if a != nil || err != nil {
+			return a, err
 		}
-		if g.drainState.ctx.Err() != nil {
-			pass.Release()
-			lease.Done(railfleet.Answered)
-			return nil, errStopping // Another request has just been canceled, which this one must not follow.
+	}
+}
+
+// tryAcquire is acquireLease. It returns nil if the pass is not given any more once an endpoint has room.
+func (g *Gateway) tryAcquire(ctx context.Context, c *call, requirements railfleet.Requirements, rank int, grantBy time.Time) (*attempt, error) {
+	pass, err := g.Quarantine.Enter(ctx, c.quarantineParts(), grantBy)
+	if err != nil {
+		return nil, err
+	}
+	var lease *railfleet.Lease
+	kept := false
+	defer func() {
+		if kept {
+			return
 		}
-		if pass.Begin() {
-			return &attempt{lease: lease, pass: pass}, nil
+		if lease != nil {
+			defer lease.Done(railfleet.Answered)
 		}
 		pass.Release()
-		lease.Done(railfleet.Answered)
+	}()
+	requirements.IsolationKey = pass.IsolationKey()
+	if lease, err = g.admitter(c.service).Acquire(ctx, requirements, rank, c.customer.Name, grantBy); err != nil {
+		return nil, err
+	}
+	if g.drainState.ctx.Err() != nil {
+		return nil, errStopping // Another request has just been canceled, which this one must not follow.
+	}
+	if !pass.Begin() {
+		return nil, nil
 	}
+	kept = true
+	return &attempt{lease: lease, pass: pass}, nil
 }
 
 // refresh sets the requirements that follow from the current configuration: the zones that are out of service, and the weights on which a
--- a/internal/node/railgateway/gateway.go
+++ b/internal/node/railgateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/burn/railburn"
 	"github.com/fulmarrail/fulmarrail/internal/config/railcatalog"
 	"github.com/fulmarrail/fulmarrail/internal/core/raillogsampler"
+	"github.com/fulmarrail/fulmarrail/internal/core/railpanic"
 	"github.com/fulmarrail/fulmarrail/internal/limit/railmemory"
 	"github.com/fulmarrail/fulmarrail/internal/limit/railquarantine"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railfleet"
@@ -116,6 +117,11 @@
 }
 
 func (g *Gateway) readiness(ctx *fasthttp.RequestCtx) {
+	defer func() {
+		if railpanic.Recovered(recover(), g.Log, unitReadiness) != nil {
+			ctx.Error("the check has failed", fasthttp.StatusServiceUnavailable)
+		}
+	}()
 	if reason := g.unreadyReason(); string(ctx.Path()) != g.ReadyPath || reason != "" {
 		ctx.Error(reason, fasthttp.StatusServiceUnavailable)
 		return
@@ -143,7 +149,7 @@
 	if a, ok := g.admitters.Load(service); ok {
 		return a.(*railadmitter.Admitter)
 	}
-	a, _ := g.admitters.LoadOrStore(service, &railadmitter.Admitter{Fleet: g.Fleet})
+	a, _ := g.admitters.LoadOrStore(service, &railadmitter.Admitter{Fleet: g.Fleet, Log: g.Log})
 	return a.(*railadmitter.Admitter)
 }
 
--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -17,6 +17,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/config/railcatalog"
 	"github.com/fulmarrail/fulmarrail/internal/config/railcustomer"
 	"github.com/fulmarrail/fulmarrail/internal/config/railroute"
+	"github.com/fulmarrail/fulmarrail/internal/core/railpanic"
 	"github.com/fulmarrail/fulmarrail/internal/limit/railquarantine"
 	"github.com/fulmarrail/fulmarrail/internal/node/railconn"
 	"github.com/fulmarrail/fulmarrail/internal/request/railheader"
@@ -78,17 +79,23 @@
 }
 
 func (g *Gateway) serve(ctx *fasthttp.RequestCtx) {
-	c := &call{Request: g.Translator.ParseRequest(&ctx.Request.Header), ctx: ctx, start: time.Now()}
+	c := &call{ctx: ctx, start: time.Now()}
+	defer func() {
+		if railpanic.Recovered(recover(), g.Log, unitRequest, "request", c.ID) != nil {
+			g.endPanicked(c)
+		}
+	}()
 	if c.conn, _ = ctx.Conn().(*railconn.Conn); c.conn != nil {
 		c.conn.MarkAnswering()
 	}
+	c.Request = g.Translator.ParseRequest(&ctx.Request.Header)
 	if rejected := g.admit(c); rejected != nil {
 		g.reject(c, rejected)
 		return
 	}
-	g.inFlight.Add(1)
 	ctx.Request.CopyTo(&c.upstream)
 	removeHopByHopHeaders(&c.upstream.Header)
+	g.inFlight.Add(1)
 	c.begin(g.drainState.ctx)
 	g.forward(c)
 }
@@ -160,6 +167,12 @@
 
 // reject responds with a rejection's status and reason, and logs it.
 func (g *Gateway) reject(c *call, rejected *rejection) {
+	g.respond(c, rejected)
+	g.recordRejection(c, rejected)
+}
+
+// respond responds with a rejection's status and reason.
+func (g *Gateway) respond(c *call, rejected *rejection) {
 	c.ctx.Response.Reset()
 	c.ctx.SetStatusCode(rejected.status)
 	c.ctx.SetBodyString(rejected.reason + "\n")
@@ -167,6 +180,10 @@
 		retryAfter := cmp.Or(rejected.retryAfter, railretrydetector.RetryAfter(c.Timeout, time.Since(c.start), rand.Float64()))
 		c.ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
+}
+
+// recordRejection counts and logs a rejection.
+func (g *Gateway) recordRejection(c *call, rejected *rejection) {
 	countRequest(c, rejected.status)
 	if rejected.status >= fasthttp.StatusInternalServerError && !rejected.quarantined {
 		g.observe(c, false)
--- a/internal/node/railgateway/standby.go
+++ b/internal/node/railgateway/standby.go
@@ -17,8 +17,8 @@
 	patience time.Duration
 	// search returns an attempt that goes on after the event with the given ID, or with a response of its own if it is empty.
 	search func(ctx context.Context, lastEventID string) (*attempt, error)
-	// silent is called when a search begins, and giveUp ends the silent attempt.
-	silent, giveUp func()
+	// giveUp ends the silent attempt.
+	giveUp func()
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -106,12 +106,11 @@
 	w.standby = s
 	lastEventID := w.lastEventID
 	w.mu.Unlock()
-	w.silent()
+	defer close(s.ended)
 	found, err := w.search(ctx, lastEventID)
 	if !w.finishSearch(s, found, err) && found != nil {
 		found.close(railfleet.Answered)
 	}
-	close(s.ended)
 }
 
 // finishSearch records the result of a search. It reports whether the attempt found takes over.
--- a/internal/node/railgateway/stream.go
+++ b/internal/node/railgateway/stream.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
+	"github.com/fulmarrail/fulmarrail/internal/core/railpanic"
 	"github.com/fulmarrail/fulmarrail/internal/endpoint/railexchange"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railfleet"
 	"github.com/fulmarrail/fulmarrail/internal/request/railverdict"
@@ -28,6 +29,11 @@
 	c.ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer g.finish(c)
 		defer c.abortAtEnd()()
+		defer func() {
+			if p := railpanic.Recovered(recover(), g.Log, unitStream, "request", c.ID); p != nil {
+				g.endPanickedStream(c, p)
+			}
+		}()
 		err := g.relayStream(c, a, w)
 		if err == nil {
 			g.recordEnd(c, endAnswered)
@@ -37,31 +43,52 @@
 		if errors.Is(err, errCallerDisconnected) {
 			c.cancel(errCallerDisconnected)
 		}
-		g.observe(c, false)
-		metrics.GetOrCreateCounter(fmt.Sprintf(`fulmarrail_gateway_broken_streams_total{service=%q}`, c.service)).Inc()
-		g.Log.Info("stream broken", "request", c.ID, "customer", c.customer.Name, "ended", g.recordEnd(c, endBroken), "cause", c.endCause(), "err", err, "after", time.Since(c.start))
-		if c.conn != nil {
-			c.conn.Abort()
-		}
+		g.recordBroken(c, err)
+		c.abort()
 	})
 }
 
+// recordBroken counts and logs a stream that nobody can complete.
+func (g *Gateway) recordBroken(c *call, err error) {
+	g.observe(c, false)
+	metrics.GetOrCreateCounter(fmt.Sprintf(`fulmarrail_gateway_broken_streams_total{service=%q}`, c.service)).Inc()
+	g.Log.Info("stream broken", "request", c.ID, "customer", c.customer.Name, "ended", g.recordEnd(c, endBroken), "cause", c.endCause(), "err", err, "after", time.Since(c.start))
+}
+
+// abort resets the caller's connection.
+func (c *call) abort() {
+	if c.conn != nil {
+		c.conn.Abort()
+	}
+}
+
 // relayStream relays a stream, resuming it at other endpoints where that is allowed. It returns nil once the complete stream has been
 // relayed.
 func (g *Gateway) relayStream(c *call, a *attempt, w *bufio.Writer) error {
 	lastEventID := ""
+	var watch *silenceWatch
+	settled := false
+	defer func() {
+		if !settled {
+			a.abandon(watch)
+		}
+	}()
 	for {
-		watch := g.watchSilence(c.workCtx, c, a, 0)
+		watch = g.watchSilence(c.workCtx, c, a, 0)
 		err := g.relayEvents(c, a, w, watch, &lastEventID)
 		if err == nil {
 			a.close(railfleet.Answered)
 			g.logResponse(c, a)
+			settled = true
 			return nil
 		}
 		g.failStream(c, a, err)
-		if a, err = g.resume(c, watch, lastEventID, err); err != nil {
+		next, err := g.resume(c, watch, lastEventID, err)
+		if err != nil {
+			settled = true
 			return err
 		}
+		a = next
 	}
 }
 
@@ -77,6 +104,8 @@
 // resume returns the attempt at which a stream goes on that broke off with an error: the one that has taken over already, or a new one.
 func (g *Gateway) resume(c *call, watch *silenceWatch, lastEventID string, err error) (*attempt, error) {
 	next := watch.failed()
+	resumed := false
+	defer func() { next.closeUnless(resumed) }()
 	if next == nil {
 		if c.workCtx.Err() != nil || !c.route.Resumable || lastEventID == "" || !errors.Is(err, railexchange.ErrTruncated) {
 			return nil, err
@@ -92,6 +121,7 @@
 		return nil, errEventGap
 	}
 	g.Log.Info("stream is taken up elsewhere", "request", c.ID, "endpoint", next.lease.Instance.ID, "lastEvent", lastEventID, "parts", c.SharedParts, "err", err)
+	resumed = true
 	return next, nil
 }
 
--- a/internal/node/railgateway/tries.go
+++ b/internal/node/railgateway/tries.go
@@ -71,6 +71,16 @@
 	return t.verdict
 }
 
+// worstVerdict is sumVerdict, which counts attempts that run as ones that may have run.
+func (t *tries) worstVerdict() railverdict.Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.running) > 0 {
+		return railverdict.MayHaveRun
+	}
+	return t.verdict
+}
+
 // takeServerErrorRetry reports whether this is the first server error.
 func (t *tries) takeServerErrorRetry() bool {
 	t.mu.Lock()
--- a/internal/routing/railadmitter/admitter.go
+++ b/internal/routing/railadmitter/admitter.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"log/slog"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fulmarrail/fulmarrail/internal/core/railpanic"
 	"github.com/fulmarrail/fulmarrail/internal/limit/railqueue"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railfleet"
 )
@@ -22,6 +24,10 @@
 	maxWaiting = 1 << 14
 	// customerWeight is each customer's weight in the queue.
 	customerWeight = 1
+
+	// unitWaiting and unitRetry are the kinds of work in which a panic is contained.
+	unitWaiting = "waiting request"
+	unitRetry   = "retry of waiting requests"
 )
 
 var (
@@ -35,7 +41,7 @@
 
 // RejectionError is the error of a rejected request. It holds the state of the endpoints and the queue when the request arrived.
 type RejectionError struct {
-	// Cause is ErrBusy, ErrNoEndpoint or ErrPaused.
+	// Cause is ErrBusy, ErrNoEndpoint or ErrPaused, or a panic in the choice of an endpoint for the request.
 	Cause error
 	// Eligible is the number of endpoints that could take the request, regardless of their load. Ahead is the number of waiting
 	// requests that precede it.
@@ -60,6 +66,8 @@
 // concurrent use.
 type Admitter struct {
 	Fleet *railfleet.Fleet
+	// Log gets a line for a panic in the choice of an endpoint. Without it, that goes to the default log.
+	Log *slog.Logger
 
 	mu sync.Mutex
 	// waiting is nil before the first request waits.
@@ -86,37 +94,46 @@
 // same rank in turn for each customer, so that one customer's requests don't hold up those of others. An error means that the request was not
 // run; it is a RejectionError unless ctx is done.
 func (a *Admitter) Acquire(ctx context.Context, requirements railfleet.Requirements, rank int, customer string, grantBy time.Time) (*railfleet.Lease, error) {
+	w := &waiter{requirements: requirements, rank: rank, customer: customer, grantBy: grantBy, granted: make(chan *railfleet.Lease, 1), rejected: make(chan *RejectionError, 1)}
+	lease, rejection, queued := a.reserveOrQueue(w)
+	switch {
+	case lease != nil:
+		return lease, nil
+	case queued:
+		return a.await(ctx, w, rejection)
+	}
+	return nil, rejection
+}
+
+// reserveOrQueue returns a lease, or else the reason why there is none now, and whether the request is queued until there may be one.
+func (a *Admitter) reserveOrQueue(w *waiter) (lease *railfleet.Lease, rejection *RejectionError, queued bool) {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	now := time.Now()
 	a.init()
-	ahead := a.waiting.CountAhead(-rank, customer, customerWeight)
+	ahead := a.waiting.CountAhead(-w.rank, w.customer, customerWeight)
 	if ahead == 0 {
-		if l, ok := a.reserve(requirements, grantBy, now); ok {
+		if l, ok := a.reserve(w.requirements, w.grantBy, now); ok {
 			a.recordGrant(now)
-			a.mu.Unlock()
-			return l, nil
+			return l, nil, false
 		}
 	}
-	rejection := &RejectionError{Cause: ErrBusy, Eligible: a.Fleet.CountUsable(requirements), Ahead: ahead, ExpectedWait: a.predictWait(now, ahead)}
-	if paused, ok := a.pauseRejection(requirements, grantBy, now); ok {
-		a.mu.Unlock()
-		return nil, paused
+	rejection = &RejectionError{Cause: ErrBusy, Eligible: a.Fleet.CountUsable(w.requirements), Ahead: ahead, ExpectedWait: a.predictWait(now, ahead)}
+	if paused, ok := a.pauseRejection(w.requirements, w.grantBy, now); ok {
+		return nil, paused, false
 	}
-	noEndpoint := rejection.Eligible == 0 && !now.Before(grantBy)
+	noEndpoint := rejection.Eligible == 0 && !now.Before(w.grantBy)
 	if noEndpoint {
 		rejection.Cause = ErrNoEndpoint
 	}
-	if noEndpoint || rejection.ExpectedWait > grantBy.Sub(now) {
-		a.mu.Unlock()
-		return nil, rejection
+	if noEndpoint || rejection.ExpectedWait > w.grantBy.Sub(now) {
+		return nil, rejection, false
 	}
-	w := &waiter{requirements: requirements, rank: rank, customer: customer, grantBy: grantBy, granted: make(chan *railfleet.Lease, 1), rejected: make(chan *RejectionError, 1)}
-	if evicted, full := a.waiting.Push(w, -rank, customer, customerWeight); full {
+	if evicted, full := a.waiting.Push(w, -w.rank, w.customer, customerWeight); full {
 		evicted.rejected <- &RejectionError{Cause: ErrBusy, Ahead: maxWaiting}
 	}
 	a.startPolling()
-	a.mu.Unlock()
-	return a.await(ctx, w, rejection)
+	return nil, rejection, true
 }
 
 // Wake grants leases to waiting requests while there is capacity, now or within a few milliseconds.
@@ -157,8 +174,10 @@
 }
 
 // retry grants leases to waiting requests while there is capacity. A request that can't be granted blocks those behind it, so that small
-// requests don't starve large ones, unless no endpoint could take it regardless of load.
+// requests don't starve large ones, unless no endpoint could take it regardless of load. A panic ends only this retry: each waiting request still ends
+// by itself at the end of its wait.
 func (a *Admitter) retry(now time.Time) {
+	defer func() { railpanic.Recovered(recover(), a.Log, unitRetry) }()
 	a.retriedAt, a.changed = now, false
 	var unservable []*waiter
 	for {
@@ -166,18 +185,19 @@
 		if !ok {
 			break
 		}
-		if l, ok := a.reserve(w.requirements, w.grantBy, now); ok {
+		l, rejection, usable := a.decide(w, now)
+		if l != nil {
 			a.waiting.Pop()
 			a.recordGrant(now)
 			w.granted <- l
 			continue
 		}
-		if paused, ok := a.pauseRejection(w.requirements, w.grantBy, now); ok {
+		if rejection != nil {
 			a.waiting.DiscardFirst()
-			w.rejected <- paused
+			w.rejected <- rejection
 			continue
 		}
-		if a.Fleet.CountUsable(w.requirements) > 0 {
+		if usable {
 			break
 		}
 		a.waiting.Pop()
@@ -188,6 +208,23 @@
 	}
 }
 
+// decide returns a lease for a waiting request, or the reason why it can't get one in time any more, or whether there is an endpoint that may take it
+// later. A panic ends the wait of this request only: the retry is made on behalf of all that wait, and often by a request that has just ended.
+func (a *Admitter) decide(w *waiter, now time.Time) (lease *railfleet.Lease, rejection *RejectionError, usable bool) {
+	defer func() {
+		if p := railpanic.Recovered(recover(), a.Log, unitWaiting); p != nil {
+			rejection = &RejectionError{Cause: p}
+		}
+	}()
+	if l, ok := a.reserve(w.requirements, w.grantBy, now); ok {
+		return l, nil, true
+	}
+	if paused, ok := a.pauseRejection(w.requirements, w.grantBy, now); ok {
+		return nil, paused, true
+	}
+	return nil, nil, a.Fleet.CountUsable(w.requirements) > 0
+}
+
 // Waiting returns the number of waiting requests.
 func (a *Admitter) Waiting() int {
 	a.mu.Lock()
