Contain a panic in the work of one call at the agent

What callers saw: an executor runs calls apart from the connection, so that a panic in one ended the agent's process and all its calls; their entries could only say 502, and the endpoint lost its agent. The same came from any handler of an inner call, in each kind of process.

Design: - the call at the endpoint: a panic is an error of a call that may have run. Its key stays claimed, so that it can't run again; a follower gets the aborted frame. It says nothing about the endpoint, so that the limiter gets no sample. - the claim of a key: the key can't be claimed now, and the call has not run. Should the row have been written, it names this call, which says so to whoever asks. - all else in a call: it may have run if the endpoint, or the holder of its key, may have got it; else it is refused as not run. - each write of a claim's record: an error, tried again like others; the key stays claimed. - each inner call at its listener (drpc): an error of that call. Whatever else a connection does: that connection is closed. The admission of a call is released once by its slot, and its entry in the registry is ended by a defer. A panic that is thrown in drpc's own goroutines is not contained.

--- a/internal/request/railclaim/write.go
+++ b/internal/request/railclaim/write.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/fulmarrail/fulmarrail/internal/core/railpanic"
 	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
 	"github.com/fulmarrail/fulmarrail/internal/store/railtable"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
@@ -57,7 +58,7 @@
 	defer cancel()
 	retryBackoff := newRetryBackoff()
 	for c.journal.contains(r) {
-		err := c.tryWriteRecord(ctx, r)
+		err := c.tryWriteContained(ctx, r)
 		if err == nil {
 			return
 		}
@@ -69,6 +70,16 @@
 	}
 }
 
+// tryWriteContained is tryWriteRecord, which returns a panic as an error: the key stays claimed, and the record is tried again.
+func (c *Claimer) tryWriteContained(ctx context.Context, r *record) (err error) {
+	defer func() {
+		if p := railpanic.Recovered(recover(), c.Log, "claim record", "row", r.row); p != nil {
+			err = p
+		}
+	}()
+	return c.tryWriteRecord(ctx, r)
+}
+
 // tryWriteRecord tries to write a record once. It reads the row first if the version that it knows is of an earlier era, and after a write
 // that may have failed.
 func (c *Claimer) tryWriteRecord(ctx context.Context, r *record) error {
--- a/internal/request/railexecutor/claimed.go
+++ b/internal/request/railexecutor/claimed.go
@@ -13,34 +13,36 @@
 
 // runClaimed claims the request's key and runs the request. If another request holds the key, the existing claim determines the
 // response, or is taken over if its request never ran.
-func (e *Executor) runClaimed(ctx context.Context, call *railcall.Call, req *railproto.ExecuteRequest) {
+func (e *Executor) runClaimed(ctx context.Context, call *railcall.Call, req *railproto.ExecuteRequest, s *slot) {
 	expectedVersion := int64(0)
 	for {
-		version, existing, err := e.Claimer.Claim(ctx, call.Key, call.RequestID, call.BodyDigest, expectedVersion)
+		version, existing, err := e.claimContained(ctx, call, expectedVersion)
 		switch {
 		case err == nil:
-			e.runWithClaim(ctx, call, req, version)
+			e.runWithClaim(ctx, call, req, version, s)
 			return
 		case !errors.Is(err, railclaim.ErrHeld):
-			e.Admission.ReleaseUnsampled()
+			s.releaseUnsampled()
 			frame := e.rejectionFrame(call.RequestID, railproto.Reason_REASON_CLAIM_UNAVAILABLE)
 			frame.RetryAfterMillis = e.Claimer.Unsettled().Milliseconds()
 			call.Append(frame)
 			return
 		}
+		s.mayHaveRun = true
 		if !e.resolveExistingClaim(ctx, call, existing) {
-			e.Admission.ReleaseUnsampled()
+			s.releaseUnsampled()
 			return
 		}
+		s.mayHaveRun = false
 		expectedVersion = version
 	}
 }
 
 // runWithClaim runs a request whose key this incarnation has claimed, and writes the outcome in the background.
-func (e *Executor) runWithClaim(ctx context.Context, call *railcall.Call, req *railproto.ExecuteRequest, version int64) {
+func (e *Executor) runWithClaim(ctx context.Context, call *railcall.Call, req *railproto.ExecuteRequest, version int64, s *slot) {
 	var response []byte
 	var endFrame *railproto.Frame
-	verdict, err := e.runAtEndpoint(ctx, call, req, func(f *railproto.Frame) {
+	verdict, err := e.runAtEndpoint(ctx, call, req, s, func(f *railproto.Frame) {
 		response = append(response, f.GetData()...)
 		if f.GetKind() == railproto.FrameKind_FRAME_KIND_END {
 			endFrame = f
--- a/internal/request/railexecutor/executor.go
+++ b/internal/request/railexecutor/executor.go
@@ -61,18 +61,27 @@
 		RequestID: req.GetRequestId(), Key: claimRow(req), BodyDigest: railmanifest.Sum(req.GetBody()),
 		Idempotent: req.GetIdempotent(), InFlight: inFlight, Cancel: cancel,
 	}
+	s := &slot{admission: e.Admission}
+	handedOver := false
+	defer func() {
+		if !handedOver {
+			defer cancel()
+			s.releaseUnsampled()
+		}
+	}()
 	begun, existing := e.Calls.Begin(call)
 	if begun == nil {
 		cancel()
-		e.Admission.ReleaseUnsampled()
+		s.releaseUnsampled()
 		if existing == nil {
 			return send(e.rejectionFrame(req.GetRequestId(), railproto.Reason_REASON_REVOKED))
 		}
 		return e.followExisting(ctx, existing, req, send)
 	}
+	handedOver = true
 	go func() {
 		defer cancel()
-		e.run(workCtx, call, req)
+		e.run(workCtx, call, req, s)
 	}()
 	return call.Follow(ctx, 0, req.GetRequestId(), send)
 }
@@ -146,34 +155,36 @@
 	return existing.Follow(ctx, 0, req.GetRequestId(), send)
 }
 
-func (e *Executor) run(ctx context.Context, call *railcall.Call, req *railproto.ExecuteRequest) {
+func (e *Executor) run(ctx context.Context, call *railcall.Call, req *railproto.ExecuteRequest, s *slot) {
+	defer e.Calls.End(call)
+	defer e.endPanicked(call, s)
 	if call.Key != "" {
-		e.runClaimed(ctx, call, req)
+		e.runClaimed(ctx, call, req, s)
 	} else {
-		e.runUnclaimed(ctx, call, req)
+		e.runUnclaimed(ctx, call, req, s)
 	}
-	e.Calls.End(call)
 }
 
 // runUnclaimed runs a request that needs no claim and appends the frames of its response to the call.
-func (e *Executor) runUnclaimed(ctx context.Context, call *railcall.Call, req *railproto.ExecuteRequest) {
-	verdict, err := e.runAtEndpoint(ctx, call, req, call.Append)
+func (e *Executor) runUnclaimed(ctx context.Context, call *railcall.Call, req *railproto.ExecuteRequest, s *slot) {
+	verdict, err := e.runAtEndpoint(ctx, call, req, s, call.Append)
 	if err != nil {
 		call.Append(e.failureFrame(call.RequestID, verdict, err))
 	}
 }
 
 // runAtEndpoint runs the request at the endpoint, emits the frames of its response and releases its admission.
-func (e *Executor) runAtEndpoint(ctx context.Context, call *railcall.Call, req *railproto.ExecuteRequest, emit func(*railproto.Frame)) (railverdict.Verdict, error) {
+func (e *Executor) runAtEndpoint(ctx context.Context, call *railcall.Call, req *railproto.ExecuteRequest, s *slot, emit func(*railproto.Frame)) (railverdict.Verdict, error) {
 	if e.Admission.EngineRefuses() {
-		e.Admission.ReleaseUnsampled()
+		s.releaseUnsampled()
 		return railverdict.NotRun, errEndpointRefuses
 	}
 	start := time.Now()
 	var timing responseTiming
 	emit(&railproto.Frame{Kind: railproto.FrameKind_FRAME_KIND_ACCEPTED, Load: e.Admission.Limiter.Load()})
 	var endFrame *railproto.Frame
-	verdict, err := e.Endpoint.Run(ctx, req, func(frame *railproto.Frame) {
+	s.mayHaveRun = true
+	verdict, err := e.runContained(ctx, req, func(frame *railproto.Frame) {
 		timing.record(frame, time.Since(start))
 		if frame.GetKind() == railproto.FrameKind_FRAME_KIND_END {
 			endFrame = frame
@@ -185,12 +196,14 @@
 		verdict, err = railverdict.MayHaveRun, railendpoint.ErrTruncated
 	}
 	switch {
+	case isPanic(err):
+		s.releaseUnsampled() // It says nothing about the endpoint.
 	case err == nil || ctx.Err() == nil:
-		e.Admission.Release(call.InFlight, timing.firstPart, timing.meanInterval(), err == nil)
+		s.release(call.InFlight, timing.firstPart, timing.meanInterval(), err == nil)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		e.Admission.ReleaseExpired(time.Since(start), timing.firstPart, timing.meanInterval())
+		s.releaseExpired(time.Since(start), timing.firstPart, timing.meanInterval())
 	default:
-		e.Admission.ReleaseUnsampled()
+		s.releaseUnsampled()
 	}
 	if err != nil {
 		return verdict, err
@@ -220,7 +233,7 @@
 	}
 	e.Log.Warn("request failed at the endpoint", "request", requestID, "err", err)
 	frame := e.abortedFrame(requestID, reason)
-	frame.Detail = strings.ToValidUTF8(err.Error(), "?")
+	frame.Detail = detail(err)
 	if ended != nil {
 		frame.EndedIncarnation = ended.Incarnation
 	}
--- a/internal/wire/raillistener/listener.go
+++ b/internal/wire/raillistener/listener.go
@@ -16,6 +16,7 @@
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
+	"github.com/fulmarrail/fulmarrail/internal/core/railpanic"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railacceptor"
 )
 
@@ -37,7 +38,7 @@
 
 // Run accepts connections until ctx is done, and returns once all of them have ended. It closes lis.
 func (l *Listener) Run(ctx context.Context, lis net.Listener) error {
-	server := drpcserver.NewWithOptions(l.Handler, drpcserver.Options{Manager: drpcmanager.Options{SoftCancel: true, Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}}})
+	server := drpcserver.NewWithOptions(&containingHandler{Handler: l.Handler, log: l.Log}, drpcserver.Options{Manager: drpcmanager.Options{SoftCancel: true, Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}}})
 	stop := context.AfterFunc(ctx, func() { _ = lis.Close() })
 	defer stop()
 	defer l.wg.Wait()
@@ -55,6 +56,11 @@
 }
 
 func (l *Listener) serve(ctx context.Context, server *drpcserver.Server, conn net.Conn) {
+	defer func() {
+		if railpanic.Recovered(recover(), l.Log, unitConnection, "peer", conn.RemoteAddr().String()) != nil {
+			_ = conn.Close()
+		}
+	}()
 	if err := l.authenticate(conn); err != nil {
 		l.Log.Warn("peer refused", "peer", conn.RemoteAddr().String(), "err", err)
 		_ = conn.Close()
--- a/internal/wire/raillistener/listener_test.go
+++ b/internal/wire/raillistener/listener_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -109,3 +110,41 @@
 		qt.Check(t, <-runErr, qt.IsNil)
 	})
 }
+
+// panickingNode panics at the first heartbeat.
+type panickingNode struct {
+	stubNode
+	calls *atomic.Int64
+}
+
+func (n panickingNode) Heartbeat(ctx context.Context, req *railproto.HeartbeatRequest) (*railproto.HeartbeatReply, error) {
+	if n.calls.Add(1) == 1 {
+		panic("at a heartbeat")
+	}
+	return n.stubNode.Heartbeat(ctx, req)
+}
+
+// Guards against a call that ends the process of its handler, and with it all other calls.
+func TestPanicInHandlerIsErrorOfItsCall(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		const key = "0123456789abcdef"
+		ctx, cancel := context.WithCancel(t.Context())
+		network := &railnetwork.Network{}
+		lis, err := network.Listen("node")
+		qt.Assert(t, err, qt.IsNil)
+		mux := drpcmux.New()
+		qt.Assert(t, railproto.DRPCRegisterNode(mux, panickingNode{calls: &atomic.Int64{}}), qt.IsNil)
+		listener := &raillistener.Listener{Key: []byte(key), Handler: mux, Log: slog.New(slog.DiscardHandler)}
+		runErr := make(chan error, 1)
+		go func() { runErr <- listener.Run(ctx, lis) }()
+		dialer := &raildialer.Dialer{Key: []byte(key), Timeout: time.Second, Dial: network.Dialer("peer")}
+		_, err = dialer.Node(ctx, "node").Heartbeat(ctx, &railproto.HeartbeatRequest{})
+		qt.Check(t, err, qt.ErrorMatches, ".*the process has failed on this call.*")
+		reply, err := dialer.Node(ctx, "node").Heartbeat(ctx, &railproto.HeartbeatRequest{})
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, reply.GetRevision(), qt.Equals, uint64(7))
+		qt.Check(t, dialer.Close(), qt.IsNil)
+		cancel()
+		qt.Check(t, <-runErr, qt.IsNil)
+	})
+}
