Contain a panic in the work of one request at the entry

What callers saw: all requests of an entry of an own deployment ended without a word when the work of one panicked: in the handler, in the goroutine that forwards it, or in the one that writes its stream. A panic in the choice of an endpoint left the queue locked besides.

Design: - the request (railfront.Handle): 503 notRun before it is forwarded, 502 mayHaveRun afterwards. - the forwarding goroutine: the request may have run. A stream that has begun ends with the event error, which says so. - the writer of a stream: the connection is reset. - the record of a response: contained on its own, the response stays. - the wait for an endpoint (railforwarder): not run. The attempt: not run until it is sent, else it may have run; it is not tried again, since the same work would panic at the next endpoint. The pass and the count of requests that await an endpoint's decision are given back. - a waiting request (raildispatcher): its choice runs in the goroutine of whoever frees capacity; it alone is rejected, as not run.

No test shows the reset by the writer of a stream: no seam is left there that panics.

--- a/internal/node/railfront/front.go
+++ b/internal/node/railfront/front.go
@@ -11,6 +11,7 @@
 
 	"github.com/fulmarrail/fulmarrail/internal/config/railrevision"
 	"github.com/fulmarrail/fulmarrail/internal/config/railservice"
+	"github.com/fulmarrail/fulmarrail/internal/core/railpanic"
 	"github.com/fulmarrail/fulmarrail/internal/request/railrequest"
 	"github.com/fulmarrail/fulmarrail/internal/request/railverdict"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
@@ -67,8 +68,14 @@
 	err        error
 }
 
-// Handle serves one HTTP request: the readiness check or a caller's request.
+// Handle serves one HTTP request: the readiness check or a caller's request. A panic ends only that.
 func (f *Front) Handle(ctx *fasthttp.RequestCtx) {
+	running := false
+	defer func() {
+		if railpanic.Recovered(recover(), f.Log, unitRequest) != nil {
+			rejectPanicked(ctx, running)
+		}
+	}()
 	if string(ctx.Path()) == "/ready" {
 		f.serveReadiness(ctx)
 		return
@@ -81,9 +88,10 @@
 	if reason := f.RejectionReason(service); reason != "" {
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfterSeconds)
 		reject(ctx, fasthttp.StatusServiceUnavailable, railverdict.NotRun, reason)
-		f.Observe(req, railverdict.NotRun, 0, 0)
+		f.observe(req, railverdict.NotRun, 0, 0)
 		return
 	}
+	running = true
 	f.beginRequest()
 	f.serve(ctx, req, service)
 }
@@ -124,7 +132,8 @@
 	frames := make(chan endpointFrame, frameBuffer)
 	done := make(chan result, 1)
 	go func() {
-		verdict, finalFrame, err := f.Forward(workCtx, req, func(endpoint string, frame *railproto.Frame) error {
+		defer close(frames)
+		verdict, finalFrame, err := f.forwardContained(workCtx, req, func(endpoint string, frame *railproto.Frame) error {
 			select {
 			case frames <- endpointFrame{endpoint: endpoint, frame: frame}:
 				return nil
@@ -136,15 +145,20 @@
 			err = errStopping
 		}
 		done <- result{verdict: verdict, finalFrame: finalFrame, err: err}
-		close(frames)
+	}()
+	streaming := false
+	defer func() {
+		if !streaming {
+			cancel()
+			f.endRequest()
+		}
 	}()
 	first, ok := <-frames
 	if ok && service.IsEngine() && isEvent(first.frame) {
 		f.serveStream(ctx, req, first, frames, done, cancel)
+		streaming = true
 		return
 	}
-	defer f.endRequest()
-	defer cancel()
 	f.serveBuffered(ctx, req, first, frames, done)
 }
 
@@ -161,7 +175,7 @@
 		end = e
 	}
 	r := <-done
-	f.Observe(req, r.verdict, time.Since(req.ReceivedAt), 0)
+	f.observe(req, r.verdict, time.Since(req.ReceivedAt), 0)
 	if r.verdict != railverdict.Ran {
 		rejectUnanswered(ctx, r)
 		return
--- a/internal/node/railfront/stream.go
+++ b/internal/node/railfront/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/fulmarrail/fulmarrail/internal/core/railpanic"
 	"github.com/fulmarrail/fulmarrail/internal/request/railrequest"
 	"github.com/fulmarrail/fulmarrail/internal/request/railverdict"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
@@ -24,9 +25,15 @@
 	ctx.SetContentType(eventStreamType)
 	ctx.Response.Header.Set(headerEndpoint, first.endpoint)
 	ctx.Response.Header.Set(headerWeights, first.frame.GetWeightsDigest())
+	conn := ctx.Conn()
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer f.endRequest()
 		defer cancel()
+		defer func() {
+			if railpanic.Recovered(recover(), f.Log, unitStream, "request", req.ID) != nil {
+				abort(conn)
+			}
+		}()
 		eventCount, err := writeEvents(w, first, frames)
 		if err != nil {
 			cancel() // The caller has disconnected. The forwarder cancels the call at the agent.
@@ -35,7 +42,7 @@
 		if err == nil && writeFinalEvent(w, r, eventCount) != nil {
 			f.Log.Debug("caller disconnected before the final event", "request", req.ID)
 		}
-		f.Observe(req, r.verdict, firstToken, meanTokenInterval(req, firstToken, eventCount))
+		f.observe(req, r.verdict, firstToken, meanTokenInterval(req, firstToken, eventCount))
 	})
 }
 
--- a/internal/node/railrouter/router.go
+++ b/internal/node/railrouter/router.go
@@ -243,6 +243,7 @@
 
 		FirstPauseEnd: func() (time.Time, bool) { return r.watcher.FirstPauseEnd(service) },
 		Unservable:    func() error { return r.checkService(service) },
+		Log:           raillog.Named(r.Log, "dispatcher"),
 	})
 	return d.(*raildispatcher.Dispatcher)
 }
--- a/internal/retry/railforwarder/forwarder.go
+++ b/internal/retry/railforwarder/forwarder.go
@@ -85,6 +85,8 @@
 	weightsDigest    string
 	finalFrame       *railproto.Frame
 	decisionRecorded bool
+	// sent is set before the request is sent.
+	sent bool
 }
 
 // Forward runs a request and passes the data frames and the end frame of the response to deliver. The verdict covers all attempts.
@@ -95,13 +97,11 @@
 	var finalFrame *railproto.Frame
 	failures, endedEndpoints := 0, 0
 	for attemptNumber := 0; failures < maxFailedAttempts; attemptNumber++ {
-		a, err := f.admitAttempt(ctx, req, finalFrame.GetReason() == railproto.Reason_REASON_LIMIT)
+		a, err := f.admitContained(ctx, req, finalFrame.GetReason() == railproto.Reason_REASON_LIMIT)
 		if err != nil {
 			return verdict, finalFrame, err
 		}
-		outcome, err := f.runAttempt(ctx, req, attemptNumber, a, deliver)
-		f.recordDecisionOnce(a)
-		a.settle()
+		outcome, err := f.runContained(ctx, req, attemptNumber, a, deliver)
 		finalFrame = a.finalFrame
 		if finalFrame.GetReason() != railproto.Reason_REASON_LIMIT {
 			failures++
@@ -110,6 +110,8 @@
 			endedEndpoints++
 		}
 		switch {
+		case errors.Is(err, errFailed):
+			return max(verdict, outcome), finalFrame, err
 		case outcome == railverdict.Ran:
 			f.Budget.Deposit(f.RetryShare())
 			f.RecordCompletion(req.Priority, time.Since(a.startedAt))
@@ -139,23 +141,40 @@
 func (f *Forwarder) admitAttempt(ctx context.Context, req railrequest.Request, requeue bool) (*attempt, error) {
 	turnBy := time.Now().Add(time.Duration(maxTurnWaitShare * float64(time.Until(req.Deadline))))
 	for {
-		pass, err := f.Quarantine.Enter(ctx, req.SharedParts, turnBy)
-		if err != nil {
-			return nil, err
+		a, err := f.tryAdmit(ctx, req, requeue, turnBy)
+		if a != nil || err != nil {
+			return a, err
 		}
-		req.IsolationKey = pass.IsolationKey()
-		candidate, err := f.Acquire(ctx, req, requeue)
-		if err != nil {
+		requeue = true
+	}
+}
+
+// tryAdmit is admitAttempt. It returns nil if the pass is not given any more once an endpoint has room.
+func (f *Forwarder) tryAdmit(ctx context.Context, req railrequest.Request, requeue bool, turnBy time.Time) (*attempt, error) {
+	pass, err := f.Quarantine.Enter(ctx, req.SharedParts, turnBy)
+	if err != nil {
+		return nil, err
+	}
+	begun := false
+	defer func() {
+		if !begun {
 			pass.Release()
-			return nil, err
 		}
-		if pass.Begin() {
-			return &attempt{candidate: candidate, pass: pass, startedAt: time.Now()}, nil
+	}()
+	req.IsolationKey = pass.IsolationKey()
+	candidate, err := f.Acquire(ctx, req, requeue)
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		if !begun {
+			f.RecordDecision(candidate.Member.Name)
 		}
-		pass.Release()
-		f.RecordDecision(candidate.Member.Name)
-		requeue = true
+	}()
+	if begun = pass.Begin(); !begun {
+		return nil, nil
 	}
+	return &attempt{candidate: candidate, pass: pass, startedAt: time.Now()}, nil
 }
 
 // recordSuccess records that the endpoint has run the request without harm: its response is complete, or has gone on for a while after it had begun.
@@ -183,6 +202,7 @@
 	name, incarnation := a.candidate.Member.Name, a.candidate.Incarnation
 	message := req.AttemptMessage(attemptNumber, incarnation, f.Revision(), time.Now())
 	a.requestID = message.GetRequestId()
+	a.sent = true
 	verdict := railverdict.NotRun
 	stream, err := f.Connect(ctx, a.candidate.Member.Address).Execute(ctx, message)
 	if err != nil && errors.Is(err, raildialer.ErrDial) {
--- a/internal/routing/raildispatcher/dispatcher.go
+++ b/internal/routing/raildispatcher/dispatcher.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fulmarrail/fulmarrail/internal/core/railpanic"
 	"github.com/fulmarrail/fulmarrail/internal/limit/railqueue"
 	"github.com/fulmarrail/fulmarrail/internal/request/railrequest"
 	"github.com/fulmarrail/fulmarrail/internal/routing/railcandidate"
@@ -18,6 +20,10 @@
 	rateSmoothing = 0.3
 	// deadlineShare is the share of the time until the deadline that the estimated wait and the fastest response together may take.
 	deadlineShare = 0.75
+
+	// unitWaiting and unitWake are the kinds of work in which a panic is contained.
+	unitWaiting = "waiting request"
+	unitWake    = "retry of waiting requests"
 )
 
 var (
@@ -25,6 +31,8 @@
 	ErrQueueFull = errors.New("too many requests wait")
 	// ErrDeadline means that the request can't complete before its deadline, or that its context is done.
 	ErrDeadline = errors.New("the deadline can't be met")
+
+	errChoiceFailed = errors.New("the choice of an endpoint has failed")
 )
 
 // PausedError means that all endpoints have asked for no requests until it is too late for the request.
@@ -64,6 +72,8 @@
 	FirstPauseEnd func() (time.Time, bool)
 	// Unservable returns the reason why no endpoint will ever serve the service's requests, or nil. It may be nil itself.
 	Unservable func() error
+	// Log gets a line for a panic in the choice of an endpoint. Without it, that goes to the default log.
+	Log *slog.Logger
 
 	mu             sync.Mutex
 	queue          railqueue.Queue[*waiter]
@@ -78,28 +88,35 @@
 // ctx is done, and the error of Unservable. All errors mean that the request was not run. queueCapacity is the maximum number of waiting requests. With requeue, the
 // request was granted an endpoint that had no capacity after all, and resumes its position.
 func (d *Dispatcher) Acquire(ctx context.Context, req railrequest.Request, queueCapacity int, requeue bool) (railcandidate.Candidate, error) {
+	w := &waiter{request: req, result: make(chan result, 1)}
+	c, queued, err := d.chooseOrQueue(w, queueCapacity, requeue)
+	if queued {
+		return d.wait(ctx, w)
+	}
+	return c, err
+}
+
+// chooseOrQueue returns an endpoint with capacity, or reports that the request is queued until there is one.
+func (d *Dispatcher) chooseOrQueue(w *waiter, queueCapacity int, requeue bool) (c railcandidate.Candidate, queued bool, err error) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
+	req := w.request
 	d.queue.Capacity = queueCapacity
 	if err := d.unservable(); err != nil {
-		d.mu.Unlock()
-		return railcandidate.Candidate{}, err
+		return railcandidate.Candidate{}, false, err
 	}
 	if d.queue.Len() == 0 || requeue {
 		if c, ok := d.choose(req); ok {
-			d.mu.Unlock()
-			return c, nil
+			return c, false, nil
 		}
 	}
 	if !requeue && d.missesDeadline(req) {
-		d.mu.Unlock()
-		return railcandidate.Candidate{}, ErrDeadline
+		return railcandidate.Candidate{}, false, ErrDeadline
 	}
 	now := time.Now()
 	if end, ok := d.pauseEnd(); ok && d.endsTooLate(end, req, now) {
-		d.mu.Unlock()
-		return railcandidate.Candidate{}, &PausedError{Remaining: end.Sub(now)}
+		return railcandidate.Candidate{}, false, &PausedError{Remaining: end.Sub(now)}
 	}
-	w := &waiter{request: req, result: make(chan result, 1)}
 	push := d.queue.Push
 	if requeue {
 		push = d.queue.Requeue
@@ -107,15 +124,16 @@
 	if evicted, full := push(w, req.Priority, req.Customer, req.Weight); full {
 		evicted.result <- result{err: ErrQueueFull}
 	}
-	d.mu.Unlock()
-	return d.wait(ctx, w)
+	return railcandidate.Candidate{}, true, nil
 }
 
 // Wake grants endpoints to waiting requests while there is capacity. It rejects requests that would miss their deadline even if
-// their response were the fastest, so that they don't use up capacity that others wait for.
+// their response were the fastest, so that they don't use up capacity that others wait for. A panic ends this call only: each waiting request still
+// ends by itself at its deadline.
 func (d *Dispatcher) Wake() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	defer func() { railpanic.Recovered(recover(), d.Log, unitWake) }()
 	now := time.Now()
 	if err := d.unservable(); err != nil {
 		d.rejectWaiting(err, func(*waiter) bool { return true })
@@ -131,12 +149,12 @@
 			w.result <- result{err: ErrDeadline}
 			continue
 		}
-		c, ok := d.choose(w.request)
-		if !ok {
+		c, ok, err := d.chooseContained(w.request)
+		if !ok && err == nil {
 			return
 		}
 		d.queue.Pop()
-		w.result <- result{candidate: c}
+		w.result <- result{candidate: c, err: err}
 	}
 }
 
@@ -175,6 +193,17 @@
 	return railcandidate.Candidate{}, ErrDeadline
 }
 
+// chooseContained is choose on behalf of a waiting request. A panic is an error that ends the wait of this one only.
+func (d *Dispatcher) chooseContained(req railrequest.Request) (c railcandidate.Candidate, ok bool, err error) {
+	defer func() {
+		if railpanic.Recovered(recover(), d.Log, unitWaiting, "request", req.ID) != nil {
+			c, ok, err = railcandidate.Candidate{}, false, errChoiceFailed
+		}
+	}()
+	c, ok = d.choose(req)
+	return c, ok, nil
+}
+
 func (d *Dispatcher) choose(req railrequest.Request) (railcandidate.Candidate, bool) {
 	choose, key := d.Chooser.Choose, req.Affinity
 	if req.IsolationKey != "" {
