Contain a panic in the handling of one datagram

What callers saw: all requests of a gateway ended without a word when one datagram of another process panicked in its handler; a carrier ended, and its engine got no weights any more.

A datagram is lost then, as any may be: each replaces the ones before it. Its reader goes on. What a handler changes under the fleet's lock (merged loads, the list, a notice) is released by defer now. A load digest that was merged by half may leave a sum that is off by one entry's loads until that entry restarts; the process goes on, since a drain of all gateways that hear the same datagram would be worse.

--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -94,7 +94,18 @@
 
 // SetInstances replaces the list of endpoints and keeps the state of those that are still listed.
 func (f *Fleet) SetInstances(list []railinstance.Instance) {
+	for _, id := range f.replaceInstances(list) {
+		if f.OnRestart != nil {
+			f.OnRestart(id)
+		}
+	}
+	f.OnChange()
+}
+
+// replaceInstances replaces the list of endpoints. It returns the IDs of those that have restarted.
+func (f *Fleet) replaceInstances(list []railinstance.Instance) (restarted []string) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.reports == nil {
 		f.reports = map[string]*reportSlot{}
 	}
@@ -112,7 +123,6 @@
 		addresses[i.Address] = true
 	}
 	f.expireReports(endpoints, time.Now())
-	var restarted []string
 	for id, old := range f.endpoints {
 		e := endpoints[id]
 		if e == nil {
@@ -123,27 +133,25 @@
 		}
 	}
 	f.endpoints = endpoints
-	f.mu.Unlock()
-	for _, id := range restarted {
-		if f.OnRestart != nil {
-			f.OnRestart(id)
-		}
-	}
-	f.OnChange()
+	return restarted
 }
 
 // ApplyNotice applies the weights version announced by an endpoint's carrier, which precedes the list. Version 0 means that the
 // endpoint accepts no new requests. If changesIn is not 0, the endpoint changes its weights after that time.
 func (f *Fleet) ApplyNotice(address string, version int64, changesIn time.Duration) {
+	f.notice(address, version, changesIn)
+	f.OnChange()
+}
+
+func (f *Fleet) notice(address string, version int64, changesIn time.Duration) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, e := range f.endpoints {
 		if e.Address == address {
 			f.Log.Info("endpoint changes its weights", "endpoint", e.ID, "from", e.WeightsVersion, "to", version, "in", changesIn)
 			e.applyNotice(version, changesIn, time.Now())
 		}
 	}
-	f.mu.Unlock()
-	f.OnChange()
 }
 
 // Reserve picks the endpoint with the earliest predicted start of the response and counts the request there. It returns false
--- a/internal/membership/railfleet/peers.go
+++ b/internal/membership/railfleet/peers.go
@@ -75,17 +75,21 @@
 
 // MergeDigest merges a load digest from another entry. It returns false if the digest is outdated, or partial and without loads.
 func (f *Fleet) MergeDigest(digest *railproto.LoadDigest) bool {
-	f.mu.Lock()
-	p := f.peer(digest)
-	f.renew(p)
-	changed := p.merge(digest, f.addPeerLoad)
-	f.mu.Unlock()
+	changed := f.merge(digest)
 	if changed {
 		f.OnChange()
 	}
 	return changed
 }
 
+func (f *Fleet) merge(digest *railproto.LoadDigest) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.peer(digest)
+	f.renew(p)
+	return p.merge(digest, f.addPeerLoad)
+}
+
 // peer returns the state of the entry that sent a digest. A restarted entry starts with no load, since none of its earlier
 // requests are in flight.
 func (f *Fleet) peer(digest *railproto.LoadDigest) *peer {
--- a/internal/wire/raildatagram/socket.go
+++ b/internal/wire/raildatagram/socket.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/fulmarrail/fulmarrail/internal/core/railpanic"
 	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
@@ -42,7 +43,7 @@
 }
 
 // Receive calls handle for each datagram until ctx is done, and then closes the connection. It skips datagrams that it can't
-// decode.
+// decode, or whose handling panics.
 func (s *Socket) Receive(ctx context.Context, handle func(from net.Addr, datagram *railproto.Datagram)) {
 	stop := context.AfterFunc(ctx, func() { _ = s.Conn.Close() })
 	defer stop()
@@ -53,13 +54,19 @@
 			railtimer.Sleep(ctx, readErrorBackoff)
 			continue
 		}
-		var datagram railproto.Datagram
-		if err := proto.Unmarshal(buffer[:n], &datagram); err != nil {
-			s.Log.Debug("failed to decode datagram", "from", from, "err", err)
-			continue
-		}
-		handle(from, &datagram)
+		s.receiveOne(from, buffer[:n], handle)
+	}
+}
+
+// receiveOne decodes one datagram and calls handle with it. A panic ends only that: the datagram is lost, as others are.
+func (s *Socket) receiveOne(from net.Addr, data []byte, handle func(from net.Addr, datagram *railproto.Datagram)) {
+	defer func() { railpanic.Recovered(recover(), s.Log, "datagram", "from", from) }()
+	var datagram railproto.Datagram
+	if err := proto.Unmarshal(data, &datagram); err != nil {
+		s.Log.Debug("failed to decode datagram", "from", from, "err", err)
+		return
 	}
+	handle(from, &datagram)
 }
 
 // Addresses returns the UDP addresses of members. It skips members whose address is not an IP address and port.
