Contain a panic in the reading of a store's table

What callers saw: all requests of all gateways ended without a word when a page of the store's table, or what follows from a change of it, could not be handled without a panic: each gateway reads the same rows, so that all of them ended at once, and again after each start.

A panic in a read of a table is a failed read: it is tried again with the usual delay. The replica's lock is released by defer (requests read its age). A change that was merged and could not be applied (OnChange) counts as unapplied: it is applied again with each further page, and the replica is not confirmed to be current before. Otherwise the gateway would go on with the configuration before for ever, for instance with a key that has been revoked. So it goes on with what it has for as long as the bounds on the configuration's age allow, and is not ready afterwards; a drain would not help, since the next process reads the same.

--- a/internal/store/railreplica/follower.go
+++ b/internal/store/railreplica/follower.go
@@ -10,6 +10,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 
+	"github.com/fulmarrail/fulmarrail/internal/core/railpanic"
 	"github.com/fulmarrail/fulmarrail/internal/core/railsignal"
 	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
 	"github.com/fulmarrail/fulmarrail/internal/store/railstoreclock"
@@ -61,6 +62,9 @@
 	pageAt time.Duration
 	// maxChangeAge is the longest time for which the changes in the last page may have been in the store.
 	maxChangeAge time.Duration
+	// unapplied is set while OnChange has not returned since a change. It is called again with the next page then, and the replica is not confirmed
+	// to be current before it returns.
+	unapplied bool
 	// unanswered is set if a request has failed or was abandoned since the last response.
 	unanswered bool
 	storeLost  bool
@@ -138,8 +142,18 @@
 	return f.read(ctx, f.Source, f.untilExpiry(f.Wait))
 }
 
-// read requests the changes since the last page, or the whole table, from a source, and applies the result.
-func (f *Follower) read(ctx context.Context, source Source, wait time.Duration) error {
+// read requests the changes since the last page, or the whole table, from a source, and applies the result. A panic is an error: the replica gets older
+// until a page can be read and applied, which its users see by its age.
+func (f *Follower) read(ctx context.Context, source Source, wait time.Duration) (err error) {
+	defer func() {
+		if p := railpanic.Recovered(recover(), f.Log, "table", "table", f.Table); p != nil {
+			err = p
+		}
+	}()
+	return f.readPage(ctx, source, wait)
+}
+
+func (f *Follower) readPage(ctx context.Context, source Source, wait time.Duration) error {
 	start := f.Now()
 	if !f.isLoaded() {
 		return f.readAll(ctx, source, start)
@@ -174,14 +188,40 @@
 // apply applies a page that the store sent at the given time or later, unless the page itself says since when it is current. A full page
 // replaces the replica. It returns an error if another process's page is not newer than the replica.
 func (f *Follower) apply(page Page, sentAt time.Duration, full bool) error {
+	m, err := f.merge(page, sentAt, full)
+	if err != nil {
+		return err
+	}
+	if m.restored {
+		f.Log.Warn("store was restored from an older copy", "table", f.Table, "version", railversion.String(page.Version), "kept", m.kept)
+		f.notifyRecovery()
+	}
+	if m.unapplied {
+		f.OnChange(m.rows)
+	}
+	f.confirm(m)
+	return nil
+}
+
+// merged is the result of merging a page into the replica.
+type merged struct {
+	now, confirmedAt time.Duration
+	rows             map[string]Row
+	// unapplied is set if OnChange has to be called with rows.
+	unapplied, restored bool
+	kept                int
+}
+
+// merge merges a page into the replica, which is not confirmed to be current yet.
+func (f *Follower) merge(page Page, sentAt time.Duration, full bool) (merged, error) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	now := f.Now()
 	restored := f.loaded && railversion.Era(page.Version) != railversion.Era(f.version)
 	if page.CurrentAt != 0 {
 		sentAt = page.CurrentAt
 		if f.loaded && !restored && page.Now <= f.pageAt {
-			f.mu.Unlock()
-			return errOutdated
+			return merged{}, errOutdated
 		}
 	}
 	confirmedAt := f.observe(page, sentAt, restored)
@@ -201,23 +241,20 @@
 	}
 	f.version = max(f.version, page.Version)
 	f.loaded = true
-	changed := f.rows.expire(now) || full || len(page.Rows) > 0
-	rows := f.rows.view()
-	kept := len(f.rows.kept)
-	f.mu.Unlock()
-	if restored {
-		f.Log.Warn("store was restored from an older copy", "table", f.Table, "version", railversion.String(page.Version), "kept", kept)
-		f.notifyRecovery()
-	}
-	if changed {
-		f.OnChange(rows)
+	if f.rows.expire(now) || full || len(page.Rows) > 0 {
+		f.unapplied = true
 	}
+	return merged{now: now, confirmedAt: confirmedAt, rows: f.rows.view(), unapplied: f.unapplied, restored: restored, kept: len(f.rows.kept)}, nil
+}
+
+// confirm records that the rows of a merged page are in force.
+func (f *Follower) confirm(m merged) {
 	f.mu.Lock()
-	if !f.rows.awaitsNewerStates(now) {
-		f.confirmedAt = max(f.confirmedAt, confirmedAt)
+	defer f.mu.Unlock()
+	f.unapplied = false
+	if !f.rows.awaitsNewerStates(m.now) {
+		f.confirmedAt = max(f.confirmedAt, m.confirmedAt)
 	}
-	f.mu.Unlock()
-	return nil
 }
 
 // observe updates the store's clock and the longest time for which the changes in a page may have been in the store: they were made
