--- a/internal/membership/railwatcher/heartbeat.go
+++ b/internal/membership/railwatcher/heartbeat.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fulmarrail/fulmarrail/internal/config/railrevision"
+	"github.com/fulmarrail/fulmarrail/internal/core/railpanic"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
@@ -39,17 +40,23 @@
 		w.mu.Unlock()
 		start := time.Now()
 		reply, err := w.exchange(ctx, m, nil)
-		w.mu.Lock()
-		again = err == nil && t.resend
-		t.heartbeatInFlight = again
-		if err == nil {
-			t.applyReply(reply, time.Since(start), m.Leaving)
-		}
-		w.mu.Unlock()
+		again = w.recordHeartbeat(t, m, reply, err, time.Since(start))
 		w.OnUpdate()
 	}
 }
 
+// recordHeartbeat records the outcome of a heartbeat. It reports whether another one is to follow at once.
+func (w *Watcher) recordHeartbeat(t *target, m railmember.Member, reply *railproto.HeartbeatReply, err error, took time.Duration) (again bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	again = err == nil && t.resend
+	t.heartbeatInFlight = again
+	if err == nil {
+		t.applyReply(reply, took, m.Leaving)
+	}
+	return again
+}
+
 // heartbeatPeers sends a heartbeat to each of the sampled entries without waiting for the replies. The changed parts may be nil.
 func (w *Watcher) heartbeatPeers(ctx context.Context, changedParts *railproto.PartDigest) {
 	for _, m := range w.samplePeers() {
@@ -89,8 +96,17 @@
 	}
 }
 
-// exchange sends a heartbeat and brings the side with the older revision up to date.
-func (w *Watcher) exchange(ctx context.Context, m railmember.Member, changedParts *railproto.PartDigest) (*railproto.HeartbeatReply, error) {
+// exchange sends a heartbeat and brings the side with the older revision up to date. A panic is an error of this exchange.
+func (w *Watcher) exchange(ctx context.Context, m railmember.Member, changedParts *railproto.PartDigest) (reply *railproto.HeartbeatReply, err error) {
+	defer func() {
+		if p := railpanic.Recovered(recover(), w.Log, "heartbeat", "peer", m.Name); p != nil {
+			reply, err = nil, p
+		}
+	}()
+	return w.exchangeOnce(ctx, m, changedParts)
+}
+
+func (w *Watcher) exchangeOnce(ctx context.Context, m railmember.Member, changedParts *railproto.PartDigest) (*railproto.HeartbeatReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	client := w.Connect(ctx, m.Address)
--- a/internal/rollout/railmanifestfinder/finder.go
+++ b/internal/rollout/railmanifestfinder/finder.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fulmarrail/fulmarrail/internal/core/railpanic"
 	"github.com/fulmarrail/fulmarrail/internal/core/railsignal"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railmanifest"
@@ -131,7 +132,7 @@
 	results := make(chan peerResult, len(sources))
 	for _, m := range sources {
 		go func() {
-			manifest, err := f.requestFrom(ctx, m, model, version)
+			manifest, err := f.requestContained(ctx, m, model, version)
 			results <- peerResult{manifest: manifest, err: err}
 		}()
 	}
@@ -146,6 +147,16 @@
 	return railmanifest.Manifest{}, err
 }
 
+// requestContained is requestFrom, which returns a panic as an error: other sources may have the manifest.
+func (f *Finder) requestContained(ctx context.Context, m railmember.Member, model string, version int64) (manifest railmanifest.Manifest, err error) {
+	defer func() {
+		if p := railpanic.Recovered(recover(), nil, "manifest", "from", m.Name, "model", model, "version", version); p != nil {
+			err = p
+		}
+	}()
+	return f.requestFrom(ctx, m, model, version)
+}
+
 // peerResult is the outcome of a query to one agent.
 type peerResult struct {
 	manifest railmanifest.Manifest
--- a/internal/rollout/railswarm/gossip.go
+++ b/internal/rollout/railswarm/gossip.go
@@ -54,10 +54,20 @@
 // handleInventory records another agent's inventory. It replies, at most once per reply interval, if that agent lacks a chunk
 // that this one holds.
 func (j *job) handleInventory(from railmember.Member, inventory *railproto.Inventory) {
+	reply, shouldReply := j.recordInventory(from, inventory)
+	if shouldReply {
+		j.swarm.SendInventory(from, reply)
+	}
+	j.signal()
+}
+
+// recordInventory records another agent's inventory. It returns the reply, and whether one is due.
+func (j *job) recordInventory(from railmember.Member, inventory *railproto.Inventory) (reply *railproto.Inventory, shouldReply bool) {
 	now := time.Now()
 	outside := from.Region != j.swarm.Self.Region
 	held := decodeBitmap(inventory.GetHeld())
 	j.mu.Lock()
+	defer j.mu.Unlock()
 	if j.gossip.senders == nil {
 		j.gossip.senders, j.gossip.lastReceived = map[string]railmember.Member{}, map[string]time.Time{}
 	}
@@ -73,16 +83,11 @@
 		interval = outsideReplyInterval
 	}
 	ownHeld := j.picker.Held()
-	shouldReply := ownHeld.DifferenceCardinality(held) > 0 && now.Sub(j.gossip.lastSent[from.Name]) > interval
+	shouldReply = ownHeld.DifferenceCardinality(held) > 0 && now.Sub(j.gossip.lastSent[from.Name]) > interval
 	if shouldReply {
 		j.recordSend(from, now)
 	}
-	reply := j.inventory()
-	j.mu.Unlock()
-	if shouldReply {
-		j.swarm.SendInventory(from, reply)
-	}
-	j.signal()
+	return j.inventory(), shouldReply
 }
 
 // sendInventories sends an inventory to the region if one is due, and to other regions, whose agents reply with theirs.
--- a/internal/rollout/railswarm/job.go
+++ b/internal/rollout/railswarm/job.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fulmarrail/fulmarrail/internal/core/railpanic"
 	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railmanifest"
@@ -153,7 +154,7 @@
 			cancel() // The chunk arrived from another source.
 		}
 	}()
-	err := j.requestChunk(ctx, p)
+	err := j.requestContained(ctx, p)
 	outcome := railpicker.Received
 	switch {
 	case errors.Is(err, errCorrupt):
@@ -164,15 +165,29 @@
 	if err != nil && ctx.Err() == nil {
 		j.swarm.Log.Debug("chunk request failed", "chunk", p.Chunk, "from", p.From, "err", err)
 	}
-	j.mu.Lock()
-	imported := j.picker.Finish(p, outcome, time.Now())
-	j.mu.Unlock()
-	if imported {
+	if j.finish(p, outcome) {
 		j.notifyNextRegion(p.Chunk)
 	}
 	j.signal()
 }
 
+// finish records the outcome of a request for a chunk. It reports whether this process has imported the chunk into its region.
+func (j *job) finish(p railpicker.Pick, outcome railpicker.Outcome) (imported bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.picker.Finish(p, outcome, time.Now())
+}
+
+// requestContained is requestChunk. A panic is a failed request: the chunk is requested elsewhere.
+func (j *job) requestContained(ctx context.Context, p railpicker.Pick) (err error) {
+	defer func() {
+		if recovered := railpanic.Recovered(recover(), j.swarm.Log, "chunk", "chunk", p.Chunk, "from", p.From); recovered != nil {
+			err = recovered
+		}
+	}()
+	return j.requestChunk(ctx, p)
+}
+
 func (j *job) requestChunk(ctx context.Context, p railpicker.Pick) error {
 	s := j.swarm
 	digest := j.manifest.Chunks[p.Chunk]
