Contain a panic in one step of the exchange of weights

What callers saw: all requests of a gateway ended without a word when a step of its relay of weights (finding a version, its manifest, its chunks) panicked; the same at a carrier when it installed weights.

A step that panics is a failed step, as one whose origin does not respond: it is logged, and run again after the usual delay.

Evidence: TestPanicInStepIsAFailedStep; with the panic passed on as before, its process ends. Run with -race.

--- a/internal/rollout/railretryloop/loop.go
+++ b/internal/rollout/railretryloop/loop.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"time"
+
+	"github.com/fulmarrail/fulmarrail/internal/core/railpanic"
 )
 
 // retryDelay is the delay after a failed run, such as when an engine does not respond or is not ready yet.
@@ -21,11 +23,11 @@
 	Log      *slog.Logger
 }
 
-// Run calls RunOnce until ctx is done. It logs an error unless its text equals that of the error logged last.
+// Run calls RunOnce until ctx is done. A panic in it is an error. It logs an error unless its text equals that of the error logged last.
 func (l *Loop) Run(ctx context.Context) {
 	lastErr := ""
 	for ctx.Err() == nil {
-		err := l.RunOnce(ctx)
+		err := l.runContained(ctx)
 		delay := l.Interval
 		if err != nil {
 			delay = retryDelay
@@ -41,3 +43,12 @@
 		}
 	}
 }
+
+func (l *Loop) runContained(ctx context.Context) (err error) {
+	defer func() {
+		if p := railpanic.Recovered(recover(), l.Log, "step", "step", l.Name); p != nil {
+			err = p
+		}
+	}()
+	return l.RunOnce(ctx)
+}
