Bound how long callers may take, by the operators' limits at a gateway

What callers saw: one that sent the head of a request byte by byte, or nothing at all, kept a connection to a gateway for ever; a head over the operators' limit was passed on. At an entry the time for the first request began when its connection was opened, so a request that began late had too little time.

Cause: of the configuration's limits only the longest body was read. The HTTP server's own read timeout can't tell idle time, head and body apart, knows no change of the configuration, and for the first request counts from the opening of the connection.

The limits of a request are those that were in force when its first byte arrived, and those of an idle connection are those when it became idle, so a shorter limit cuts nothing that is on its way. When a deadline passes, what has arrived already is still read, so that a process that was held up refuses no proper request. An idle connection ends by a FIN, as in a drain; a request that is late gets 408, one whose head is too long 431. Limits that the operators don't set, and those of entries, are constants; bodies had no time limit at a gateway and have two minutes now.

Why this works: each read has exactly one deadline, that of the state which the connection is in, and states change only with what has arrived or was written.

--- a/internal/config/railcatalog/catalog.go
+++ b/internal/config/railcatalog/catalog.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/fulmarrail/fulmarrail/internal/config/railbackend"
 	"github.com/fulmarrail/fulmarrail/internal/config/railcustomer"
@@ -24,9 +25,15 @@
 	wantedVersions map[string]int64
 }
 
-// Limits bounds the size of client requests; 0 means unlimited.
+// Limits bounds the size of client requests, and how long clients may take or stay idle; 0 means unlimited.
 type Limits struct {
-	MaxBodyBytes int
+	// MaxHeaderBytes bounds a request's head: its request line and its headers.
+	MaxHeaderBytes int
+	MaxBodyBytes   int
+	// HeaderTimeout is the time for a request's head, from its first byte.
+	HeaderTimeout time.Duration
+	// IdleTimeout is the time that a connection may stay idle between requests.
+	IdleTimeout time.Duration
 }
 
 // Match returns the route for the host with the longest prefix of the path, or false if no route matches.
--- a/internal/node/railconn/conn.go
+++ b/internal/node/railconn/conn.go
@@ -3,10 +3,12 @@
 import (
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -46,6 +48,8 @@
 
 	// onClose is called when the connection is closed.
 	onClose func()
+	// currentLimits returns the limits that are in force.
+	currentLimits func() Limits
 
 	mu sync.Mutex
 	// buffered and readErr hold the result of Watch's read until Read returns it.
@@ -54,6 +58,16 @@
 	state    connState
 	// stateSince is the time of the last change of state.
 	stateSince time.Time
+	// waitUntil is when the state's wait ends by the limits, or zero.
+	waitUntil time.Time
+	// deadline is that of the underlying connection's reads.
+	deadline time.Time
+	// limits holds those of the current request.
+	limits Limits
+	// interrupted is set while Watch's read is to end.
+	interrupted bool
+	// readingArrived is set while data is read that has arrived already.
+	readingArrived bool
 	// draining is set if the connection is to be closed when it is idle.
 	draining bool
 	// cutOff is set if no request that has not arrived in full is awaited any longer.
@@ -82,28 +96,32 @@
 	}()
 	return func() {
 		close(stopped)
-		_ = c.SetReadDeadline(past) // Interrupts the read. On a closed connection, it has already returned.
+		c.interrupt(true)
 		<-done
-		_ = c.SetReadDeadline(time.Time{})
+		c.interrupt(false)
 	}
 }
 
-// Read reads from the connection, beginning with the data that was received during Watch. If the connection is drained while it is
-// idle, Read closes it and returns io.EOF. If a request has been cut off, Read returns an error that is a timeout.
+// Read reads from the connection, beginning with the data that was received during Watch. If the connection is idle or new and is drained, or its
+// idle time is over, Read closes it and returns io.EOF. If the time for a request is over, or it has been cut off, Read returns an error that is a
+// timeout. Data that had arrived by then is still returned, unless the request was cut off.
 func (c *Conn) Read(p []byte) (int, error) {
 	if n, err := c.takeSavedRead(p); n > 0 || err != nil {
 		return n, err
 	}
 	c.beginWait()
 	n, err := c.Conn.Read(p)
-	if drained := c.endWait(); !drained || n > 0 {
-		return n, err
+	switch {
+	case n == 0 && !errors.Is(err, os.ErrDeadlineExceeded):
+		return 0, err
+	case n == 0 && !c.isCutOff() && c.hasUnreadData():
+		n, err = c.readArrived(p)
 	}
-	if !c.isCutOff() && c.hasUnreadData() {
-		return c.Conn.Read(p) // A request that has arrived is still answered.
+	if begun := c.endWait(n); !begun {
+		c.sendEnd(p)
+		return 0, io.EOF
 	}
-	c.sendEnd(p)
-	return 0, io.EOF
+	return n, err
 }
 
 // Write writes to the connection.
@@ -144,17 +162,16 @@
 
 // MarkReceiving records that the server has turned to the next request, whose first bytes it may have read with the one before.
 func (c *Conn) MarkReceiving() {
-	c.setState(connReceiving)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != connReceiving {
+		c.enterReceiving()
+	}
 }
 
 // MarkAnswering records that a request has been received in full.
 func (c *Conn) MarkAnswering() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.state, c.stateSince = connAnswering, time.Now()
-	if c.cutOff {
-		_ = c.SetReadDeadline(time.Time{}) // Otherwise, Watch would take the deadline for the caller's leaving.
-	}
+	c.setState(connAnswering)
 }
 
 // MarkAnswered records that a response has been written. The connection becomes idle when the server reads the next request from it.
@@ -176,7 +193,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.draining = true
-	c.limitRead()
+	_ = c.limitRead() // On a closed connection, the read has already returned.
 	return c.state == connIdle
 }
 
@@ -186,52 +203,60 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.draining, c.cutOff = true, true
-	c.limitRead()
+	_ = c.limitRead() // On a closed connection, the read has already returned.
 	return c.state == connReceiving
 }
 
-// limitRead sets the deadline of the current read, or of the next one, as the drain requires it. The caller must hold the lock.
-func (c *Conn) limitRead() {
-	switch {
-	case !c.draining:
-	case c.state == connIdle, c.cutOff && (c.state == connNew || c.state == connReceiving):
-		_ = c.SetReadDeadline(past) // On a closed connection, the read has already returned.
-	case c.state == connNew:
-		_ = c.SetReadDeadline(c.stateSince.Add(newRequestTime))
-	}
+// interrupt ends Watch's read, or lets reads wait again.
+func (c *Conn) interrupt(interrupted bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.interrupted = interrupted
+	_ = c.limitRead() // On a closed connection, the read has already returned.
 }
 
-// beginWait makes the connection idle if its last request has been answered, and limits the following read as the drain requires it.
+// beginWait makes the connection idle if its last request has been answered.
 func (c *Conn) beginWait() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state == connAnswered {
-		c.state = connIdle
+		_ = c.enter(connIdle, c.currentLimits().IdleTimeout) // On a closed connection, the read fails anyway.
 	}
-	c.limitRead()
 }
 
-// endWait ends the wait for the first byte of a request after a read, and removes the deadline by which the drain interrupted it. It reports
-// whether the connection has waited and is to be drained.
-func (c *Conn) endWait() bool {
+// endWait ends the wait for the first byte of a request if it has arrived in a read of n bytes. It reports whether a request has begun to arrive,
+// now or before.
+func (c *Conn) endWait(n int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state != connIdle && c.state != connNew {
-		return false
+		return true
 	}
-	c.state, c.stateSince = connReceiving, time.Now()
-	if c.draining && !c.cutOff {
-		_ = c.SetReadDeadline(time.Time{}) // On a closed connection, the next read fails anyway.
+	if n > 0 {
+		c.enterReceiving()
 	}
-	return c.draining
+	return n > 0
+}
+
+// readArrived reads what has arrived, although the time to wait for it is over.
+func (c *Conn) readArrived(p []byte) (int, error) {
+	c.setReadingArrived(true)
+	defer c.setReadingArrived(false)
+	return c.Conn.Read(p)
+}
+
+func (c *Conn) setReadingArrived(reading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readingArrived = reading
+	_ = c.limitRead() // On a closed connection, the next read fails anyway.
 }
 
 // sendEnd closes the connection for sending and discards what still arrives, using p as a buffer. Closing it entirely would reset it
 // if a request arrived meanwhile, and a reset can cost the caller the response before it.
 func (c *Conn) sendEnd(p []byte) {
-	c.setState(connEnding)
 	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+	if err := c.beginEnding(); !ok || err != nil || half.CloseWrite() != nil {
 		return // The connection is closed already, or is closed entirely by the server.
 	}
 	for {
@@ -241,6 +266,12 @@
 	}
 }
 
+func (c *Conn) beginEnding() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.enter(connEnding, lingerTimeout)
+}
+
 // hasUnreadData reports whether data has arrived that has not been read.
 func (c *Conn) hasUnreadData() bool {
 	socket, ok := c.Conn.(syscall.Conn)
@@ -306,5 +337,5 @@
 func (c *Conn) setState(state connState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state, c.stateSince = state, time.Now()
+	_ = c.enter(state, 0) // On a closed connection, the next read fails anyway.
 }
--- /dev/null
+++ b/internal/node/railconn/limits.go
@@ -0,0 +1,106 @@
+package railconn
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// arrivalSlack is added to the time for a head, since its parts may be delayed on their way.
+const arrivalSlack = time.Second
+
+// Limits bounds the size of a caller's requests, and how long the caller may take or stay idle. 0 means unlimited.
+type Limits struct {
+	// MaxHeaderBytes and MaxBodyBytes bound a request's head and body. The connection does not enforce them.
+	MaxHeaderBytes, MaxBodyBytes int
+	// HeaderTimeout is the time from the first byte of a request to the end of its head.
+	HeaderTimeout time.Duration
+	// IdleTimeout is the time without any byte after which an idle or new connection is closed.
+	IdleTimeout time.Duration
+}
+
+// HeaderReceived returns a hook for the server's field of that name, which limits the time for a body to bodyTimeout from the end of its head.
+func HeaderReceived(bodyTimeout time.Duration) func(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+	return func(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+		return fasthttp.RequestConfig{ReadTimeout: bodyTimeout}
+	}
+}
+
+// Limits returns the limits that hold for the request on the connection: those that were in force when its first byte arrived.
+func (c *Conn) Limits() Limits {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.limits
+}
+
+// awaitFirst begins the wait for the first byte on a new connection.
+func (c *Conn) awaitFirst() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = c.enter(connNew, c.currentLimits().IdleTimeout) // On a closed connection, the read fails anyway.
+}
+
+// SetReadDeadline sets the time by which the body of the current request must have arrived. The HTTP server calls it once it has received a
+// request's head, as HeaderReceived makes it do, and at no other time: the connection itself limits all other reads.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waitUntil = t
+	return c.limitRead()
+}
+
+// readDeadline returns the time at which a read ends that is under way or comes next, or the zero time for none. It follows from the connection's
+// state, its drain and its limits. The caller must hold the lock.
+func (c *Conn) readDeadline() time.Time {
+	switch {
+	case c.readingArrived:
+		return time.Time{}
+	case c.interrupted:
+		return past
+	case c.state == connIdle && c.draining, c.cutOff && (c.state == connNew || c.state == connReceiving):
+		return past
+	case c.state == connNew && c.draining:
+		return earliest(c.stateSince.Add(newRequestTime), c.waitUntil)
+	case c.state == connNew, c.state == connIdle, c.state == connReceiving, c.state == connEnding:
+		return c.waitUntil
+	}
+	return time.Time{}
+}
+
+// limitRead applies readDeadline, also to a read that is under way. The caller must hold the lock.
+func (c *Conn) limitRead() error {
+	deadline := c.readDeadline()
+	if deadline.Equal(c.deadline) {
+		return nil
+	}
+	c.deadline = deadline
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// enter changes the connection's state, whose wait ends after a time, or never if that is 0. The caller must hold the lock.
+func (c *Conn) enter(state connState, wait time.Duration) error {
+	now := time.Now()
+	c.state, c.stateSince, c.waitUntil = state, now, time.Time{}
+	if wait > 0 {
+		c.waitUntil = now.Add(wait)
+	}
+	return c.limitRead()
+}
+
+// enterReceiving makes the limits that are now in force hold for the request whose first byte has arrived. The caller must hold the lock.
+func (c *Conn) enterReceiving() {
+	c.limits = c.currentLimits()
+	wait := time.Duration(0)
+	if c.limits.HeaderTimeout > 0 {
+		wait = c.limits.HeaderTimeout + arrivalSlack
+	}
+	_ = c.enter(connReceiving, wait) // On a closed connection, the next read fails anyway.
+}
+
+// earliest returns the earlier of two times; the zero time is none.
+func earliest(a, b time.Time) time.Time {
+	if b.IsZero() || a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/internal/node/railconn/listener.go
+++ b/internal/node/railconn/listener.go
@@ -3,13 +3,15 @@
 import (
 	"net"
 	"sync"
-	"time"
 )
 
-// Listener wraps accepted connections in Conn and tracks the open ones. Its exported field must be set before first use.
+// Listener wraps accepted connections in Conn and tracks the open ones. Its exported fields must be set before first use.
 type Listener struct {
 	net.Listener
 
+	// Limits returns the limits that are in force. If it is nil, there are none.
+	Limits func() Limits
+
 	mu       sync.Mutex
 	conns    map[*Conn]bool
 	draining bool
@@ -23,8 +25,12 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := &Conn{Conn: conn, draining: l.draining, stateSince: time.Now()}
+	c := &Conn{Conn: conn, draining: l.draining, currentLimits: l.Limits}
+	if c.currentLimits == nil {
+		c.currentLimits = func() Limits { return Limits{} }
+	}
 	c.onClose = func() { l.remove(c) }
+	c.awaitFirst()
 	if l.conns == nil {
 		l.conns = map[*Conn]bool{}
 	}
--- a/internal/node/railentry/entry.go
+++ b/internal/node/railentry/entry.go
@@ -29,7 +29,8 @@
 	maxConnections = 1 << 16
 	// maxHeaderBytes is the maximum size of a request's headers.
 	maxHeaderBytes = 16 << 10
-	readTimeout    = 30 * time.Second
+	headerTimeout  = 30 * time.Second
+	bodyTimeout    = 30 * time.Second
 	idleTimeout    = 2 * time.Minute
 )
 
@@ -69,10 +70,10 @@
 	listener := &raillistener.Listener{Key: e.SharedKey, Handler: mux, Log: e.Log}
 	server := &fasthttp.Server{
 		Handler: e.handle, MaxRequestBodySize: maxBodyBytes, Concurrency: maxConnections, NoDefaultServerHeader: true,
-		ReadBufferSize: maxHeaderBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, Logger: discardLogger{}, CloseOnShutdown: true,
+		ReadBufferSize: maxHeaderBytes, Logger: discardLogger{}, CloseOnShutdown: true, HeaderReceived: railconn.HeaderReceived(bodyTimeout),
 		ConnState: railconn.TrackState, ErrorHandler: e.rejectUnreadable,
 	}
-	callers := &railconn.Listener{Listener: &railacceptor.Acceptor{Listener: e.CallerListener, Log: e.Log}}
+	callers := &railconn.Listener{Listener: &railacceptor.Acceptor{Listener: e.CallerListener, Log: e.Log}, Limits: limits}
 	failed := make(chan error, 2)
 	wg.Go(func() { failed <- listener.Run(workCtx, e.InternalListener) })
 	wg.Go(func() { failed <- server.Serve(callers) })
@@ -87,6 +88,11 @@
 	return errors.CombineErrors(errors.Wrap(err, "serve"), e.drain(workCtx, server, callers, drainTimeout))
 }
 
+// limits returns the time limits of callers' requests.
+func limits() railconn.Limits {
+	return railconn.Limits{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
 // Revision returns the number of the entry's current revision, or 0 if it has none.
 func (e *Entry) Revision() uint64 {
 	e.init()
--- a/internal/node/railgateway/ending_test.go
+++ b/internal/node/railgateway/ending_test.go
@@ -142,6 +142,10 @@
 		"the time-out is shorter": change(func(c railcatalog.Catalog) railcatalog.Catalog {
 			return c.WithRoutes(mapRoutes(c, func(r *railroute.Route) { r.Timeout = time.Millisecond }))
 		}),
+		"the limits are shorter": change(func(c railcatalog.Catalog) railcatalog.Catalog {
+			c.Limits = railcatalog.Limits{MaxHeaderBytes: 1, MaxBodyBytes: 1, HeaderTimeout: time.Millisecond, IdleTimeout: time.Millisecond}
+			return c
+		}),
 		"the route goes to another service": change(func(c railcatalog.Catalog) railcatalog.Catalog {
 			return c.WithRoutes(mapRoutes(c, func(r *railroute.Route) { r.Services = []railroute.WeightedService{{Service: "annex", Weight: 1}} }))
 		}),
--- a/internal/node/railgateway/gateway.go
+++ b/internal/node/railgateway/gateway.go
@@ -1,6 +1,7 @@
 package railgateway
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net"
@@ -29,8 +30,11 @@
 	maxConnections = 1 << 14
 	maxHeaderBytes = 32 << 10
 	maxBodyBytes   = 8 << 20
-	// idleTimeout is longer than any caller keeps an idle connection, so that callers close theirs first.
-	idleTimeout = 10 * time.Minute
+	// defaultHeaderTimeout and defaultIdleTimeout hold while no configuration sets any.
+	defaultHeaderTimeout = 30 * time.Second
+	defaultIdleTimeout   = 10 * time.Minute
+	// bodyTimeout is enough for the longest body at 1 Mbit/s.
+	bodyTimeout = 2 * time.Minute
 	// onTimeLogsPerSecond is the number of on-time responses that are logged each second.
 	onTimeLogsPerSecond = 5
 )
@@ -89,10 +93,10 @@
 	g.malformedSampler.PerSecond = malformedLogsPerSecond
 	server := &fasthttp.Server{
 		Handler: g.handle, Concurrency: maxConnections, ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes,
-		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, IdleTimeout: idleTimeout, Logger: discardLogger{},
-		DisablePreParseMultipartForm: true, ConnState: railconn.TrackState, ErrorHandler: g.rejectUnreadable,
+		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, Logger: discardLogger{},
+		DisablePreParseMultipartForm: true, HeaderReceived: railconn.HeaderReceived(bodyTimeout), ConnState: railconn.TrackState, ErrorHandler: g.rejectUnreadable,
 	}
-	listener := &railconn.Listener{Listener: &railacceptor.Acceptor{Listener: g.CallerListener, Log: g.Log}}
+	listener := &railconn.Listener{Listener: &railacceptor.Acceptor{Listener: g.CallerListener, Log: g.Log}, Limits: g.limits}
 	ready := &fasthttp.Server{Handler: g.readiness, NoDefaultServerHeader: true, Logger: discardLogger{}}
 	failed := make(chan error, 2)
 	go func() { failed <- server.Serve(listener) }()
@@ -139,6 +143,16 @@
 	return ""
 }
 
+// limits returns the limits of callers' requests that are in force.
+func (g *Gateway) limits() railconn.Limits {
+	catalog, _ := g.Catalog()
+	l := catalog.Limits
+	return railconn.Limits{
+		MaxHeaderBytes: l.MaxHeaderBytes, MaxBodyBytes: l.MaxBodyBytes, HeaderTimeout: cmp.Or(l.HeaderTimeout, defaultHeaderTimeout),
+		IdleTimeout: cmp.Or(l.IdleTimeout, defaultIdleTimeout),
+	}
+}
+
 func (g *Gateway) admitter(service string) *railadmitter.Admitter {
 	if a, ok := g.admitters.Load(service); ok {
 		return a.(*railadmitter.Admitter)
--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -29,7 +29,9 @@
 	railheader.Request
 	ctx *fasthttp.RequestCtx
 	// conn is the caller's connection, or nil if it can't be watched for a disconnect.
-	conn     *railconn.Conn
+	conn *railconn.Conn
+	// limits holds those that were in force when the request began to arrive.
+	limits   railconn.Limits
 	start    time.Time
 	deadline time.Time
 	service  string
@@ -81,6 +83,7 @@
 	c := &call{Request: g.Translator.ParseRequest(&ctx.Request.Header), ctx: ctx, start: time.Now()}
 	if c.conn, _ = ctx.Conn().(*railconn.Conn); c.conn != nil {
 		c.conn.MarkAnswering()
+		c.limits = c.conn.Limits()
 	}
 	if rejected := g.admit(c); rejected != nil {
 		g.reject(c, rejected)
@@ -103,10 +106,10 @@
 	if !known {
 		return &rejection{status: fasthttp.StatusServiceUnavailable, reason: "no configuration is known yet"}
 	}
-	path, _, _ := strings.Cut(string(c.ctx.Request.Header.RequestURI()), "?")
-	if maxBytes := catalog.Limits.MaxBodyBytes; maxBytes > 0 && len(c.ctx.Request.Body()) > maxBytes {
-		return &rejection{status: fasthttp.StatusRequestEntityTooLarge, reason: "the body is too long"}
+	if rejected := c.checkSize(); rejected != nil {
+		return rejected
 	}
+	path, _, _ := strings.Cut(string(c.ctx.Request.Header.RequestURI()), "?")
 	route, ok := catalog.Match(string(c.ctx.Request.Header.Host()), path)
 	if !ok {
 		return &rejection{status: fasthttp.StatusNotFound, reason: "no route matches"}
@@ -125,6 +128,23 @@
 	return nil
 }
 
+// checkSize returns a rejection if the request exceeds the limits that were in force when it began to arrive.
+func (c *call) checkSize() *rejection {
+	limits := c.limits
+	switch {
+	case limits.MaxHeaderBytes > 0 && headBytes(&c.ctx.Request.Header) > limits.MaxHeaderBytes:
+		return &rejection{status: fasthttp.StatusRequestHeaderFieldsTooLarge, reason: "the request's head is too long"}
+	case limits.MaxBodyBytes > 0 && len(c.ctx.Request.Body()) > limits.MaxBodyBytes:
+		return &rejection{status: fasthttp.StatusRequestEntityTooLarge, reason: "the body is too long"}
+	}
+	return nil
+}
+
+// headBytes returns the size of a request's line and headers, without the line breaks around the headers.
+func headBytes(h *fasthttp.RequestHeader) int {
+	return len(h.Method()) + len(" ") + len(h.RequestURI()) + len(" ") + len(h.Protocol()) + len(h.RawHeaders())
+}
+
 // authenticate sets the customer that owns the request's key. It returns a rejection if the route needs a key and the key is unknown
 // or can't be checked.
 func (g *Gateway) authenticate(c *call, catalog railcatalog.Catalog) *rejection {
