Answer a chunked body that is too slow with 408, not 400

What callers saw: where the time for a chunked body ended within the line of a chunk's size, the response was 400, which says that the request is malformed and is not sent again. At the end of a drain it was 400 too, in place of 503.

Cause: the HTTP library's error for a broken chunk hides the error that caused it, so that the timeout was not found in it.

Change: the connection remembers that its last read has timed out, and the status follows from that.

Why this works: every read of a request goes through the connection, whatever the library makes of its error.

--- a/internal/node/railconn/conn.go
+++ b/internal/node/railconn/conn.go
@@ -68,6 +68,8 @@
 	interrupted bool
 	// readingArrived is set while data is read that has arrived already.
 	readingArrived bool
+	// timedOut is set if the last read has ended by the time for its request.
+	timedOut bool
 	// draining is set if the connection is to be closed when it is idle.
 	draining bool
 	// cutOff is set if no request that has not arrived in full is awaited any longer.
@@ -121,6 +123,7 @@
 		c.sendEnd(p)
 		return 0, io.EOF
 	}
+	c.saveTimeout(err)
 	return n, err
 }
 
@@ -252,6 +255,19 @@
 	_ = c.limitRead() // On a closed connection, the next read fails anyway.
 }
 
+// saveTimeout records whether the last read has ended by the time for its request.
+func (c *Conn) saveTimeout(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.timedOut = errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+func (c *Conn) hasTimedOut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.timedOut
+}
+
 // sendEnd closes the connection for sending and discards what still arrives, using p as a buffer. Closing it entirely would reset it
 // if a request arrived meanwhile, and a reset can cost the caller the response before it.
 func (c *Conn) sendEnd(p []byte) {
--- a/internal/node/railconn/limits_test.go
+++ b/internal/node/railconn/limits_test.go
@@ -51,7 +51,7 @@
 			ctx.SetBody(ctx.PostBody())
 		},
 		ErrorHandler: func(ctx *fasthttp.RequestCtx, err error) {
-			status, reason := railconn.UnreadableStatus(err, false)
+			status, reason := railconn.UnreadableStatus(ctx.Conn(), err, false)
 			ctx.Error(reason, status)
 		},
 		HeaderReceived: railconn.HeaderReceived(bodyTimeout), ConnState: railconn.TrackState,
@@ -127,7 +127,8 @@
 		"head of the second request": {headLimit, testTimeout, head + "body", longHead, true, shortTime + slack},
 		// Its time begins a little before its response has been received.
 		"head that began with the request before": {headLimit, testTimeout, head + "body" + longHead[:10], longHead[10:], true, slack},
-		"body": {railconn.Limits{}, 2 * shortTime, requestStart + "Content-Length: 1000\r\n\r\n", long, false, 2 * shortTime},
+		"body":         {railconn.Limits{}, 2 * shortTime, requestStart + "Content-Length: 1000\r\n\r\n", long, false, 2 * shortTime},
+		"chunked body": {railconn.Limits{}, 2 * shortTime, requestStart + "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("1\r\nx\r\n", 200), false, 2 * shortTime},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/node/railconn/unreadable.go
+++ b/internal/node/railconn/unreadable.go
@@ -7,12 +7,12 @@
 	"github.com/valyala/fasthttp"
 )
 
-// UnreadableStatus returns the status and the reason with which the HTTP server answers a request that could not be read because of err.
-// stopping is whether the process drains: a request that has not arrived in full at the end of the drain may be sent to another process.
-func UnreadableStatus(err error, stopping bool) (status int, reason string) {
+// UnreadableStatus returns the status and the reason with which the HTTP server answers a request on a connection that could not be read because of
+// err. stopping is whether the process drains: a request that has not arrived in full at the end of the drain may be sent to another process.
+func UnreadableStatus(c net.Conn, err error, stopping bool) (status int, reason string) {
 	var headTooLong *fasthttp.ErrSmallBuffer
-	var netErr net.Error
-	switch timedOut := errors.As(err, &netErr) && netErr.Timeout(); {
+	conn, ok := c.(*Conn)
+	switch timedOut := ok && conn.hasTimedOut(); { // The error itself doesn't tell: that of a chunked body hides its cause.
 	case errors.As(err, &headTooLong):
 		return fasthttp.StatusRequestHeaderFieldsTooLarge, "the request's head is too long"
 	case timedOut && stopping:
--- a/internal/node/railentry/drain.go
+++ b/internal/node/railentry/drain.go
@@ -35,7 +35,7 @@
 
 // rejectUnreadable responds to a request that could not be read.
 func (e *Entry) rejectUnreadable(ctx *fasthttp.RequestCtx, err error) {
-	status, reason := railconn.UnreadableStatus(err, e.router.Stopping())
+	status, reason := railconn.UnreadableStatus(ctx.Conn(), err, e.router.Stopping())
 	e.front.RejectUnreadable(ctx, status, reason)
 }
 
--- a/internal/node/railgateway/unreadable.go
+++ b/internal/node/railgateway/unreadable.go
@@ -13,7 +13,7 @@
 
 // rejectUnreadable responds to a request that could not be read.
 func (g *Gateway) rejectUnreadable(ctx *fasthttp.RequestCtx, err error) {
-	status, reason := railconn.UnreadableStatus(err, g.drainState.draining.Load())
+	status, reason := railconn.UnreadableStatus(ctx.Conn(), err, g.drainState.draining.Load())
 	ctx.Error(reason+"\n", status)
 	if status == fasthttp.StatusServiceUnavailable {
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, formatSeconds(railretrydetector.RetryAfter(0, 0, rand.Float64())))
