--- a/internal/node/railconn/limits_test.go
+++ b/internal/node/railconn/limits_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -252,6 +253,10 @@
 		status  int
 	}{
 		"head": {requestStart + "Long: " + strings.Repeat("x", 2*headBufferBytes) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		"body": {requestStart + "Content-Length: " + strconv.Itoa(maxBodyBytes+1) + "\r\n\r\nx", http.StatusRequestEntityTooLarge},
+		"chunked body": {
+			requestStart + "Transfer-Encoding: chunked\r\n\r\n" + strconv.FormatInt(maxBodyBytes+1, 16) + "\r\nx", http.StatusRequestEntityTooLarge,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/node/railgateway/limits_test.go
+++ b/internal/node/railgateway/limits_test.go
@@ -79,7 +79,7 @@
 // Guards against requests that are longer than the operators or the process allow and are passed on, or called malformed, and against refusing the longest
 // that is allowed.
 func TestSizeLimitsHold(t *testing.T) {
-	const maxBytes = 4096
+	const maxBytes, processMaxBody = 4096, 8 << 20
 	padded := func(n int) string {
 		head := strings.TrimSuffix(request("id-1"), "\r\n") + "Pad: "
 		return head + strings.Repeat("x", n-len(head)-len("\r\n\r\n")) + "\r\n\r\n"
@@ -98,6 +98,7 @@
 		"head over the process":       {railcatalog.Limits{}, padded(40 << 10), http.StatusRequestHeaderFieldsTooLarge},
 		"longest body":                {configured, withBody(maxBytes), http.StatusOK},
 		"body over the configuration": {configured, withBody(maxBytes + 1), http.StatusRequestEntityTooLarge},
+		"body over the process":       {railcatalog.Limits{}, withBody(processMaxBody + 1), http.StatusRequestEntityTooLarge},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
