--- a/internal/node/railgateway/drain_receive_test.go
+++ b/internal/node/railgateway/drain_receive_test.go
@@ -28,11 +28,12 @@
 func slowRequests() map[string]slowRequest {
 	const head = slowHead + "Content-Length: 10\r\n\r\n"
 	return map[string]slowRequest{
-		"in the head":          {first: head[:len(head)/2], rest: head[len(head)/2:] + "0123456789"},
-		"in the body":          {first: head + "01234", rest: "56789"},
-		"in a chunked body":    {first: slowHead + "Transfer-Encoding: chunked\r\n\r\n5\r\n01234\r\n", rest: "5\r\n56789\r\n0\r\n\r\n"},
-		"before the body":      {first: slowHead + "Content-Length: 10\r\nExpect: 100-continue\r\n\r\n", rest: "0123456789", interim: true},
-		"in the second of two": {first: request("id-0") + head + "01234", rest: "56789"},
+		"in the head":            {first: head[:len(head)/2], rest: head[len(head)/2:] + "0123456789"},
+		"in the body":            {first: head + "01234", rest: "56789"},
+		"in a chunked body":      {first: slowHead + "Transfer-Encoding: chunked\r\n\r\n5\r\n01234\r\n", rest: "5\r\n56789\r\n0\r\n\r\n"},
+		"in the size of a chunk": {first: slowHead + "Transfer-Encoding: chunked\r\n\r\n5\r", rest: "\n01234\r\n5\r\n56789\r\n0\r\n\r\n"},
+		"before the body":        {first: slowHead + "Content-Length: 10\r\nExpect: 100-continue\r\n\r\n", rest: "0123456789", interim: true},
+		"in the second of two":   {first: request("id-0") + head + "01234", rest: "56789"},
 	}
 }
 
