--- a/internal/node/railgateway/limits_test.go
+++ b/internal/node/railgateway/limits_test.go
@@ -29,17 +29,6 @@
 	})
 }
 
-// connect opens a connection and sends data on it.
-func (d *deployment) connect(t *testing.T, data string) (net.Conn, *bufio.Reader) {
-	t.Helper()
-	conn, err := net.Dial("tcp", strings.TrimPrefix(d.url, "http://"))
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { _ = conn.Close() })
-	qt.Assert(t, conn.SetDeadline(time.Now().Add(eofTimeout)), qt.IsNil)
-	write(t, conn, data)
-	return conn, bufio.NewReader(conn)
-}
-
 func write(t *testing.T, conn net.Conn, data string) {
 	t.Helper()
 	_, err := io.WriteString(conn, data)
@@ -67,9 +56,11 @@
 			t.Parallel()
 			d := newDeployment(t, &endpoint{name: "near", handlers: sequence(respondOK)})
 			d.limit(c.limits)
-			_, reader := d.connect(t, c.sent)
+			_, reader := d.sendSlowly(t, slowRequest{first: c.sent})
 			if c.status != 0 {
-				qt.Check(t, readStatus(t, reader), qt.Equals, c.status)
+				got := readFrom(t, reader)
+				qt.Check(t, got.status, qt.Equals, c.status)
+				qt.Check(t, got.close, qt.Equals, c.status == http.StatusRequestTimeout)
 			}
 			expectEnd(t, reader)
 		})
@@ -105,8 +96,8 @@
 			near := &endpoint{name: "near", handlers: sequence(respondOK)}
 			d := newDeployment(t, near)
 			d.limit(c.limits)
-			_, reader := d.connect(t, c.request)
-			qt.Check(t, readStatus(t, reader), qt.Equals, c.status)
+			_, reader := d.sendSlowly(t, slowRequest{first: c.request})
+			qt.Check(t, readFrom(t, reader).status, qt.Equals, c.status)
 			qt.Check(t, len(near.requests()) == 1, qt.Equals, c.status == http.StatusOK)
 		})
 	}
@@ -122,8 +113,8 @@
 			t.Parallel()
 			near := &endpoint{name: "near", handlers: sequence(respondOK)}
 			d := newDeployment(t, near)
-			conn, reader := d.connect(t, whole)
-			qt.Assert(t, readStatus(t, reader), qt.Equals, http.StatusOK)
+			conn, reader := d.sendSlowly(t, slowRequest{first: whole})
+			qt.Assert(t, readFrom(t, reader).status, qt.Equals, http.StatusOK)
 			write(t, conn, sent)
 			time.Sleep(shortLimit) // The gateway reads what was sent, or waits for it.
 			limits := railcatalog.Limits{HeaderTimeout: shortLimit, IdleTimeout: shortLimit}
@@ -133,12 +124,12 @@
 			d.limit(limits)
 			time.Sleep(2*shortLimit + headSlack)
 			write(t, conn, whole[len(sent):])
-			qt.Check(t, readStatus(t, reader), qt.Equals, http.StatusOK)
+			qt.Check(t, readFrom(t, reader).status, qt.Equals, http.StatusOK)
 			qt.Check(t, near.requests(), qt.HasLen, 2)
 			expectEnd(t, reader)
 			if sent != "" {
-				_, reader = d.connect(t, whole)
-				qt.Check(t, readStatus(t, reader), qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
+				_, reader = d.sendSlowly(t, slowRequest{first: whole})
+				qt.Check(t, readFrom(t, reader).status, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
 			}
 		})
 	}
