Reject queued requests that the configuration has dropped

Callers whose request waited in a gateway's queue were served with a key or at a service that a new configuration had taken away meanwhile, or were refused only once their time in the queue was over (4.5 s with a target of 10 s).

Cause: key and service are checked before each attempt, but the attempt begins only when the queue grants it an endpoint, and nothing in the queue looked at the configuration again, except for zones and versions of weights.

The admitter now asks the gateway about a request when it arrives, when it is to be granted an endpoint, and every 100 ms while it waits, also behind others. The age of the configuration ends no waiting request, since its key was checked in time. Requests whose route is dropped or goes elsewhere, whose key goes to another customer, or whose customer's rank or weight changes, are answered as before.

With one part of the fix left out (trials), TestDroppedRequestIsNotGrantedCapacity fails: without the check at the grant, and without the check while others are ahead.

--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -90,6 +90,8 @@
 	IsolationKey string
 	// Refresh updates what depends on the configuration, for a request that has waited. It is nil if nothing does.
 	Refresh func(*Requirements)
+	// Dropped returns the reason why the configuration allows no further attempt for the request, or nil. It is nil itself if nothing can.
+	Dropped func() error
 }
 
 // SetInstances replaces the list of endpoints and keeps the state of those that are still listed.
--- a/internal/node/railgateway/forward.go
+++ b/internal/node/railgateway/forward.go
@@ -118,6 +118,7 @@
 	}
 	requirements := railfleet.Requirements{
 		Backend: backend, PromptTokens: c.PromptTokens, OutputTokens: c.OutputTokens, MaxEventGap: c.route.MaxEventGap, Tried: c.tries.tried(), Refresh: g.refresh,
+		Dropped:       func() error { return g.dropped(c) },
 		RegionAllowed: func(region string) bool { return c.route.AllowsRegion(region) && c.customer.AllowsRegion(region) },
 	}
 	g.refresh(&requirements)
@@ -159,6 +160,22 @@
 	}
 }
 
+// dropped returns the reason why the current configuration allows no further attempt for a request, or nil. Unlike keyStillValid, it takes no notice
+// of the configuration's age, which ends no request that was accepted in time.
+func (g *Gateway) dropped(c *call) error {
+	catalog, known := g.Catalog()
+	if !known {
+		return nil
+	}
+	if _, ok := catalog.CustomerByKey(c.APIKey); c.keyRequired && !ok {
+		return errKeyInvalid
+	}
+	if _, ok := catalog.Backend(c.service); !ok {
+		return errUnknownService
+	}
+	return nil
+}
+
 // refresh sets the requirements that follow from the current configuration: the zones that are out of service, and the weights on which a
 // response may start.
 func (g *Gateway) refresh(requirements *railfleet.Requirements) {
--- a/internal/routing/railadmitter/admitter.go
+++ b/internal/routing/railadmitter/admitter.go
@@ -18,6 +18,9 @@
 	// minWakeInterval is the least time between two retries, however many changes are reported.
 	minWakeInterval = 2 * time.Millisecond
 	rateWindow      = time.Second
+	// dropCheckInterval is the interval at which all waiting requests are checked for being dropped by the configuration. Those that are to be granted
+	// a lease are always checked.
+	dropCheckInterval = 100 * time.Millisecond
 	// maxWaiting bounds the number of waiting requests. The predicted wait bounds it long before.
 	maxWaiting = 1 << 14
 	// customerWeight is each customer's weight in the queue.
@@ -69,6 +72,8 @@
 	// since that retry.
 	retriedAt        time.Time
 	polling, changed bool
+	// dropsCheckedAt is the time of the last check of all waiting requests.
+	dropsCheckedAt time.Time
 }
 
 type waiter struct {
@@ -79,16 +84,21 @@
 	grantBy time.Time
 	granted chan *railfleet.Lease
 	// rejected receives the reason if the request can't be granted a lease in time any more.
-	rejected chan *RejectionError
+	rejected chan error
 }
 
 // Acquire returns a lease on an endpoint, waiting for it until grantBy at most. Requests of a lower rank are served first, and those of the
 // same rank in turn for each customer, so that one customer's requests don't hold up those of others. An error means that the request was not
-// run; it is a RejectionError unless ctx is done.
+// run; it is a RejectionError unless ctx is done or the configuration has dropped the request. A request that is dropped while it waits is rejected
+// within dropCheckInterval.
 func (a *Admitter) Acquire(ctx context.Context, requirements railfleet.Requirements, rank int, customer string, grantBy time.Time) (*railfleet.Lease, error) {
 	a.mu.Lock()
 	now := time.Now()
 	a.init()
+	if err := dropped(requirements); err != nil {
+		a.mu.Unlock()
+		return nil, err
+	}
 	ahead := a.waiting.CountAhead(-rank, customer, customerWeight)
 	if ahead == 0 {
 		if l, ok := a.reserve(requirements, grantBy, now); ok {
@@ -110,7 +120,7 @@
 		a.mu.Unlock()
 		return nil, rejection
 	}
-	w := &waiter{requirements: requirements, rank: rank, customer: customer, grantBy: grantBy, granted: make(chan *railfleet.Lease, 1), rejected: make(chan *RejectionError, 1)}
+	w := &waiter{requirements: requirements, rank: rank, customer: customer, grantBy: grantBy, granted: make(chan *railfleet.Lease, 1), rejected: make(chan error, 1)}
 	if evicted, full := a.waiting.Push(w, -rank, customer, customerWeight); full {
 		evicted.rejected <- &RejectionError{Cause: ErrBusy, Ahead: maxWaiting}
 	}
@@ -160,12 +170,18 @@
 // requests don't starve large ones, unless no endpoint could take it regardless of load.
 func (a *Admitter) retry(now time.Time) {
 	a.retriedAt, a.changed = now, false
+	a.rejectDropped(now)
 	var unservable []*waiter
 	for {
 		w, ok := a.waiting.Peek()
 		if !ok {
 			break
 		}
+		if err := dropped(w.requirements); err != nil {
+			a.waiting.DiscardFirst()
+			w.rejected <- err
+			continue
+		}
 		if l, ok := a.reserve(w.requirements, w.grantBy, now); ok {
 			a.waiting.Pop()
 			a.recordGrant(now)
@@ -188,6 +204,29 @@
 	}
 }
 
+// rejectDropped rejects all waiting requests that the configuration has dropped, if that is due: those behind the first wait for its turn otherwise.
+func (a *Admitter) rejectDropped(now time.Time) {
+	if now.Sub(a.dropsCheckedAt) < dropCheckInterval {
+		return
+	}
+	a.dropsCheckedAt = now
+	a.waiting.RemoveFunc(func(w *waiter) bool {
+		err := dropped(w.requirements)
+		if err != nil {
+			w.rejected <- err
+		}
+		return err != nil
+	})
+}
+
+// dropped returns the reason why the configuration allows no further attempt for a request, or nil.
+func dropped(requirements railfleet.Requirements) error {
+	if requirements.Dropped == nil {
+		return nil
+	}
+	return requirements.Dropped()
+}
+
 // Waiting returns the number of waiting requests.
 func (a *Admitter) Waiting() int {
 	a.mu.Lock()
@@ -235,8 +274,8 @@
 	select {
 	case l := <-w.granted:
 		return l, nil
-	case rejection := <-w.rejected:
-		return nil, rejection
+	case err := <-w.rejected:
+		return nil, err
 	case <-expired.C:
 		return a.removeWaiter(w, rejection)
 	case <-ctx.Done():
--- a/internal/routing/railadmitter/admitter_test.go
+++ b/internal/routing/railadmitter/admitter_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarrail/fulmarrail/internal/config/railbackend"
@@ -176,3 +179,45 @@
 		})
 	}
 }
+
+// Guards against capacity that is granted to a request which the configuration has dropped while it waited, and against one that learns that only
+// once its turn has come.
+func TestDroppedRequestIsNotGrantedCapacity(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		a, requirements := newAdmitter()
+		leases := acquireAll(t, a, requirements)
+		var dropped atomic.Bool
+		errDropped := errors.New("dropped")
+		droppable := requirements
+		droppable.Dropped = func() error {
+			if dropped.Load() {
+				return errDropped
+			}
+			return nil
+		}
+		type result struct {
+			lease *railfleet.Lease
+			err   error
+		}
+		acquire := func(r railfleet.Requirements) chan result {
+			results := make(chan result, 1)
+			go func() {
+				l, err := a.Acquire(t.Context(), r, 1, customer, time.Now().Add(5*time.Second))
+				results <- result{l, err}
+			}()
+			synctest.Wait()
+			return results
+		}
+		first, second, _, behind := acquire(droppable), acquire(requirements), acquire(requirements), acquire(droppable)
+		time.Sleep(time.Second) // All waiting requests have just been checked.
+		dropped.Store(true)
+		leases[0].Done(railfleet.Answered)
+		qt.Check(t, (<-first).err, qt.ErrorIs, errDropped)
+		qt.Check(t, (<-second).err, qt.IsNil)
+		start := time.Now()
+		qt.Check(t, (<-behind).err, qt.ErrorIs, errDropped)
+		qt.Check(t, time.Since(start) < 200*time.Millisecond, qt.IsTrue)
+		_, err := a.Acquire(t.Context(), droppable, 1, customer, time.Now().Add(time.Second))
+		qt.Check(t, err, qt.ErrorIs, errDropped)
+	})
+}
