--- a/internal/node/railfront/panic.go
+++ b/internal/node/railfront/panic.go
@@ -38,7 +38,7 @@
 
 // observe calls Observe. A panic in it must not take the place of a response.
 func (f *Front) observe(req railrequest.Request, verdict railverdict.Verdict, firstToken, betweenTokens time.Duration) {
-	defer func() { railpanic.Recovered(recover(), f.Log, unitRecord, "request", req.ID) }()
+	defer func() { _ = railpanic.Recovered(recover(), f.Log, unitRecord, "request", req.ID) }()
 	f.Observe(req, verdict, firstToken, betweenTokens)
 }
 
--- a/internal/node/railfront/panic_test.go
+++ b/internal/node/railfront/panic_test.go
@@ -30,8 +30,6 @@
 
 // Guards against a panic in the work of one request that ends the process, and with it all requests without an answer.
 func TestPanicEndsOnlyItsRequestWithFinalResponse(t *testing.T) {
-	part := &railproto.Frame{Kind: railproto.FrameKind_FRAME_KIND_DATA, Data: []byte(`{"token":"t"}`), WeightsDigest: "w"}
-	end := &railproto.Frame{Kind: railproto.FrameKind_FRAME_KIND_END, Count: 1, Status: 200, ContentType: "text/plain", WeightsDigest: "w"}
 	for name, test := range map[string]struct {
 		path, step string
 		// status is that of the response, and verdict its header.
@@ -53,42 +51,7 @@
 			c.Assert(err, qt.IsNil)
 			release := make(chan struct{})
 			panics := make(chan struct{}, 1)
-			front := &railfront.Front{
-				Revision: func() (railrevision.Revision, bool) {
-					select {
-					case <-panics:
-						panic("at the configuration")
-					default:
-						return revision, true
-					}
-				},
-				RejectionReason: func(railservice.Service) string {
-					if test.step == "refusal" && len(panics) > 0 {
-						<-panics
-						panic("at the refusal")
-					}
-					return ""
-				},
-				Forward: func(_ context.Context, req railrequest.Request, s func(string, *railproto.Frame) error) (railverdict.Verdict, *railproto.Frame, error) {
-					if req.Key != panicKey {
-						<-release
-					} else if test.step == "forward" {
-						panic("before the response")
-					}
-					c.Check(s("e", part), qt.IsNil)
-					if req.Key == panicKey && test.step == "part" {
-						panic("in the response")
-					}
-					c.Check(s("e", end), qt.IsNil)
-					return railverdict.Ran, end, nil
-				},
-				Observe: func(req railrequest.Request, _ railverdict.Verdict, _, _ time.Duration) {
-					if req.Key == panicKey && test.step == "record" {
-						panic("at the record")
-					}
-				},
-				Log: slog.New(slog.DiscardHandler),
-			}
+			front := newPanickingFront(c, revision, test.step, panics, release)
 			lis, err := net.Listen("tcp", "127.0.0.1:0")
 			c.Assert(err, qt.IsNil)
 			server := &fasthttp.Server{Handler: front.Handle}
@@ -120,6 +83,49 @@
 	}
 }
 
+// newPanickingFront returns a front that panics at a step of a request with panicKey, or, before its key is known, of one for each value in panics. It
+// answers others once release is closed.
+func newPanickingFront(c *qt.C, revision railrevision.Revision, step string, panics <-chan struct{}, release <-chan struct{}) *railfront.Front {
+	part := &railproto.Frame{Kind: railproto.FrameKind_FRAME_KIND_DATA, Data: []byte(`{"token":"t"}`), WeightsDigest: "w"}
+	end := &railproto.Frame{Kind: railproto.FrameKind_FRAME_KIND_END, Count: 1, Status: 200, ContentType: "text/plain", WeightsDigest: "w"}
+	return &railfront.Front{
+		Revision: func() (railrevision.Revision, bool) {
+			select {
+			case <-panics:
+				panic("at the configuration")
+			default:
+				return revision, true
+			}
+		},
+		RejectionReason: func(railservice.Service) string {
+			if step == "refusal" && len(panics) > 0 {
+				<-panics
+				panic("at the refusal")
+			}
+			return ""
+		},
+		Forward: func(_ context.Context, req railrequest.Request, s func(string, *railproto.Frame) error) (railverdict.Verdict, *railproto.Frame, error) {
+			if req.Key != panicKey {
+				<-release
+			} else if step == "forward" {
+				panic("before the response")
+			}
+			c.Check(s("e", part), qt.IsNil)
+			if req.Key == panicKey && step == "part" {
+				panic("in the response")
+			}
+			c.Check(s("e", end), qt.IsNil)
+			return railverdict.Ran, end, nil
+		},
+		Observe: func(req railrequest.Request, _ railverdict.Verdict, _, _ time.Duration) {
+			if req.Key == panicKey && step == "record" {
+				panic("at the record")
+			}
+		},
+		Log: slog.New(slog.DiscardHandler),
+	}
+}
+
 // answer is what a caller has received; err is that of reading the body.
 type answer struct {
 	status        int
@@ -139,6 +145,7 @@
 	c.Assert(req.Write(conn), qt.IsNil)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
 	c.Assert(err, qt.IsNil)
+	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	return answer{status: resp.StatusCode, verdict: resp.Header.Get("Fulmarrail-Verdict"), body: string(body), err: err}
 }
--- a/internal/node/railgateway/panic.go
+++ b/internal/node/railgateway/panic.go
@@ -53,7 +53,7 @@
 
 // contain calls record. A panic in the records of a response must not take its place, and may be what has ended the work of its request.
 func (g *Gateway) contain(c *call, record func()) {
-	defer func() { railpanic.Recovered(recover(), g.Log, unitRecord, "request", c.ID) }()
+	defer func() { _ = railpanic.Recovered(recover(), g.Log, unitRecord, "request", c.ID) }()
 	record()
 }
 
--- a/internal/routing/railadmitter/admitter.go
+++ b/internal/routing/railadmitter/admitter.go
@@ -20,6 +20,9 @@
 	// minWakeInterval is the least time between two retries, however many changes are reported.
 	minWakeInterval = 2 * time.Millisecond
 	rateWindow      = time.Second
+	// dropCheckInterval is the interval at which all waiting requests are checked for being dropped by the configuration. Those that are to be granted
+	// a lease are always checked.
+	dropCheckInterval = 100 * time.Millisecond
 	// maxWaiting bounds the number of waiting requests. The predicted wait bounds it long before.
 	maxWaiting = 1 << 14
 	// customerWeight is each customer's weight in the queue.
@@ -77,6 +80,8 @@
 	// since that retry.
 	retriedAt        time.Time
 	polling, changed bool
+	// dropsCheckedAt is the time of the last check of all waiting requests.
+	dropsCheckedAt time.Time
 }
 
 type waiter struct {
@@ -87,14 +92,15 @@
 	grantBy time.Time
 	granted chan *railfleet.Lease
 	// rejected receives the reason if the request can't be granted a lease in time any more.
-	rejected chan *RejectionError
+	rejected chan error
 }
 
 // Acquire returns a lease on an endpoint, waiting for it until grantBy at most. Requests of a lower rank are served first, and those of the
 // same rank in turn for each customer, so that one customer's requests don't hold up those of others. An error means that the request was not
-// run; it is a RejectionError unless ctx is done.
+// run; it is a RejectionError unless ctx is done or the configuration has dropped the request. A request that is dropped while it waits is rejected
+// within dropCheckInterval.
 func (a *Admitter) Acquire(ctx context.Context, requirements railfleet.Requirements, rank int, customer string, grantBy time.Time) (*railfleet.Lease, error) {
-	w := &waiter{requirements: requirements, rank: rank, customer: customer, grantBy: grantBy, granted: make(chan *railfleet.Lease, 1), rejected: make(chan *RejectionError, 1)}
+	w := &waiter{requirements: requirements, rank: rank, customer: customer, grantBy: grantBy, granted: make(chan *railfleet.Lease, 1), rejected: make(chan error, 1)}
 	lease, rejection, queued := a.reserveOrQueue(w)
 	switch {
 	case lease != nil:
@@ -106,11 +112,14 @@
 }
 
 // reserveOrQueue returns a lease, or else the reason why there is none now, and whether the request is queued until there may be one.
-func (a *Admitter) reserveOrQueue(w *waiter) (lease *railfleet.Lease, rejection *RejectionError, queued bool) {
+func (a *Admitter) reserveOrQueue(w *waiter) (lease *railfleet.Lease, rejected error, queued bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
 	a.init()
+	if err := a.dropped(w); err != nil {
+		return nil, err, false
+	}
 	ahead := a.waiting.CountAhead(-w.rank, w.customer, customerWeight)
 	if ahead == 0 {
 		if l, ok := a.reserve(w.requirements, w.grantBy, now); ok {
@@ -118,7 +127,7 @@
 			return l, nil, false
 		}
 	}
-	rejection = &RejectionError{Cause: ErrBusy, Eligible: a.Fleet.CountUsable(w.requirements), Ahead: ahead, ExpectedWait: a.predictWait(now, ahead)}
+	rejection := &RejectionError{Cause: ErrBusy, Eligible: a.Fleet.CountUsable(w.requirements), Ahead: ahead, ExpectedWait: a.predictWait(now, ahead)}
 	if paused, ok := a.pauseRejection(w.requirements, w.grantBy, now); ok {
 		return nil, paused, false
 	}
@@ -177,8 +186,9 @@
 // requests don't starve large ones, unless no endpoint could take it regardless of load. A panic ends only this retry: each waiting request still ends
 // by itself at the end of its wait.
 func (a *Admitter) retry(now time.Time) {
-	defer func() { railpanic.Recovered(recover(), a.Log, unitRetry) }()
+	defer func() { _ = railpanic.Recovered(recover(), a.Log, unitRetry) }()
 	a.retriedAt, a.changed = now, false
+	a.rejectDropped(now)
 	var unservable []*waiter
 	for {
 		w, ok := a.waiting.Peek()
@@ -210,12 +220,15 @@
 
 // decide returns a lease for a waiting request, or the reason why it can't get one in time any more, or whether there is an endpoint that may take it
 // later. A panic ends the wait of this request only: the retry is made on behalf of all that wait, and often by a request that has just ended.
-func (a *Admitter) decide(w *waiter, now time.Time) (lease *railfleet.Lease, rejection *RejectionError, usable bool) {
+func (a *Admitter) decide(w *waiter, now time.Time) (lease *railfleet.Lease, rejection error, usable bool) {
 	defer func() {
 		if p := railpanic.Recovered(recover(), a.Log, unitWaiting); p != nil {
 			rejection = &RejectionError{Cause: p}
 		}
 	}()
+	if err := a.dropped(w); err != nil {
+		return nil, err, true
+	}
 	if l, ok := a.reserve(w.requirements, w.grantBy, now); ok {
 		return l, nil, true
 	}
@@ -225,6 +238,34 @@
 	return nil, nil, a.Fleet.CountUsable(w.requirements) > 0
 }
 
+// rejectDropped rejects all waiting requests that the configuration has dropped, if that is due: those behind the first wait for its turn otherwise.
+func (a *Admitter) rejectDropped(now time.Time) {
+	if now.Sub(a.dropsCheckedAt) < dropCheckInterval {
+		return
+	}
+	a.dropsCheckedAt = now
+	a.waiting.RemoveFunc(func(w *waiter) bool {
+		err := a.dropped(w)
+		if err != nil {
+			w.rejected <- err
+		}
+		return err != nil
+	})
+}
+
+// dropped returns the reason why the configuration allows no further attempt for a request, or nil. A panic is such a reason.
+func (a *Admitter) dropped(w *waiter) (err error) {
+	defer func() {
+		if p := railpanic.Recovered(recover(), a.Log, unitWaiting); p != nil {
+			err = &RejectionError{Cause: p}
+		}
+	}()
+	if w.requirements.Dropped == nil {
+		return nil
+	}
+	return w.requirements.Dropped()
+}
+
 // Waiting returns the number of waiting requests.
 func (a *Admitter) Waiting() int {
 	a.mu.Lock()
@@ -266,14 +307,14 @@
 }
 
 // await waits for a grant and returns rejection if none arrives in time.
-func (a *Admitter) await(ctx context.Context, w *waiter, rejection *RejectionError) (*railfleet.Lease, error) {
+func (a *Admitter) await(ctx context.Context, w *waiter, rejection error) (*railfleet.Lease, error) {
 	expired := time.NewTimer(time.Until(w.grantBy))
 	defer expired.Stop()
 	select {
 	case l := <-w.granted:
 		return l, nil
-	case rejection := <-w.rejected:
-		return nil, rejection
+	case err := <-w.rejected:
+		return nil, err
 	case <-expired.C:
 		return a.removeWaiter(w, rejection)
 	case <-ctx.Done():
--- a/internal/routing/raildispatcher/dispatcher.go
+++ b/internal/routing/raildispatcher/dispatcher.go
@@ -133,7 +133,7 @@
 func (d *Dispatcher) Wake() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	defer func() { railpanic.Recovered(recover(), d.Log, unitWake) }()
+	defer func() { _ = railpanic.Recovered(recover(), d.Log, unitWake) }()
 	now := time.Now()
 	if err := d.unservable(); err != nil {
 		d.rejectWaiting(err, func(*waiter) bool { return true })
--- a/internal/wire/raildatagram/socket.go
+++ b/internal/wire/raildatagram/socket.go
@@ -60,7 +60,7 @@
 
 // receiveOne decodes one datagram and calls handle with it. A panic ends only that: the datagram is lost, as others are.
 func (s *Socket) receiveOne(from net.Addr, data []byte, handle func(from net.Addr, datagram *railproto.Datagram)) {
-	defer func() { railpanic.Recovered(recover(), s.Log, "datagram", "from", from) }()
+	defer func() { _ = railpanic.Recovered(recover(), s.Log, "datagram", "from", from) }()
 	var datagram railproto.Datagram
 	if err := proto.Unmarshal(data, &datagram); err != nil {
 		s.Log.Debug("failed to decode datagram", "from", from, "err", err)
