Wait for all accepted connections to be counted before a drain ends

Found by reading: the drain closed the listener and looked for open connections after 20 ms; one that had been accepted, but was not yet among the open ones, could have been cut. It now waits until the server has stopped accepting. Its repeated calls that end receiving count each request once.

Responses announce how long their connections may stay idle, since idle connections are now closed by the operators' limit: a caller that knows it does not send its next request across the end. TestResponseAnnouncesIdleTimeout failed before (no header).

--- a/internal/node/railconn/conn.go
+++ b/internal/node/railconn/conn.go
@@ -208,10 +208,13 @@
 }
 
 // endReceiving makes Read fail with a timeout where a request has not arrived in full, and close the connection where none has begun to. It reports
-// whether a request has begun to arrive.
+// whether this has cut off a request.
 func (c *Conn) endReceiving() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.cutOff {
+		return false
+	}
 	c.draining, c.cutOff = true, true
 	_ = c.limitRead() // On a closed connection, the read has already returned.
 	return c.state == connReceiving
--- a/internal/node/railconn/conn_test.go
+++ b/internal/node/railconn/conn_test.go
@@ -105,6 +105,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, listener.Busy(), qt.Equals, 1)
 	qt.Check(t, listener.EndReceiving(), qt.Equals, 1)
+	qt.Check(t, listener.EndReceiving(), qt.Equals, 0, qt.Commentf("a request is cut off once"))
 	conn.MarkAnswering()
 	left := make(chan struct{})
 	stop := conn.Watch(func() { close(left) })
--- a/internal/node/railgateway/drain.go
+++ b/internal/node/railgateway/drain.go
@@ -70,7 +70,8 @@
 // drain fails the readiness check and waits until all connections have ended. Responses announce the end of theirs; connections that are idle are closed
 // only when the load balancer sends no new ones any more, since a request that crosses the close is lost to its caller. Requests that are left
 // shortly before the timeout get their final response then, also those that have not arrived in full.
-func (g *Gateway) drain(listener *railconn.Listener, timeout time.Duration) error {
+// served is closed once the server accepts no further connections.
+func (g *Gateway) drain(listener *railconn.Listener, served <-chan struct{}, timeout time.Duration) error {
 	start := time.Now()
 	lastResponses := start.Add(g.drainState.start(start, timeout))
 	noneOpen := func() bool { return listener.Open() == 0 }
@@ -79,7 +80,10 @@
 	g.Log.Info("gateway ends idle connections", "idle", listener.Drain())
 	waitUntil(lastResponses, noneOpen)
 	_ = listener.Close() // Connections that were accepted before this are served; later ones are refused by the kernel.
-	time.Sleep(drainPollInterval)
+	select {
+	case <-served: // The listener has counted all connections that were accepted.
+	case <-time.After(time.Until(lastResponses)):
+	}
 	waitUntil(lastResponses, noneOpen)
 	interrupted, incomplete := g.endRequests(listener)
 	waitUntil(time.Now().Add(finalResponseTimeout), func() bool {
--- a/internal/node/railgateway/gateway.go
+++ b/internal/node/railgateway/gateway.go
@@ -34,6 +34,8 @@
 	// defaultHeaderTimeout and defaultIdleTimeout hold while no configuration sets any.
 	defaultHeaderTimeout = 30 * time.Second
 	defaultIdleTimeout   = 10 * time.Minute
+	// keepAliveMargin is how much sooner than the entry a caller is asked to close an idle connection.
+	keepAliveMargin = time.Second
 	// bodyTimeout is enough for the longest body at 1 Mbit/s.
 	bodyTimeout = 2 * time.Minute
 	// onTimeLogsPerSecond is the number of on-time responses that are logged each second.
@@ -99,8 +101,11 @@
 	}
 	listener := &railconn.Listener{Listener: &railacceptor.Acceptor{Listener: g.CallerListener, Log: g.Log}, Limits: g.limits}
 	ready := &fasthttp.Server{Handler: g.readiness, NoDefaultServerHeader: true, Logger: discardLogger{}}
-	failed := make(chan error, 2)
-	go func() { failed <- server.Serve(listener) }()
+	failed, served := make(chan error, 2), make(chan struct{})
+	go func() {
+		failed <- server.Serve(listener)
+		close(served)
+	}()
 	go func() { failed <- ready.Serve(&railacceptor.Acceptor{Listener: g.ReadyListener, Log: g.Log}) }()
 	g.Log.Info("gateway started", "callers", g.CallerListener.Addr().String())
 	var err error
@@ -109,7 +114,7 @@
 		g.Log.Error("no further connections are accepted; the entry stops", "err", err)
 	case <-ctx.Done():
 	}
-	return errors.CombineErrors(errors.Wrap(err, "serve"), g.drain(listener, drainTimeout))
+	return errors.CombineErrors(errors.Wrap(err, "serve"), g.drain(listener, served, drainTimeout))
 }
 
 // Wake grants leases to queued requests as far as endpoints have capacity.
--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"time"
 
@@ -71,12 +72,17 @@
 	logAttrs []any
 }
 
-// handle serves one request. During a drain, the response announces the end of its connection, also if the request came before.
+// handle serves one request. The response announces how long its connection may stay idle. During a drain it announces the end of the connection, also
+// if the request came before.
 func (g *Gateway) handle(ctx *fasthttp.RequestCtx) {
 	railconn.RespondAtOnce(ctx)
 	g.serve(ctx)
-	if g.drainState.draining.Load() {
+	idle := g.limits().IdleTimeout - keepAliveMargin
+	switch {
+	case g.drainState.draining.Load():
 		ctx.SetConnectionClose()
+	case idle > 0:
+		ctx.Response.Header.Set("Keep-Alive", "timeout="+strconv.Itoa(int(idle.Seconds())))
 	}
 }
 
--- a/internal/node/railgateway/limits_test.go
+++ b/internal/node/railgateway/limits_test.go
@@ -134,3 +134,13 @@
 		})
 	}
 }
+
+// Guards against a request that crosses the end of an idle connection, since its caller does not know how long the connection may stay idle.
+func TestResponseAnnouncesIdleTimeout(t *testing.T) {
+	d := newDeployment(t, &endpoint{name: "near", handlers: sequence(respondOK)})
+	d.changeCatalog(func(c railcatalog.Catalog) railcatalog.Catalog {
+		c.Limits.IdleTimeout = 15 * time.Second
+		return c
+	})
+	qt.Check(t, d.call(t, "/safe/x", validKey).header.Get("Keep-Alive"), qt.Equals, "timeout=14")
+}
