Hold a response for longer than a drain waits for connections in the entry's test of it

TestDrainWaitsForResponsesAndAnswersRequestsThatHaveArrived could not fail on a drain that takes a request for ended before its response is written: the test let the response be written a moment after the stop, within the second for which the drain then still waits for connections. With responses that count as written once their requests are handled, it passed.

It holds the response for 1.5 s now and checks that the process has not ended. Both cases fail with the fault put back (the connection is reset in place of the last response); without it they pass.

--- a/internal/node/railentry/drain_test.go
+++ b/internal/node/railentry/drain_test.go
@@ -56,6 +56,8 @@
 	readTimeout  = 20 * time.Second
 	pollInterval = 5 * time.Millisecond
 	heldBody     = "held"
+	// holdTime is longer than a drain waits for connections that are closed for sending.
+	holdTime = 1500 * time.Millisecond
 )
 
 // plainEndpoint is a plain endpoint. A request whose body is heldBody is answered once release is closed.
@@ -320,6 +322,11 @@
 			_, err := idle.reader.ReadByte()
 			qt.Check(t, err, qt.ErrorIs, io.EOF, qt.Commentf("idle connections must be closed cleanly"))
 			caller.send(t, "/orders/x", "", "")
+			select {
+			case err := <-d.stopped:
+				t.Fatalf("the process ends while a response is not written: %v", err)
+			case <-time.After(holdTime):
+			}
 			close(hold.release)
 			got := caller.receive(t)
 			qt.Check(t, got.err, qt.IsNil)
