Close the connection as the server does in the test of a request that crosses a drain

TestRequestThatCrossesDrainIsDroppedWithoutReset could not fail on a reset: nobody closed the connection once Read had returned, which is when the kernel resets it if input was not read. With the input after the end of the connection not discarded, it passed.

The test closes the connection now after Read, as the server does. It fails with the fault put back (broken pipe) and passes without it.

--- a/internal/node/railconn/conn_test.go
+++ b/internal/node/railconn/conn_test.go
@@ -57,6 +57,7 @@
 	read := make(chan result, 1)
 	go func() {
 		n, err := conn.Read(make([]byte, 1))
+		_ = conn.Close() // As the server does at the end of a connection.
 		read <- result{n, err}
 	}()
 	listener.Drain()
