--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"strconv"
 	"strings"
 	"time"
 
@@ -71,6 +70,7 @@
 
 // handle serves one request. During a drain, the response announces the end of its connection, also if the request came before.
 func (g *Gateway) handle(ctx *fasthttp.RequestCtx) {
+	railconn.RespondAtOnce(ctx)
 	g.serve(ctx)
 	if g.drainState.draining.Load() {
 		ctx.SetConnectionClose()
@@ -165,7 +165,7 @@
 	c.ctx.SetBodyString(rejected.reason + "\n")
 	if rejected.status == fasthttp.StatusServiceUnavailable {
 		retryAfter := cmp.Or(rejected.retryAfter, railretrydetector.RetryAfter(c.Timeout, time.Since(c.start), rand.Float64()))
-		c.ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+		c.ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, formatSeconds(retryAfter))
 	}
 	countRequest(c, rejected.status)
 	if rejected.status >= fasthttp.StatusInternalServerError && !rejected.quarantined {
