Log requests that a gateway has not read and responses that it could not write

Callers saw connections end without an answer, and the gateway's log named none of these requests: it tells only how requests ended that were read in full. A loss is now logged (sampled) and counted where a connection ends with a request that has arrived in part, with data that arrived after the end of the connection was sent, with a request to which nothing was written, or with a response that could not be written; at the end of the drain the log tells what is still open.

--- a/internal/node/railconn/conn.go
+++ b/internal/node/railconn/conn.go
@@ -44,8 +44,9 @@
 type Conn struct {
 	net.Conn
 
-	// onClose is called when the connection is closed.
+	// onClose is called when the connection is closed, and onLoss if something of its caller's was lost with it.
 	onClose func()
+	onLoss  func(Loss)
 
 	mu sync.Mutex
 	// buffered and readErr hold the result of Watch's read until Read returns it.
@@ -60,6 +61,7 @@
 	cutOff bool
 	// respondedEarly is set if a response was begun before its request had been received in full.
 	respondedEarly bool
+	progress       progress
 }
 
 // Watch calls onDisconnect if the caller disconnects before stop is called. The connection must not be read until stop has returned.
@@ -92,15 +94,19 @@
 // idle, Read closes it and returns io.EOF. If a request has been cut off, Read returns an error that is a timeout.
 func (c *Conn) Read(p []byte) (int, error) {
 	if n, err := c.takeSavedRead(p); n > 0 || err != nil {
+		c.noteRead(p[:n], err)
 		return n, err
 	}
 	c.beginWait()
 	n, err := c.Conn.Read(p)
+	c.noteRead(p[:n], err)
 	if drained := c.endWait(); !drained || n > 0 {
 		return n, err
 	}
 	if !c.isCutOff() && c.hasUnreadData() {
-		return c.Conn.Read(p) // A request that has arrived is still answered.
+		n, err = c.Conn.Read(p) // A request that has arrived is still answered.
+		c.noteRead(p[:n], err)
+		return n, err
 	}
 	c.sendEnd(p)
 	return 0, io.EOF
@@ -111,12 +117,17 @@
 	c.mu.Lock()
 	c.respondedEarly = c.state == connReceiving
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.noteWrite(n, err)
+	return n, err
 }
 
 // Close closes the connection and calls onClose. If the last response was written before its request had arrived in full, what still arrives is
 // discarded for a moment, since a reset could cost the caller the response.
 func (c *Conn) Close() error {
+	if loss, ok := c.takeLoss(); ok && c.onLoss != nil {
+		c.onLoss(loss)
+	}
 	if c.hasRespondedEarly() {
 		c.sendEnd(make([]byte, discardBufferBytes))
 	}
@@ -145,6 +156,14 @@
 // MarkReceiving records that the server has turned to the next request, whose first bytes it may have read with the one before.
 func (c *Conn) MarkReceiving() {
 	c.setState(connReceiving)
+	c.noteBuffered()
+}
+
+// SetRequestID sets the ID of the request that has been received in full, for the report of a loss.
+func (c *Conn) SetRequestID(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.progress.requestID = id
 }
 
 // MarkAnswering records that a request has been received in full.
@@ -159,11 +178,14 @@
 
 // MarkAnswered records that a response has been written. The connection becomes idle when the server reads the next request from it.
 func (c *Conn) MarkAnswered() {
-	c.setState(connAnswered)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state, c.stateSince, c.progress = connAnswered, time.Now(), progress{}
 }
 
 // Abort resets the connection, so that the caller can't take a partial response for a complete one.
 func (c *Conn) Abort() {
+	c.noteAbort()
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // Without this, Close would send a FIN, as after a complete response.
 	}
@@ -230,12 +252,15 @@
 // if a request arrived meanwhile, and a reset can cost the caller the response before it.
 func (c *Conn) sendEnd(p []byte) {
 	c.setState(connEnding)
+	c.noteEnd()
 	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok || half.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
 		return // The connection is closed already, or is closed entirely by the server.
 	}
 	for {
-		if _, err := c.Conn.Read(p); err != nil {
+		n, err := c.Conn.Read(p)
+		c.noteRead(p[:n], err)
+		if err != nil {
 			return
 		}
 	}
--- a/internal/node/railconn/listener.go
+++ b/internal/node/railconn/listener.go
@@ -6,9 +6,11 @@
 	"time"
 )
 
-// Listener wraps accepted connections in Conn and tracks the open ones. Its exported field must be set before first use.
+// Listener wraps accepted connections in Conn and tracks the open ones. Its exported fields must be set before first use.
 type Listener struct {
 	net.Listener
+	// OnLoss is called, if it is set, for each connection that is closed so that its caller gets no complete response to something that it has sent.
+	OnLoss func(Loss)
 
 	mu       sync.Mutex
 	conns    map[*Conn]bool
@@ -23,7 +25,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := &Conn{Conn: conn, draining: l.draining, stateSince: time.Now()}
+	c := &Conn{Conn: conn, draining: l.draining, stateSince: time.Now(), onLoss: l.OnLoss}
 	c.onClose = func() { l.remove(c) }
 	if l.conns == nil {
 		l.conns = map[*Conn]bool{}
--- a/internal/node/railgateway/drain.go
+++ b/internal/node/railgateway/drain.go
@@ -75,6 +75,7 @@
 // shortly before the timeout get their final response then, also those that have not arrived in full.
 func (g *Gateway) drain(listener *railconn.Listener, timeout time.Duration) error {
 	start := time.Now()
+	defer g.logOpenConnections(listener, start)
 	untilEnd := g.drainState.start(start, timeout)
 	g.Log.Info("gateway draining, waiting for requests in flight", "running", listener.Answering(), "idle", listener.Drain())
 	interrupted, incomplete, closed := 0, 0, false
--- a/internal/node/railgateway/gateway.go
+++ b/internal/node/railgateway/gateway.go
@@ -68,6 +68,7 @@
 
 	onTimeSampler    raillogsampler.Sampler
 	malformedSampler raillogsampler.Sampler
+	lossLog          lossLog
 	drainState       drainState
 	// inFlight is the number of requests that are being handled. Their responses are written in full only after that.
 	inFlight      atomic.Int64
@@ -87,12 +88,13 @@
 	g.onTimeSampler.PerSecond = onTimeLogsPerSecond
 	g.responseMemory.MaxBytes = maxResponseMemory
 	g.malformedSampler.PerSecond = malformedLogsPerSecond
+	g.lossLog.init()
 	server := &fasthttp.Server{
 		Handler: g.handle, Concurrency: maxConnections, ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, IdleTimeout: idleTimeout, Logger: discardLogger{},
 		DisablePreParseMultipartForm: true, ConnState: railconn.TrackState, ErrorHandler: g.rejectUnreadable,
 	}
-	listener := &railconn.Listener{Listener: &railacceptor.Acceptor{Listener: g.CallerListener, Log: g.Log}}
+	listener := &railconn.Listener{Listener: &railacceptor.Acceptor{Listener: g.CallerListener, Log: g.Log}, OnLoss: g.logLoss}
 	ready := &fasthttp.Server{Handler: g.readiness, NoDefaultServerHeader: true, Logger: discardLogger{}}
 	failed := make(chan error, 2)
 	go func() { failed <- server.Serve(listener) }()
--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -81,6 +81,7 @@
 	c := &call{Request: g.Translator.ParseRequest(&ctx.Request.Header), ctx: ctx, start: time.Now()}
 	if c.conn, _ = ctx.Conn().(*railconn.Conn); c.conn != nil {
 		c.conn.MarkAnswering()
+		c.conn.SetRequestID(c.ID)
 	}
 	if rejected := g.admit(c); rejected != nil {
 		g.reject(c, rejected)
