--- a/internal/node/railconn/listener.go
+++ b/internal/node/railconn/listener.go
@@ -25,7 +25,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := &Conn{Conn: conn, draining: l.draining, stateSince: time.Now(), onLoss: l.OnLoss}
+	c := &Conn{Conn: conn, draining: l.draining, acceptedInDrain: l.draining, stateSince: time.Now(), onLoss: l.OnLoss}
 	c.onClose = func() { l.remove(c) }
 	if l.conns == nil {
 		l.conns = map[*Conn]bool{}
--- a/internal/node/railgateway/drain_end_test.go
+++ b/internal/node/railgateway/drain_end_test.go
@@ -1,6 +1,7 @@
 package railgateway_test
 
 import (
+	"context"
 	"io"
 	"log/slog"
 	"net"
@@ -21,12 +22,12 @@
 	"github.com/fulmarrail/fulmarrail/internal/node/railgateway"
 )
 
-// newDrainWatchedDeployment is newDrainableDeployment with a channel that is closed once the drain has dealt with the open connections.
-func newDrainWatchedDeployment(t *testing.T, drainTimeout time.Duration, e *endpoint) (*deployment, <-chan struct{}) {
+// newDrainWatchedDeployment is newDrainableDeployment with a channel that is closed at a log message with a prefix.
+func newDrainWatchedDeployment(t *testing.T, drainTimeout time.Duration, prefix string, e *endpoint) (*deployment, <-chan struct{}) {
 	t.Helper()
 	draining := make(chan struct{})
 	d := newDrainableDeployment(t, drainTimeout, func(g *railgateway.Gateway) {
-		g.Log = slog.New(messageHandler{Handler: slog.DiscardHandler, prefix: drainMessage, seen: draining, once: &sync.Once{}})
+		g.Log = slog.New(messageHandler{Handler: slog.DiscardHandler, prefix: prefix, seen: draining, once: &sync.Once{}})
 	}, e)
 	return d, draining
 }
@@ -101,24 +102,62 @@
 	qt.Check(t, near.requests(), qt.HasLen, sent-1)
 }
 
+// Guards against a final response that is cut, since the process was delayed and ends as soon as it has ended the requests.
+func TestDelayedProcessGivesLastResponsesTheirTime(t *testing.T) {
+	started, delayed := make(chan struct{}, 1), make(chan struct{})
+	near := &endpoint{name: "near", handlers: sequence(respondNever(started, func(http.ResponseWriter, *http.Request) {}))}
+	d := newDrainableDeployment(t, time.Second, func(g *railgateway.Gateway) {
+		g.Log = slog.New(delayingHandler{messageHandler{Handler: slog.DiscardHandler, prefix: "gateway ends the requests", seen: delayed, once: &sync.Once{}}})
+	}, near)
+	responses := make(chan response, 1)
+	go func() { responses <- d.call(t, "/unsafe/x", validKey) }()
+	<-started
+	d.stop()
+	<-delayed
+	got := <-responses
+	qt.Check(t, got.err, qt.IsNil)
+	qt.Check(t, got.status, qt.Equals, http.StatusGatewayTimeout)
+	qt.Check(t, <-d.stopped, qt.ErrorMatches, "drain timed out, 1 requests got no response of an endpoint")
+}
+
+// delayingHandler delays the process for longer than its drain when it logs the message that its messageHandler waits for.
+type delayingHandler struct {
+	messageHandler
+}
+
+func (h delayingHandler) Handle(ctx context.Context, record slog.Record) error {
+	if strings.HasPrefix(record.Message, h.prefix) {
+		time.Sleep(time.Second)
+	}
+	return h.messageHandler.Handle(ctx, record)
+}
+
+func (h delayingHandler) WithAttrs([]slog.Attr) slog.Handler {
+	return h
+}
+
 // Guards against requests that are accepted late in the grace period, and against endpoints that are handed more time than is left of it.
 func TestDrainAcceptsOnlyRequestsThatFit(t *testing.T) {
 	for name, c := range map[string]struct {
 		deadline string
-		status   int
+		// prefix is that of the log message after which the request is sent.
+		prefix string
+		status int
 	}{
-		"fits":                    {"1000", http.StatusOK},
-		"may end after the drain": {"21000", http.StatusOK},
-		"needs far more":          {"60000", http.StatusServiceUnavailable},
+		"fits":                       {"1000", drainMessage, http.StatusOK},
+		"may end after the drain":    {"21000", drainMessage, http.StatusOK},
+		"needs far more":             {"60000", drainMessage, http.StatusServiceUnavailable},
+		"fits, on a late connection": {"1000", idleMessage, http.StatusServiceUnavailable},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			const drainTimeout = 20 * time.Second
 			near := &endpoint{name: "near", handlers: sequence(respondOK)}
-			d, draining := newDrainWatchedDeployment(t, drainTimeout, near)
+			d, draining := newDrainWatchedDeployment(t, drainTimeout, c.prefix, near)
 			d.changeCatalog(func(c railcatalog.Catalog) railcatalog.Catalog {
 				return c.WithRoutes(mapRoutes(c, func(r *railroute.Route) { r.Timeout = time.Minute }))
 			})
+			held, _ := d.sendSlowly(t, slowRequests()["in the body"]) // Without it, the drain may end before the request is sent.
 			d.stop()
 			<-draining
 			req, err := http.NewRequest(http.MethodPost, d.url+"/unsafe/x", nil)
@@ -137,6 +176,7 @@
 				qt.Check(t, time.Duration(handed)*time.Millisecond < drainTimeout, qt.IsTrue, qt.Commentf("%d ms", handed))
 			}
 			qt.Check(t, len(near.requests()) == 1, qt.Equals, c.status == http.StatusOK)
+			qt.Assert(t, held.Close(), qt.IsNil)
 			qt.Check(t, <-d.stopped, qt.IsNil)
 		})
 	}
