--- a/internal/node/railconn/conn.go
+++ b/internal/node/railconn/conn.go
@@ -46,10 +46,11 @@
 type Conn struct {
 	net.Conn
 
-	// onClose is called when the connection is closed.
+	// onClose is called when the connection is closed, and onLoss if something of its caller's was lost with it.
 	onClose func()
 	// currentLimits returns the limits that are in force.
 	currentLimits func() Limits
+	onLoss  func(Loss)
 	// acceptedInDrain is set if the connection was accepted while idle ones were being closed.
 	acceptedInDrain bool
 
@@ -78,6 +79,7 @@
 	cutOff bool
 	// respondedEarly is set if a response was begun before its request had been received in full.
 	respondedEarly bool
+	progress       progress
 }
 
 // Watch calls onDisconnect if the caller disconnects before stop is called. The connection must not be read until stop has returned.
@@ -111,16 +113,19 @@
 // timeout. Data that had arrived by then is still returned, unless the request was cut off.
 func (c *Conn) Read(p []byte) (int, error) {
 	if n, err := c.takeSavedRead(p); n > 0 || err != nil {
+		c.noteRead(p[:n], err)
 		return n, err
 	}
 	c.beginWait()
 	n, err := c.Conn.Read(p)
 	switch {
 	case n == 0 && !errors.Is(err, os.ErrDeadlineExceeded):
+		c.noteRead(nil, err)
 		return 0, err
 	case n == 0 && !c.isCutOff() && c.hasUnreadData():
 		n, err = c.readArrived(p)
 	}
+	c.noteRead(p[:n], err)
 	if begun := c.endWait(n); !begun {
 		c.sendEnd(p)
 		return 0, io.EOF
@@ -134,12 +139,17 @@
 	c.mu.Lock()
 	c.respondedEarly = c.state == connReceiving
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.noteWrite(n, err)
+	return n, err
 }
 
 // Close closes the connection and calls onClose. If the last response was written before its request had arrived in full, what still arrives is
 // discarded for a moment, since a reset could cost the caller the response.
 func (c *Conn) Close() error {
+	if loss, ok := c.takeLoss(); ok && c.onLoss != nil {
+		c.onLoss(loss)
+	}
 	if c.hasRespondedEarly() {
 		c.sendEnd(make([]byte, discardBufferBytes))
 	}
@@ -172,6 +182,19 @@
 
 // MarkReceiving records that the server has turned to the next request, whose first bytes it may have read with the one before.
 func (c *Conn) MarkReceiving() {
+	c.beginReceiving()
+	c.noteBuffered()
+}
+
+// SetRequestID sets the ID of the request that has been received in full, for the report of a loss.
+func (c *Conn) SetRequestID(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.progress.requestID = id
+}
+
+// beginReceiving begins to receive a request, unless a part of it has been received already.
+func (c *Conn) beginReceiving() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state != connReceiving {
@@ -186,11 +209,15 @@
 
 // MarkAnswered records that a response has been written. The connection becomes idle when the server reads the next request from it.
 func (c *Conn) MarkAnswered() {
-	c.setState(connAnswered)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.progress = progress{}
+	_ = c.enter(connAnswered, 0) // On a closed connection, the next read fails anyway.
 }
 
 // Abort resets the connection, so that the caller can't take a partial response for a complete one.
 func (c *Conn) Abort() {
+	c.noteAbort()
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // Without this, Close would send a FIN, as after a complete response.
 	}
@@ -282,11 +309,14 @@
 // if a request arrived meanwhile, and a reset can cost the caller the response before it.
 func (c *Conn) sendEnd(p []byte) {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
+	c.noteEnd()
 	if err := c.beginEnding(); !ok || err != nil || half.CloseWrite() != nil {
 		return // The connection is closed already, or is closed entirely by the server.
 	}
 	for {
-		if _, err := c.Conn.Read(p); err != nil {
+		n, err := c.Conn.Read(p)
+		c.noteRead(p[:n], err)
+		if err != nil {
 			return
 		}
 	}
--- a/internal/node/railconn/listener.go
+++ b/internal/node/railconn/listener.go
@@ -8,6 +8,8 @@
 // Listener wraps accepted connections in Conn and tracks the open ones. Its exported fields must be set before first use.
 type Listener struct {
 	net.Listener
+	// OnLoss is called, if it is set, for each connection that is closed so that its caller gets no complete response to something that it has sent.
+	OnLoss func(Loss)
 
 	// Limits returns the limits that are in force. If it is nil, there are none.
 	Limits func() Limits
@@ -25,7 +27,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := &Conn{Conn: conn, draining: l.draining, acceptedInDrain: l.draining, currentLimits: l.Limits}
+	c := &Conn{Conn: conn, draining: l.draining, acceptedInDrain: l.draining, currentLimits: l.Limits, onLoss: l.OnLoss}
 	if c.currentLimits == nil {
 		c.currentLimits = func() Limits { return Limits{} }
 	}
--- a/internal/node/railgateway/drain.go
+++ b/internal/node/railgateway/drain.go
@@ -73,6 +73,7 @@
 // served is closed once the server accepts no further connections.
 func (g *Gateway) drain(listener *railconn.Listener, served <-chan struct{}, timeout time.Duration) error {
 	start := time.Now()
+	defer g.logOpenConnections(listener, start)
 	lastResponses := start.Add(g.drainState.start(start, timeout))
 	noneOpen := func() bool { return listener.Open() == 0 }
 	g.Log.Info("gateway draining, waiting for requests in flight", "running", listener.Answering(), "open", listener.Open())
--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -98,6 +98,9 @@
 		c.limits = c.conn.Limits()
 	}
 	c.Request = g.Translator.ParseRequest(&ctx.Request.Header)
+	if c.conn != nil {
+		c.conn.SetRequestID(c.ID)
+	}
 	if rejected := g.admit(c); rejected != nil {
 		g.reject(c, rejected)
 		return
