End idle connections at the beginning of a drain again

A connection's end can be crossed once whenever it is sent, and callers use connections that have been idle for 2.5 s as much as others.

What a drain waits for, and what it says to requests that have begun to arrive, stays.

Beside it: the limits are read within what contains a panic; the announcement of the idle timeout had read the configuration outside of it, which ended the process in the test of panics.

--- a/internal/node/railconn/conn.go
+++ b/internal/node/railconn/conn.go
@@ -50,9 +50,7 @@
 	onClose func()
 	// currentLimits returns the limits that are in force.
 	currentLimits func() Limits
-	onLoss  func(Loss)
-	// acceptedInDrain is set if the connection was accepted while idle ones were being closed.
-	acceptedInDrain bool
+	onLoss        func(Loss)
 
 	mu sync.Mutex
 	// buffered and readErr hold the result of Watch's read until Read returns it.
@@ -170,11 +168,6 @@
 	}
 }
 
-// AcceptedInDrain reports whether the connection was accepted after the listener's Drain was called.
-func (c *Conn) AcceptedInDrain() bool {
-	return c.acceptedInDrain
-}
-
 // RespondAtOnce makes the HTTP server write the response to a request without waiting for the next one, of which a part may have arrived.
 func RespondAtOnce(ctx *fasthttp.RequestCtx) {
 	_ = ctx.SetWriteDeadline(time.Time{}) // Where a handler sets one, the server flushes. On a closed connection, writing fails anyway.
--- a/internal/node/railconn/listener.go
+++ b/internal/node/railconn/listener.go
@@ -27,7 +27,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := &Conn{Conn: conn, draining: l.draining, acceptedInDrain: l.draining, currentLimits: l.Limits, onLoss: l.OnLoss}
+	c := &Conn{Conn: conn, draining: l.draining, currentLimits: l.Limits, onLoss: l.OnLoss}
 	if c.currentLimits == nil {
 		c.currentLimits = func() Limits { return Limits{} }
 	}
--- a/internal/node/railconn/loss.go
+++ b/internal/node/railconn/loss.go
@@ -142,7 +142,7 @@
 // isDisconnect reports whether a read failed because the caller has left.
 func isDisconnect(err error) bool {
 	var netErr net.Error
-	return err != nil && !(errors.As(err, &netErr) && netErr.Timeout())
+	return err != nil && (!errors.As(err, &netErr) || !netErr.Timeout())
 }
 
 // since returns the time since t, or 0 if t is not set.
--- a/internal/node/railgateway/drain.go
+++ b/internal/node/railgateway/drain.go
@@ -29,8 +29,9 @@
 // drainState says whether the entry drains, and until when requests may run. Its methods are safe for concurrent use.
 type drainState struct {
 	draining atomic.Bool
-	// endNanos is the time at which requests get their final response, in nanoseconds since the Unix epoch.
-	endNanos atomic.Int64
+	// startNanos and endNanos are the times at which the drain started and at which requests get their final response, in nanoseconds
+	// since the Unix epoch.
+	startNanos, endNanos atomic.Int64
 	// ctx is canceled with errStopping when requests get their final response.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -43,6 +44,7 @@
 // start starts the drain. It returns the time after which the requests that are left get their final response.
 func (d *drainState) start(now time.Time, timeout time.Duration) time.Duration {
 	untilEnd := max(timeout-finalResponseTime, timeout/2)
+	d.startNanos.Store(now.UnixNano())
 	d.endNanos.Store(now.Add(untilEnd).UnixNano())
 	d.draining.Store(true)
 	return untilEnd
@@ -59,16 +61,19 @@
 	return deadline
 }
 
-// rejects reports whether a new request must be rejected, since too little of its time is left in the drain.
+// rejects reports whether a new request must be rejected: the load balancer sends none any more, and the drain is to end soon, or too little of the
+// request's time is left in it.
 func (d *drainState) rejects(requestTime time.Duration) bool {
 	if !d.draining.Load() {
 		return false
 	}
+	if time.Since(time.Unix(0, d.startNanos.Load())) > balancerRemovalDelay {
+		return true
+	}
 	return time.Until(time.Unix(0, d.endNanos.Load())) < railtimer.Scale(minDrainShare, requestTime)
 }
 
-// drain fails the readiness check and waits until all connections have ended. Responses announce the end of theirs; connections that are idle are closed
-// only when the load balancer sends no new ones any more, since a request that crosses the close is lost to its caller. Requests that are left
+// drain fails the readiness check, closes connections as they become idle and waits until all of them have ended. Requests that are left
 // shortly before the timeout get their final response then, also those that have not arrived in full.
 // served is closed once the server accepts no further connections.
 func (g *Gateway) drain(listener *railconn.Listener, served <-chan struct{}, timeout time.Duration) error {
@@ -76,9 +81,8 @@
 	defer g.logOpenConnections(listener, start)
 	lastResponses := start.Add(g.drainState.start(start, timeout))
 	noneOpen := func() bool { return listener.Open() == 0 }
-	g.Log.Info("gateway draining, waiting for requests in flight", "running", listener.Answering(), "open", listener.Open())
+	g.Log.Info("gateway draining, waiting for requests in flight", "running", listener.Answering(), "idle", listener.Drain())
 	time.Sleep(min(balancerRemovalDelay, time.Until(lastResponses)))
-	g.Log.Info("gateway ends idle connections", "idle", listener.Drain())
 	waitUntil(lastResponses, noneOpen)
 	_ = listener.Close() // Connections that were accepted before this are served; later ones are refused by the kernel.
 	select {
--- a/internal/node/railgateway/gateway.go
+++ b/internal/node/railgateway/gateway.go
@@ -157,7 +157,12 @@
 }
 
 // limits returns the limits of callers' requests that are in force.
-func (g *Gateway) limits() railconn.Limits {
+func (g *Gateway) limits() (limits railconn.Limits) {
+	defer func() {
+		if railpanic.Recovered(recover(), g.Log, unitLimits) != nil {
+			limits = railconn.Limits{HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+		}
+	}()
 	catalog, _ := g.Catalog()
 	l := catalog.Limits
 	return railconn.Limits{
--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -77,7 +77,10 @@
 func (g *Gateway) handle(ctx *fasthttp.RequestCtx) {
 	railconn.RespondAtOnce(ctx)
 	g.serve(ctx)
-	idle := g.limits().IdleTimeout - keepAliveMargin
+	idle := time.Duration(0)
+	if conn, ok := ctx.Conn().(*railconn.Conn); ok {
+		idle = conn.Limits().IdleTimeout - keepAliveMargin
+	}
 	switch {
 	case g.drainState.draining.Load():
 		ctx.SetConnectionClose()
@@ -115,7 +118,7 @@
 // admit sets a request's route, customer, service and deadline, and whether it is likely to be a retry. It returns a rejection if the
 // request can't be accepted.
 func (g *Gateway) admit(c *call) *rejection {
-	if g.drainState.rejects(0) || c.conn != nil && c.conn.AcceptedInDrain() {
+	if g.drainState.rejects(0) {
 		return &rejection{status: fasthttp.StatusServiceUnavailable, reason: "the entry is about to stop"}
 	}
 	catalog, known := g.Catalog()
--- a/internal/node/railgateway/panic.go
+++ b/internal/node/railgateway/panic.go
@@ -17,6 +17,7 @@
 	unitSearch    = "search"
 	unitRecord    = "record"
 	unitReadiness = "readiness"
+	unitLimits    = "limits"
 )
 
 // isPanic reports whether an error is that of work that has panicked.
