Let an agent that stops send the last word for calls that still run

Callers whose call outlasted its agent's drain got their verdict only after the entry had lost the connection and had tried three times, 0.1 s apart, to follow the call at an agent that was gone. Verdict and status were right; the reason said that the context was canceled, and nobody had told the entry that the agent stops.

Cause: at the end of the drain the agent's Run returned while calls were running, and their followers' streams were closed without a final frame.

The agent now ends its wait 0.2 s before the drain's timeout, or at half of it. It gives each call that still runs the frame that says that it may have run, and waits until the frame has been sent to all who follow the call. Calls that may be repeated are canceled, others go on at the endpoint. What is sent later is ignored, so that the verdict stays true. Calls that are admitted at the moment of the stop, and that the wait before did not see, get their last word too.

TestCallsThatOutlastTheirAgentAreAnswered: agents stopped and killed, orders and lookups.

--- a/internal/node/railagent/agent.go
+++ b/internal/node/railagent/agent.go
@@ -62,6 +62,8 @@
 	incarnationBytes      = 8
 	// drainLinger is the time for which a drained agent keeps serving heartbeats, so that every entry learns that it is stopping.
 	drainLinger = 1500 * time.Millisecond
+	// finalFrameTime is the time before the end of the drain at which calls get their final frame, so that it can still be sent.
+	finalFrameTime = 200 * time.Millisecond
 )
 
 // Agent is one agent process. Its exported fields must be set before Run is called.
@@ -247,18 +249,25 @@
 	}
 }
 
-// drain rejects new calls, waits for calls in flight and persists their outcomes.
+// drain rejects new calls, waits for calls in flight and persists their outcomes. Calls that still run finalFrameTime before the timeout get their
+// final frame.
 func (a *Agent) drain(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	a.admission.StartDraining()
 	a.stopping.Store(true)
 	a.Log.Info("agent leaves, running calls end", "running", a.calls.Running())
-	drainCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	drainCtx, cancelDrain := context.WithTimeout(ctx, max(timeout-finalFrameTime, timeout/2))
+	defer cancelDrain()
 	err := a.executor.Drain(drainCtx)
 	railtimer.Sleep(drainCtx, drainLinger)
+	interrupted := a.executor.Interrupt(ctx)
 	if err != nil {
 		return errors.Wrap(err, "drain did not complete")
 	}
+	if interrupted > 0 {
+		return errors.Newf("drain did not complete: %d calls began during it and still ran at its end", interrupted)
+	}
 	a.Log.Info("agent drained, no call was interrupted")
 	return nil
 }
--- a/internal/node/railentry/drain_test.go
+++ b/internal/node/railentry/drain_test.go
@@ -51,7 +51,9 @@
 maxLimit = 1
 `
 	// longDrain is a drain timeout that no test reaches.
-	longDrain    = time.Minute
+	longDrain = time.Minute
+	// agentDrain is the drain timeout of agents.
+	agentDrain   = 800 * time.Millisecond
 	callTimeout  = time.Second
 	readTimeout  = 20 * time.Second
 	pollInterval = 5 * time.Millisecond
@@ -124,9 +126,21 @@
 type drainDeployment struct {
 	address         string
 	orders, lookups *plainEndpoint
-	stop            context.CancelFunc
+	// agents holds the agents of orders and lookups, by service.
+	agents map[string]*agentProcess
+	stop   context.CancelFunc
 	// stopped receives the result of the entry's Run.
 	stopped chan error
+	// startAgent starts an agent, whose name must be that of its service or follow it, and its endpoint.
+	startAgent func(name, service string, drainTimeout time.Duration) *agentProcess
+}
+
+// agentProcess is the process of an agent, with the endpoint beside it.
+type agentProcess struct {
+	*plainEndpoint
+	stop context.CancelFunc
+	// kill closes the connections of the process, as the kernel does at its end. This also happens once its Run has returned.
+	kill func()
 }
 
 func serve(t *testing.T, handler fasthttp.RequestHandler) string {
@@ -160,20 +174,27 @@
 	dialer := &raildialer.Dialer{Key: []byte(sharedKey), Timeout: callTimeout}
 	workCtx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	d := &drainDeployment{stopped: make(chan error, 1)}
-	start := func(service string) *plainEndpoint {
+	d := &drainDeployment{stopped: make(chan error, 1), agents: map[string]*agentProcess{}}
+	d.startAgent = func(name, service string, drainTimeout time.Duration) *agentProcess {
 		e := &plainEndpoint{started: make(chan struct{}), release: make(chan struct{})}
-		lis := listen(t)
+		lis := &railendinglistener.Listener{Listener: listen(t)}
 		agent := &railagent.Agent{
-			Self:      railmember.Member{Name: service, Role: railmember.RoleAgent, Address: lis.Addr().String(), Zone: "a", Region: "a", Service: service},
+			Self:      railmember.Member{Name: name, Role: railmember.RoleAgent, Address: lis.Addr().String(), Zone: "a", Region: "a", Service: service},
 			SharedKey: []byte(sharedKey), InternalListener: lis, Platform: newStore(), Endpoint: &railupstream.Client{Address: serve(t, e.handle)},
 			Dialer: dialer, Log: log,
 		}
 		p.SetMember(agent.Self)
-		wg.Go(func() { _ = agent.Run(workCtx, 0) })
-		return e
+		agentCtx, stop := context.WithCancel(workCtx)
+		wg.Go(func() {
+			_ = agent.Run(agentCtx, drainTimeout)
+			lis.EndProcess()
+		})
+		return &agentProcess{plainEndpoint: e, stop: stop, kill: lis.EndProcess}
+	}
+	for _, service := range []string{"orders", "lookups"} {
+		d.agents[service] = d.startAgent(service, service, agentDrain)
 	}
-	d.orders, d.lookups = start("orders"), start("lookups")
+	d.orders, d.lookups = d.agents["orders"].plainEndpoint, d.agents["lookups"].plainEndpoint
 	callers, internal := &railendinglistener.Listener{Listener: wrap(listen(t))}, listen(t)
 	d.address = callers.Addr().String()
 	entry := &railentry.Entry{
@@ -243,6 +264,8 @@
 type response struct {
 	status        int
 	verdict, body string
+	// endpoint is the name of the endpoint that has responded.
+	endpoint string
 	// closes is set if the response announces the end of its connection.
 	closes bool
 	err    error
@@ -257,7 +280,7 @@
 	}
 	body, err := io.ReadAll(resp.Body)
 	qt.Assert(t, resp.Body.Close(), qt.IsNil)
-	return response{status: resp.StatusCode, verdict: resp.Header.Get("Fulmarrail-Verdict"), body: string(body), closes: resp.Close, err: err}
+	return response{status: resp.StatusCode, verdict: resp.Header.Get("Fulmarrail-Verdict"), endpoint: resp.Header.Get("Fulmarrail-Endpoint"), body: string(body), closes: resp.Close, err: err}
 }
 
 // Guards against requests that get no answer because the drain's time is over before their endpoint has answered.
--- a/internal/request/railcall/call.go
+++ b/internal/request/railcall/call.go
@@ -99,6 +99,13 @@
 	return c.size
 }
 
+// Followed reports whether the call has followers.
+func (c *Call) Followed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.followers > 0
+}
+
 // DetachedFor returns the time since the last follower left, or 0 if there are followers or never was one.
 func (c *Call) DetachedFor(now time.Time) time.Duration {
 	c.mu.Lock()
--- a/internal/request/railexecutor/executor.go
+++ b/internal/request/railexecutor/executor.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fulmarrail/fulmarrail/internal/admission/railadmission"
+	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
 	"github.com/fulmarrail/fulmarrail/internal/endpoint/railendpoint"
 	"github.com/fulmarrail/fulmarrail/internal/request/railcall"
 	"github.com/fulmarrail/fulmarrail/internal/request/railclaim"
@@ -138,6 +140,21 @@
 	}
 }
 
+// Interrupt gives each call that still runs its final frame, which says that the call may have run, and waits until the frame has been sent to all
+// that follow the call, or ctx is done. Idempotent calls are canceled. It returns the number of interrupted calls.
+func (e *Executor) Interrupt(ctx context.Context) int {
+	calls := e.Calls.Unended()
+	for _, call := range calls {
+		call.Append(e.abortedFrame(call.RequestID, railproto.Reason_REASON_LEAVING))
+		if call.Idempotent {
+			call.Cancel()
+		}
+	}
+	for slices.ContainsFunc(calls, (*railcall.Call).Followed) && railtimer.Sleep(ctx, drainPollInterval) {
+	}
+	return len(calls)
+}
+
 func (e *Executor) followExisting(ctx context.Context, existing *railcall.Call, req *railproto.ExecuteRequest, send func(*railproto.Frame) error) error {
 	if existing.BodyDigest != railmanifest.Sum(req.GetBody()) {
 		return send(e.rejectionFrame(req.GetRequestId(), railproto.Reason_REASON_KEY_REUSED))
--- a/internal/request/railregistry/registry.go
+++ b/internal/request/railregistry/registry.go
@@ -120,15 +120,25 @@
 
 // Detached returns the running idempotent calls that have had no follower for at least minDetached.
 func (r *Registry) Detached(now time.Time, minDetached time.Duration) []*railcall.Call {
+	return r.unendedFunc(func(c *railcall.Call) bool { return c.Idempotent && c.DetachedFor(now) >= minDetached })
+}
+
+// Unended returns the calls that have no final frame yet.
+func (r *Registry) Unended() []*railcall.Call {
+	return r.unendedFunc(func(*railcall.Call) bool { return true })
+}
+
+// unendedFunc returns the matching calls that have no final frame yet. A call with aliases may come more than once.
+func (r *Registry) unendedFunc(match func(*railcall.Call) bool) []*railcall.Call {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var detached []*railcall.Call
+	var calls []*railcall.Call
 	for _, c := range r.byID {
-		if c.Idempotent && !c.Done() && c.DetachedFor(now) >= minDetached {
-			detached = append(detached, c)
+		if !c.Done() && match(c) {
+			calls = append(calls, c)
 		}
 	}
-	return detached
+	return calls
 }
 
 func (r *Registry) init() {
