Let the test of panics reach the acceptance of a request

The limits of a connection and of its first request are read before the request is accepted, and the panic that the test injects was contained there.

--- a/internal/node/railgateway/panic_test.go
+++ b/internal/node/railgateway/panic_test.go
@@ -26,6 +26,8 @@
 	panicAttempt = "attempt"
 	panicAnswer  = "answer"
 	panicCopy    = "copy"
+	// limitReads is how often the configuration is read for the limits of a connection and of its first request.
+	limitReads = 2
 )
 
 // panickingTranslator panics where a header says so.
@@ -128,8 +130,8 @@
 		body   string
 	}{
 		"request is parsed":                          {path: "/unsafe/x", step: panicParse, status: 503},
-		"request is accepted":                        {path: "/unsafe/x", configuration: 1, status: 503},
-		"request is accepted, and when it is logged": {path: "/unsafe/x", configuration: 2, status: 503},
+		"request is accepted":                        {path: "/unsafe/x", configuration: limitReads + 1, status: 503},
+		"request is accepted, and when it is logged": {path: "/unsafe/x", configuration: limitReads + 2, status: 503},
 		"refusal is logged":                          {path: "/none/x", line: "request refused", status: 404},
 		"request is queued":                          {path: "/unsafe/x", configuration: 1, queued: true, status: 503},
 		"attempt is prepared":                        {path: "/unsafe/x", step: panicAttempt, status: 503},
