Discard what a caller still sends before its connection is closed

What callers saw: a response that had been written in full was cut by a reset if the caller had sent more meanwhile, a next request or a stray line break, and the response announced the end of the connection, as all do in a drain. Large responses, and slow callers, lost the rest of it.

Cause: closing a socket with unread input resets it and drops what has not been sent. Only responses to requests that had not arrived in full were followed by an orderly end. Beside it: a request that had arrived on a connection that was new or idle was discarded when the drain gave up receiving; it is read now, and refused as not run.

Found by a review, with tests. HTTP lets a server ignore what follows a request whose response announces the end; docs/CALLERS.md says so.

--- a/internal/node/railconn/conn.go
+++ b/internal/node/railconn/conn.go
@@ -123,7 +123,7 @@
 	case n == 0 && !errors.Is(err, os.ErrDeadlineExceeded):
 		c.noteRead(nil, err)
 		return 0, err
-	case n == 0 && !c.isCutOff() && c.hasUnreadData():
+	case n == 0 && !c.refusesArrived() && c.hasUnreadData():
 		n, err = c.readArrived(p)
 	}
 	c.noteRead(p[:n], err)
@@ -145,13 +145,13 @@
 	return n, err
 }
 
-// Close closes the connection and calls onClose. If the last response was written before its request had arrived in full, what still arrives is
-// discarded for a moment, since a reset could cost the caller the response.
+// Close closes the connection and calls onClose. If the last response was written before its request had arrived in full, or more has arrived after
+// the request, what still arrives is discarded for a moment, since a reset could cost the caller the response.
 func (c *Conn) Close() error {
 	if loss, ok := c.takeLoss(); ok && c.onLoss != nil {
 		c.onLoss(loss)
 	}
-	if c.hasRespondedEarly() {
+	if c.hasRespondedEarly() || c.hasMoreInput() {
 		c.sendEnd(make([]byte, discardBufferBytes))
 	}
 	c.onClose()
@@ -328,10 +328,20 @@
 	return c.state == connAnswering || c.state == connReceiving
 }
 
-func (c *Conn) isCutOff() bool {
+// hasMoreInput reports whether a response has been written and data of a further request has arrived.
+func (c *Conn) hasMoreInput() bool {
+	c.mu.Lock()
+	written := (c.state == connAnswering || c.state == connAnswered) && !c.progress.aborted
+	buffered := len(c.buffered) > 0
+	c.mu.Unlock()
+	return written && (buffered || c.hasUnreadData())
+}
+
+// refusesArrived reports whether data that has arrived is not read any more, since its request was cut off.
+func (c *Conn) refusesArrived() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.cutOff
+	return c.cutOff && c.state == connReceiving
 }
 
 func (c *Conn) hasRespondedEarly() bool {
--- a/internal/node/railconn/conn_test.go
+++ b/internal/node/railconn/conn_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -145,6 +146,22 @@
 	}
 }
 
+// Guards against a whole request that is discarded without a word, since the server has not read it yet when the drain gives up waiting for requests.
+func TestRequestThatHasArrivedAsReceivingEndsIsRead(t *testing.T) {
+	listener, conn, caller := connect(t)
+	_, err := io.WriteString(caller, "12")
+	qt.Assert(t, err, qt.IsNil)
+	for !strings.Contains(listener.Counts().String(), "unread=1") {
+		time.Sleep(time.Millisecond)
+	}
+	qt.Check(t, listener.EndReceiving(), qt.Equals, 0)
+	n, err := conn.Read(make([]byte, 2))
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, n, qt.Equals, 2)
+	_, err = conn.Read(make([]byte, 1))
+	qt.Check(t, err, qt.ErrorIs, os.ErrDeadlineExceeded)
+}
+
 // Guards against a response that is lost by a reset, since its caller still sends when the connection is closed.
 func TestResponseToRequestThatStillArrivesIsNotLost(t *testing.T) {
 	_, conn, caller := connect(t)
