Contain a panic in the log of a lost request

A request that crossed the end of its connection was parsed for its ID outside of what contains a panic, so that one request could end the process. Two locks that a contained panic could have left locked, of the table of entries and of the exchange of inventories, are not held any more while foreign rows are decoded, or are released in any case. Found by a review.

--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -236,9 +236,9 @@
 	members := g.Entries(list)
 	slices.SortFunc(members, func(a, b railmember.Member) int { return cmp.Compare(a.Name, b.Name) })
 	others := slices.DeleteFunc(slices.Clone(members), func(m railmember.Member) bool { return m.Name == g.Site.Process.Name })
+	newest, addrs := railsiteprocess.NewestConfig(list), raildatagram.Addresses(others)
 	g.mu.Lock()
-	g.entriesConfig = railsiteprocess.NewestConfig(list)
-	g.peerAddrs = raildatagram.Addresses(others)
+	g.entriesConfig, g.peerAddrs = newest, addrs
 	g.mu.Unlock()
 	g.entries.SetMembers(members)
 	g.configServer.NotifyChange()
--- a/internal/node/railgateway/losslog.go
+++ b/internal/node/railgateway/losslog.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/fulmarrail/fulmarrail/internal/core/raillogsampler"
+	"github.com/fulmarrail/fulmarrail/internal/core/railpanic"
 	"github.com/fulmarrail/fulmarrail/internal/node/railconn"
 	"github.com/fulmarrail/fulmarrail/internal/node/railloss"
 )
@@ -33,6 +34,7 @@
 
 // logLoss counts a loss and logs it, if not too many have been logged.
 func (g *Gateway) logLoss(loss railloss.Loss) {
+	defer func() { _ = railpanic.Recovered(recover(), g.Log, unitRecord) }()
 	g.lossLog.counters[loss.Kind].Inc()
 	suppressed, ok := g.lossLog.samplers[loss.Kind].Allow()
 	if !ok {
--- a/internal/rollout/railswarm/gossip.go
+++ b/internal/rollout/railswarm/gossip.go
@@ -92,9 +92,16 @@
 
 // sendInventories sends an inventory to the region if one is due, and to other regions, whose agents reply with theirs.
 func (j *job) sendInventories() {
-	now := time.Now()
+	targets, inventory := j.dueInventories(time.Now())
+	for _, m := range targets {
+		j.swarm.SendInventory(m, inventory)
+	}
+}
+
+// dueInventories returns the members to which an inventory is due, which is recorded as sent, and the inventory.
+func (j *job) dueInventories(now time.Time) (targets []railmember.Member, inventory *railproto.Inventory) {
 	j.mu.Lock()
-	var targets []railmember.Member
+	defer j.mu.Unlock()
 	if j.regionSendDue(now) {
 		targets = j.regionTargets(now)
 	}
@@ -105,11 +112,7 @@
 	for _, m := range targets {
 		j.recordSend(m, now)
 	}
-	inventory := j.inventory()
-	j.mu.Unlock()
-	for _, m := range targets {
-		j.swarm.SendInventory(m, inventory)
-	}
+	return targets, j.inventory()
 }
 
 // regionSendDue reports whether an inventory to the region is due, and if so records it as sent.
