Shorten the last responses of short drains

A drain below 5 s gave requests their final response 0.5 s before its end, which is a larger part of it than is needed: streams that would have ended were reset. By arithmetic, found by a review; the tests of the drain pass.

--- a/internal/node/railgateway/drain.go
+++ b/internal/node/railgateway/drain.go
@@ -19,7 +19,9 @@
 	// finalResponseTime is the time before the end of the drain at which all requests get their final response, so that it can still be
 	// written. A process that is delayed may take up to finalResponseTimeout.
 	finalResponseTime    = 500 * time.Millisecond
-	finalResponseTimeout = time.Second
+	finalResponseTimeout = 700 * time.Millisecond
+	// finalResponseShare bounds finalResponseTime in a short drain, as a share of it.
+	finalResponseShare = 0.1
 	// minDrainShare is the share of a request's time that has to be left in the drain if the request is to be accepted.
 	minDrainShare = 0.5
 )
@@ -43,7 +45,7 @@
 
 // start starts the drain. It returns the time after which the requests that are left get their final response.
 func (d *drainState) start(now time.Time, timeout time.Duration) time.Duration {
-	untilEnd := max(timeout-finalResponseTime, timeout/2)
+	untilEnd := timeout - min(finalResponseTime, railtimer.Scale(finalResponseShare, timeout))
 	d.startNanos.Store(now.UnixNano())
 	d.endNanos.Store(now.Add(untilEnd).UnixNano())
 	d.draining.Store(true)
