--- a/internal/node/railgateway/late_data_test.go
+++ b/internal/node/railgateway/late_data_test.go
@@ -12,8 +12,8 @@
 	"github.com/fulmarrail/fulmarrail/internal/node/railgateway"
 )
 
-// largeBody is longer than what the sockets between an entry and its caller hold.
-var largeBody = bytes.Repeat([]byte("x"), 4<<20)
+// largeBody is longer than what a caller's socket takes, but not than what its entry's takes as well: it has been written when its connection is closed.
+var largeBody = bytes.Repeat([]byte("x"), 256<<10)
 
 func respondLarge(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set(sealHeader, "seal")
