Test what a contained panic of a call at an agent tells its callers

No test noticed when a call that had panicked after it was passed to the endpoint, or while it followed the holder of its key, was answered with "not run", which lets a caller repeat what may have taken effect. Nor did one notice when the panic kept the place of the call at the endpoint.

Seen with a changed copy of one file at a time: without the mark in executor.go, TestPanicAfterEndpointSaysMayHaveRun fails with and without a key; without the mark in claimed.go, TestPanicAtHolderOfKeySaysMayHaveRun fails on the kind of the frame; without the release in endPanicked, it fails on the number of running requests. The code is unchanged.

--- a/internal/request/railexecutor/panic_test.go
+++ b/internal/request/railexecutor/panic_test.go
@@ -21,6 +21,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/request/railexecutor"
 	"github.com/fulmarrail/fulmarrail/internal/request/railregistry"
 	"github.com/fulmarrail/fulmarrail/internal/request/railverdict"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railmanifest"
 	"github.com/fulmarrail/fulmarrail/internal/standin/railplatform"
 	"github.com/fulmarrail/fulmarrail/internal/store/railera"
 	"github.com/fulmarrail/fulmarrail/internal/store/railtable"
@@ -35,13 +36,25 @@
 	runs map[string]int
 	// release lets requests for the path /wait go on.
 	release chan struct{}
+	// onRun is called at each request, if set.
+	onRun func()
 }
 
+// panickingError is an error whose text can't be read.
+type panickingError struct{}
+
+func (panickingError) Error() string { panic("in the text of an error") }
+
 func (e *panickingEndpoint) Run(_ context.Context, req *railproto.ExecuteRequest, emit func(*railproto.Frame)) (railverdict.Verdict, error) {
 	e.mu.Lock()
 	e.runs[req.GetPath()]++
 	e.mu.Unlock()
+	if e.onRun != nil {
+		e.onRun()
+	}
 	switch req.GetPath() {
+	case "/error":
+		return railverdict.MayHaveRun, panickingError{}
 	case "/panic":
 		panic("before the response")
 	case "/wait":
@@ -144,3 +157,42 @@
 		})
 	}
 }
+
+// Guards against "not run" for a call that has panicked after it was passed to the endpoint.
+func TestPanicAfterEndpointSaysMayHaveRun(t *testing.T) {
+	for _, key := range []string{"", "good"} {
+		t.Run("key "+key, func(t *testing.T) {
+			railvirtualtime.Test(t, func(t *testing.T) {
+				endpoint := &panickingEndpoint{runs: map[string]int{}}
+				e := newExecutor(t, endpoint)
+				last := execute(t, e, "r1", "/error", key)
+				qt.Check(t, last.GetKind(), qt.Equals, railproto.FrameKind_FRAME_KIND_ABORTED)
+				qt.Check(t, last.GetMayHaveRun(), qt.IsTrue)
+				time.Sleep(time.Second)
+				qt.Check(t, e.Calls.Running(), qt.Equals, 0)
+				qt.Check(t, e.Admission.Limiter.Load().GetRunning(), qt.Equals, int32(0))
+			})
+		})
+	}
+}
+
+// Guards against "not run" for a call that has panicked while it followed the holder of its key, and against a place at the endpoint that it keeps.
+func TestPanicAtHolderOfKeySaysMayHaveRun(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		endpoint := &panickingEndpoint{runs: map[string]int{}}
+		e := newExecutor(t, endpoint)
+		e.AttachRemote = func(context.Context, string, *railproto.AttachRequest, func(*railproto.Frame) error) error {
+			panic("at the holder")
+		}
+		holder := &railclaim.Claimer{Table: e.Claimer.Table, Era: e.Claimer.Era, Holder: "other", Incarnation: "j", Log: e.Log}
+		_, _, err := holder.Claim(t.Context(), railclaim.RowName("orders", "castle", "good"), "r0", railmanifest.Sum(nil), 0)
+		qt.Assert(t, err, qt.IsNil)
+		last := execute(t, e, "r1", "/x", "good")
+		qt.Check(t, last.GetKind(), qt.Equals, railproto.FrameKind_FRAME_KIND_ABORTED)
+		qt.Check(t, last.GetMayHaveRun(), qt.IsTrue)
+		time.Sleep(time.Second)
+		qt.Check(t, endpoint.runs["/x"], qt.Equals, 0)
+		qt.Check(t, e.Calls.Running(), qt.Equals, 0)
+		qt.Check(t, e.Admission.Limiter.Load().GetRunning(), qt.Equals, int32(0))
+	})
+}
