Keep a panic in the decision on a queued call from the call that has ended

A caller whose call had run to its end at an agent got no end frame when the decision on a queued call panicked, but the word that its call may have run; the queued call stayed first in the queue, for the next release to panic on. The end of a call decides on the queued ones in its own goroutine, before it emits its end frame.

The decision on each queued call is now contained, as it is in the admitter of a gateway: that call leaves the queue with a rejection, which says that it has not run, and the decisions go on with the next. The test failed before: the panic passed from Release through the ended call, and ended the process in endPanicked.

--- a/internal/admission/railadmission/queue.go
+++ b/internal/admission/railadmission/queue.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/fulmarrail/fulmarrail/internal/core/railpanic"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
 
@@ -12,6 +13,9 @@
 	maxQueueWait = 100 * time.Millisecond
 	// maxQueueLength bounds the number of queued requests. Each entry process has at most one request waiting at an endpoint.
 	maxQueueLength = 256
+
+	// unitWaiting is the kind of work in which a panic is contained.
+	unitWaiting = "waiting request"
 )
 
 // waiter is a request that waits for capacity.
@@ -87,15 +91,27 @@
 		if !ok {
 			return
 		}
-		inFlight, reason := c.TryAdmit(w.request)
-		if reason == railproto.Reason_REASON_LIMIT {
+		res := c.decide(w)
+		if res.reason == railproto.Reason_REASON_LIMIT {
 			return
 		}
 		c.queue.Pop()
-		w.result <- admissionResult{inFlight: inFlight, reason: reason}
+		w.result <- res
 	}
 }
 
+// decide admits or rejects a queued request. A panic rejects this request only: the decision is made on behalf of all that wait, and often by a
+// request that has just ended.
+func (c *Controller) decide(w *waiter) (res admissionResult) {
+	defer func() {
+		if railpanic.Recovered(recover(), c.Log, unitWaiting, "request", w.request.GetRequestId()) != nil {
+			res = admissionResult{reason: railproto.Reason_REASON_ENDPOINT_REFUSED}
+		}
+	}()
+	inFlight, reason := c.TryAdmit(w.request)
+	return admissionResult{inFlight: inFlight, reason: reason}
+}
+
 // customerWeight returns the customer's weight in the current configuration revision, or 1 for an unknown customer.
 func (c *Controller) customerWeight(customer string) int {
 	revision, _ := c.Config.Current()
--- a/internal/request/railexecutor/panic_test.go
+++ b/internal/request/railexecutor/panic_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -196,3 +197,29 @@
 		qt.Check(t, e.Admission.Limiter.Load().GetRunning(), qt.Equals, int32(0))
 	})
 }
+
+// Guards against a panic in the decision on a queued call that takes the response of a call that has just ended.
+func TestPanicInDecisionOnQueuedCallLeavesEndedCallItsResponse(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		endpoint := &panickingEndpoint{runs: map[string]int{}, release: make(chan struct{})}
+		e := newExecutor(t, endpoint)
+		ended := make(chan *railproto.Frame, 2)
+		for _, id := range []string{"r1", "r2"} {
+			go func() { ended <- execute(t, e, id, "/wait", "") }()
+		}
+		synctest.Wait()
+		queued := make(chan railproto.Reason, 1)
+		go func() {
+			_, reason := e.Admission.Admit(t.Context(), &railproto.ExecuteRequest{RequestId: "r3", Incarnation: "i", Service: "orders"})
+			queued <- reason
+		}()
+		synctest.Wait()
+		e.Admission.Config = nil // The check of the queued call panics.
+		close(endpoint.release)
+		for range 2 {
+			qt.Check(t, (<-ended).GetKind(), qt.Equals, railproto.FrameKind_FRAME_KIND_END)
+		}
+		qt.Check(t, <-queued, qt.Equals, railproto.Reason_REASON_ENDPOINT_REFUSED)
+		qt.Check(t, e.Admission.Limiter.Load().GetRunning(), qt.Equals, int32(0))
+	})
+}
