Give a call its final frame when building that frame panics

A panic while the final frame of a call was built, for example on the configuration or the limiter, ended the agent and with it all its calls: the function that ends a call after a panic built the same frame again and panicked outside any containment.

That frame is now built contained, with a plain one, which has the same kind and reason but no state of the agent, in its place. A panic in the release of the place at the endpoint is contained as well, so that it neither ends the process nor takes the end frame. The test failed before in both cases, by the end of the process in endPanicked.

--- a/internal/request/railexecutor/panic.go
+++ b/internal/request/railexecutor/panic.go
@@ -19,6 +19,8 @@
 	unitCall     = "call"
 	unitEndpoint = "endpoint"
 	unitClaim    = "claim"
+	unitFrame    = "final frame"
+	unitRelease  = "release"
 )
 
 // slot is the admission of one call, which is released once. It is not safe for concurrent use.
@@ -41,7 +43,9 @@
 	s.once(s.admission.ReleaseUnsampled)
 }
 
+// once releases the admission if it has not been released. A panic doesn't reach the call, which still gets its final frame.
 func (s *slot) once(release func()) {
+	defer func() { _ = railpanic.Recovered(recover(), s.admission.Log, unitRelease) }()
 	if !s.released {
 		s.released = true
 		release()
@@ -54,11 +58,24 @@
 		return
 	}
 	defer s.releaseUnsampled()
-	if s.mayHaveRun {
-		call.Append(e.abortedFrame(call.RequestID, railproto.Reason_REASON_ENDPOINT_FAILED))
-		return
+	call.Append(e.panickedFrame(call.RequestID, s.mayHaveRun))
+}
+
+// panickedFrame returns the final frame of a call whose work has panicked. The frame lacks the agent's state if that panics too.
+func (e *Executor) panickedFrame(requestID string, mayHaveRun bool) (frame *railproto.Frame) {
+	kind, reason := railproto.FrameKind_FRAME_KIND_REFUSED, railproto.Reason_REASON_ENDPOINT_REFUSED
+	if mayHaveRun {
+		kind, reason = railproto.FrameKind_FRAME_KIND_ABORTED, railproto.Reason_REASON_ENDPOINT_FAILED
+	}
+	defer func() {
+		if railpanic.Recovered(recover(), e.Log, unitFrame, "request", requestID) != nil {
+			frame = &railproto.Frame{RequestId: requestID, Kind: kind, Reason: reason, MayHaveRun: mayHaveRun}
+		}
+	}()
+	if mayHaveRun {
+		return e.abortedFrame(requestID, reason)
 	}
-	call.Append(e.rejectionFrame(call.RequestID, railproto.Reason_REASON_ENDPOINT_REFUSED))
+	return e.rejectionFrame(requestID, reason)
 }
 
 // runContained passes a request to the endpoint. A panic is an error of a request that may have run.
--- a/internal/request/railexecutor/panic_test.go
+++ b/internal/request/railexecutor/panic_test.go
@@ -223,3 +223,25 @@
 		qt.Check(t, e.Admission.Limiter.Load().GetRunning(), qt.Equals, int32(0))
 	})
 }
+
+// Guards against a second panic, while the final frame of a call is built, that ends the process, and against a call without a final frame.
+func TestPanicInFinalFrameStillEndsCall(t *testing.T) {
+	for name, breakState := range map[string]func(*railadmission.Controller){
+		"configuration": func(c *railadmission.Controller) { c.Config = nil },
+		"limiter":       func(c *railadmission.Controller) { c.Limiter = nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			railvirtualtime.Test(t, func(t *testing.T) {
+				endpoint := &panickingEndpoint{runs: map[string]int{}}
+				e := newExecutor(t, endpoint)
+				endpoint.onRun = func() { breakState(e.Admission) }
+				last := execute(t, e, "r1", "/panic", "")
+				qt.Check(t, last.GetKind(), qt.Equals, railproto.FrameKind_FRAME_KIND_ABORTED)
+				qt.Check(t, last.GetReason(), qt.Equals, railproto.Reason_REASON_ENDPOINT_FAILED)
+				qt.Check(t, last.GetMayHaveRun(), qt.IsTrue)
+				time.Sleep(time.Second)
+				qt.Check(t, e.Calls.Running(), qt.Equals, 0)
+			})
+		})
+	}
+}
