Defer the unlocks of the admission of an agent

A panic that is contained between the lock and the unlock of RecordReport or SetWeights would leave the lock held, and each later check of a request would wait for it. None is known; the unlocks are deferred so that none can do this. No test shows it, since nothing in these sections panics that a test could reach.

--- a/internal/admission/railadmission/controller.go
+++ b/internal/admission/railadmission/controller.go
@@ -106,14 +106,19 @@
 // SetWeights records the digest of the complete weights in service and the engine's incarnation. A change of either resets the
 // limiter because the endpoint starts cold.
 func (c *Controller) SetWeights(digest, engineIncarnation string) {
+	if c.recordWeights(digest, engineIncarnation) {
+		c.Limiter.Reset()
+	}
+}
+
+// recordWeights reports whether the weights or the engine have changed.
+func (c *Controller) recordWeights(digest, engineIncarnation string) (changed bool) {
 	c.mu.Lock()
-	changed := digest != c.weightsDigest || engineIncarnation != c.engineIncarnation
+	defer c.mu.Unlock()
+	changed = digest != c.weightsDigest || engineIncarnation != c.engineIncarnation
 	c.weightsDigest, c.engineIncarnation = digest, engineIncarnation
 	c.identifyEngine(engineIncarnation)
-	c.mu.Unlock()
-	if changed {
-		c.Limiter.Reset()
-	}
+	return changed
 }
 
 // Weights returns the digest of the complete weights in service, or an empty string.
--- a/internal/admission/railadmission/enginereport.go
+++ b/internal/admission/railadmission/enginereport.go
@@ -28,19 +28,7 @@
 // not state it. Queued requests that can't be admitted any more are rejected.
 func (c *Controller) RecordReport(incarnation string, said railheader.SelfReport) {
 	c.logMalformed(said)
-	c.mu.Lock()
-	now := time.Now()
-	c.identifyEngine(incarnation)
-	left := said.Leaving && !c.engineLeaving(now)
-	paused := said.Pause > 0 && !c.engineReport.Paused(now)
-	if said.Leaving {
-		c.engineReport = *c.engineReport.WithLeaving(now, 0)
-	}
-	if said.Pause > 0 {
-		c.engineReport = *c.engineReport.WithPause(now, said.Pause)
-	}
-	engine := c.engineIncarnation
-	c.mu.Unlock()
+	left, paused, engine := c.applyReport(incarnation, said)
 	if left {
 		leavingReports.Inc()
 		c.Log.Info("endpoint leaves", "incarnation", engine, "source", "response", "age", time.Duration(0))
@@ -55,6 +43,23 @@
 	}
 }
 
+// applyReport adds to the engine's report what it has said of itself. It reports whether the engine has begun to leave or to pause, and its incarnation.
+func (c *Controller) applyReport(incarnation string, said railheader.SelfReport) (left, paused bool, engine string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.identifyEngine(incarnation)
+	left = said.Leaving && !c.engineLeaving(now)
+	paused = said.Pause > 0 && !c.engineReport.Paused(now)
+	if said.Leaving {
+		c.engineReport = *c.engineReport.WithLeaving(now, 0)
+	}
+	if said.Pause > 0 {
+		c.engineReport = *c.engineReport.WithPause(now, said.Pause)
+	}
+	return left, paused, c.engineIncarnation
+}
+
 // EngineRefuses reports whether the endpoint has said that it wants no requests now. An admitted request that has waited since then must not be
 // sent to it.
 func (c *Controller) EngineRefuses() bool {
