--- a/internal/request/railexecutor/panic_test.go
+++ b/internal/request/railexecutor/panic_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -21,6 +22,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/request/railexecutor"
 	"github.com/fulmarrail/fulmarrail/internal/request/railregistry"
 	"github.com/fulmarrail/fulmarrail/internal/request/railverdict"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railmanifest"
 	"github.com/fulmarrail/fulmarrail/internal/standin/railplatform"
 	"github.com/fulmarrail/fulmarrail/internal/store/railera"
 	"github.com/fulmarrail/fulmarrail/internal/store/railtable"
@@ -35,13 +37,25 @@
 	runs map[string]int
 	// release lets requests for the path /wait go on.
 	release chan struct{}
+	// onRun is called at each request, if set.
+	onRun func()
 }
 
+// panickingError is an error whose text can't be read.
+type panickingError struct{}
+
+func (panickingError) Error() string { panic("in the text of an error") }
+
 func (e *panickingEndpoint) Run(_ context.Context, req *railproto.ExecuteRequest, emit func(*railproto.Frame)) (railverdict.Verdict, error) {
 	e.mu.Lock()
 	e.runs[req.GetPath()]++
 	e.mu.Unlock()
+	if e.onRun != nil {
+		e.onRun()
+	}
 	switch req.GetPath() {
+	case "/error":
+		return railverdict.MayHaveRun, panickingError{}
 	case "/panic":
 		panic("before the response")
 	case "/wait":
@@ -144,3 +158,90 @@
 		})
 	}
 }
+
+// Guards against "not run" for a call that has panicked after it was passed to the endpoint.
+func TestPanicAfterEndpointSaysMayHaveRun(t *testing.T) {
+	for _, key := range []string{"", "good"} {
+		t.Run("key "+key, func(t *testing.T) {
+			railvirtualtime.Test(t, func(t *testing.T) {
+				endpoint := &panickingEndpoint{runs: map[string]int{}}
+				e := newExecutor(t, endpoint)
+				last := execute(t, e, "r1", "/error", key)
+				qt.Check(t, last.GetKind(), qt.Equals, railproto.FrameKind_FRAME_KIND_ABORTED)
+				qt.Check(t, last.GetMayHaveRun(), qt.IsTrue)
+				time.Sleep(time.Second)
+				qt.Check(t, e.Calls.Running(), qt.Equals, 0)
+				qt.Check(t, e.Admission.Limiter.Load().GetRunning(), qt.Equals, int32(0))
+			})
+		})
+	}
+}
+
+// Guards against "not run" for a call that has panicked while it followed the holder of its key, and against a place at the endpoint that it keeps.
+func TestPanicAtHolderOfKeySaysMayHaveRun(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		endpoint := &panickingEndpoint{runs: map[string]int{}}
+		e := newExecutor(t, endpoint)
+		e.AttachRemote = func(context.Context, string, *railproto.AttachRequest, func(*railproto.Frame) error) error {
+			panic("at the holder")
+		}
+		holder := &railclaim.Claimer{Table: e.Claimer.Table, Era: e.Claimer.Era, Holder: "other", Incarnation: "j", Log: e.Log}
+		_, _, err := holder.Claim(t.Context(), railclaim.RowName("orders", "castle", "good"), "r0", railmanifest.Sum(nil), 0)
+		qt.Assert(t, err, qt.IsNil)
+		last := execute(t, e, "r1", "/x", "good")
+		qt.Check(t, last.GetKind(), qt.Equals, railproto.FrameKind_FRAME_KIND_ABORTED)
+		qt.Check(t, last.GetMayHaveRun(), qt.IsTrue)
+		time.Sleep(time.Second)
+		qt.Check(t, endpoint.runs["/x"], qt.Equals, 0)
+		qt.Check(t, e.Calls.Running(), qt.Equals, 0)
+		qt.Check(t, e.Admission.Limiter.Load().GetRunning(), qt.Equals, int32(0))
+	})
+}
+
+// Guards against a panic in the decision on a queued call that takes the response of a call that has just ended.
+func TestPanicInDecisionOnQueuedCallLeavesEndedCallItsResponse(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		endpoint := &panickingEndpoint{runs: map[string]int{}, release: make(chan struct{})}
+		e := newExecutor(t, endpoint)
+		ended := make(chan *railproto.Frame, 2)
+		for _, id := range []string{"r1", "r2"} {
+			go func() { ended <- execute(t, e, id, "/wait", "") }()
+		}
+		synctest.Wait()
+		queued := make(chan railproto.Reason, 1)
+		go func() {
+			_, reason := e.Admission.Admit(t.Context(), &railproto.ExecuteRequest{RequestId: "r3", Incarnation: "i", Service: "orders"})
+			queued <- reason
+		}()
+		synctest.Wait()
+		e.Admission.Config = nil // The check of the queued call panics.
+		close(endpoint.release)
+		for range 2 {
+			qt.Check(t, (<-ended).GetKind(), qt.Equals, railproto.FrameKind_FRAME_KIND_END)
+		}
+		qt.Check(t, <-queued, qt.Equals, railproto.Reason_REASON_ENDPOINT_REFUSED)
+		qt.Check(t, e.Admission.Limiter.Load().GetRunning(), qt.Equals, int32(0))
+	})
+}
+
+// Guards against a second panic, while the final frame of a call is built, that ends the process, and against a call without a final frame.
+func TestPanicInFinalFrameStillEndsCall(t *testing.T) {
+	for name, breakState := range map[string]func(*railadmission.Controller){
+		"configuration": func(c *railadmission.Controller) { c.Config = nil },
+		"limiter":       func(c *railadmission.Controller) { c.Limiter = nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			railvirtualtime.Test(t, func(t *testing.T) {
+				endpoint := &panickingEndpoint{runs: map[string]int{}}
+				e := newExecutor(t, endpoint)
+				endpoint.onRun = func() { breakState(e.Admission) }
+				last := execute(t, e, "r1", "/panic", "")
+				qt.Check(t, last.GetKind(), qt.Equals, railproto.FrameKind_FRAME_KIND_ABORTED)
+				qt.Check(t, last.GetReason(), qt.Equals, railproto.Reason_REASON_ENDPOINT_FAILED)
+				qt.Check(t, last.GetMayHaveRun(), qt.IsTrue)
+				time.Sleep(time.Second)
+				qt.Check(t, e.Calls.Running(), qt.Equals, 0)
+			})
+		})
+	}
+}
