Answer requests that begin to arrive after the entry's stop

A caller that connected just before the entry's stop, sent the first half of its head 0.3 s after it and the rest 6 s later got EOF in place of an answer, though nearly all of a minute's drain was left.

Cause: a connection without any byte is not busy, so the drain went on to the HTTP server's shutdown at once, which ends connections older than 5 s that have not sent a head.

The drain now closes the listener itself and waits until no connection is open or it is time for the last responses; then it rejects what has not arrived in full. The server's shutdown is no longer called, so nothing ends a connection whose request is arriving. Connections that are lingering after their answer are no error; requests without a response still are.

Evidence: the new test of a slow head failed before ("unexpected EOF"; its case of a slow body passed) and passes now. The new test of the drain's end passed before, and fails if EndReceiving is removed from closeCallers. Run without -race: the tests of drain_receive_test.go except that of pipelined responses, and the first three of drain_test.go, pass.

--- a/internal/node/railentry/drain.go
+++ b/internal/node/railentry/drain.go
@@ -41,7 +41,8 @@
 
 // drain fails the readiness check, rejects new requests, closes connections as they become idle and waits until all responses have been
 // written. Shortly before the timeout it interrupts the requests that are still running or have not arrived in full, whose responses say so.
-func (e *Entry) drain(ctx context.Context, server *fasthttp.Server, callers *railconn.Listener, timeout time.Duration) error {
+// served is closed once the server accepts no further connections.
+func (e *Entry) drain(ctx context.Context, served <-chan struct{}, callers *railconn.Listener, timeout time.Duration) error {
 	deadline := time.Now().Add(timeout)
 	lastResponses := deadline.Add(-min(lastResponsesTime, railtimer.Scale(lastResponsesShare, timeout)))
 	e.router.StopAccepting()
@@ -56,32 +57,38 @@
 	unanswered := 0
 	if !waitUntil(ctx, time.Now().Add(lastResponsesTime), notBusy) {
 		unanswered = callers.Answering()
-	} else {
-		waitUntil(ctx, time.Now().Add(closeTime), func() bool { return server.GetOpenConnectionsCount() == 0 })
+	} else if end := time.Now().Add(closeTime); end.After(deadline) {
+		deadline = end
 	}
-	err := shutdown(ctx, server, callers, lastResponses, deadline)
+	late, busy := closeCallers(ctx, served, callers, lastResponses, deadline)
 	switch {
 	case unanswered > 0:
 		return errors.Newf("drain did not complete: %d requests have no response", unanswered)
 	case interrupted > 0:
 		return errors.Newf("%d requests were ended by the end of the drain", interrupted)
-	case err != nil:
-		return errors.Wrap(err, "drain did not complete")
+	case busy > 0:
+		return errors.Newf("drain did not complete: %d requests have no response", busy)
 	}
-	e.Log.Info("entry drained, no request was interrupted", "incomplete", incomplete)
+	e.Log.Info("entry drained, no request was interrupted", "incomplete", incomplete+late)
 	return nil
 }
 
-// shutdown closes the listener and waits until the deadline for connections on which a request is being received. Those that have not arrived in
-// full when it is time for the last responses are rejected.
-func shutdown(ctx context.Context, server *fasthttp.Server, callers *railconn.Listener, lastResponses, deadline time.Time) error {
-	receiveCtx, cancelReceive := context.WithDeadline(ctx, lastResponses)
-	defer cancelReceive()
-	stop := context.AfterFunc(receiveCtx, func() { callers.EndReceiving() })
-	defer stop()
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	return server.ShutdownWithContext(ctx)
+// closeCallers closes the listener and waits for connections on which a request may still arrive. Those that have not arrived in full when it is
+// time for the last responses are rejected. It returns the numbers of these and of the requests that have no response at the deadline.
+// served is closed once the server accepts no further connections.
+func closeCallers(ctx context.Context, served <-chan struct{}, callers *railconn.Listener, lastResponses, deadline time.Time) (incomplete, busy int) {
+	noneOpen := func() bool { return callers.Open() == 0 }
+	_ = callers.Close() // Connections that were accepted before this are served; later ones are refused by the kernel.
+	select {
+	case <-served: // The listener has counted all connections that were accepted.
+	case <-time.After(time.Until(lastResponses)):
+	}
+	waitUntil(ctx, lastResponses, noneOpen)
+	waitUntil(ctx, deadline, func() bool {
+		incomplete += callers.EndReceiving()
+		return noneOpen()
+	})
+	return incomplete, callers.Busy()
 }
 
 // waitUntil waits until a condition holds. It returns false if the deadline passes or ctx is done first.
--- a/internal/node/railentry/drain_receive_test.go
+++ b/internal/node/railentry/drain_receive_test.go
@@ -9,6 +9,9 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// firstByteDelay is shorter than a drain awaits the first request on a new connection.
+const firstByteDelay = 300 * time.Millisecond
+
 // halves are the two halves of requests that arrive slowly.
 func halves() map[string][2]string {
 	request := requestTo("/lookups/x", "0123456789", "")
@@ -86,3 +89,50 @@
 	qt.Assert(t, got.err, qt.IsNil)
 	qt.Check(t, got.status, qt.Equals, http.StatusOK)
 }
+
+// Guards against a request that is cut without an answer, since its first byte arrives after the stop on a connection that was new, and the rest slowly.
+func TestRequestThatBeginsAfterTheStopAndArrivesSlowlyIsAnswered(t *testing.T) {
+	for name, request := range halves() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDrainDeployment(t, longDrain, asIs)
+			caller := d.connect(t)
+			time.Sleep(pollInterval)
+			d.stop()
+			time.Sleep(firstByteDelay)
+			_, err := io.WriteString(caller, request[0])
+			qt.Assert(t, err, qt.IsNil)
+			time.Sleep(6 * time.Second) // The HTTP server's shutdown ends connections that are older than 5 s before they have sent a head.
+			_, err = io.WriteString(caller, request[1])
+			qt.Check(t, err, qt.IsNil)
+			got := caller.receive(t)
+			qt.Assert(t, got.err, qt.IsNil)
+			qt.Check(t, got.status, qt.Equals, http.StatusServiceUnavailable)
+			qt.Check(t, got.verdict, qt.Equals, "notRun")
+			qt.Check(t, got.closes, qt.IsTrue)
+			qt.Check(t, <-d.stopped, qt.IsNil)
+		})
+	}
+}
+
+// Guards against a request that ends without a word, since it begins to arrive after the stop and has not arrived in full when the drain ends.
+func TestEndOfDrainRejectsRequestThatHasBegunAfterTheStop(t *testing.T) {
+	for name, request := range halves() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDrainDeployment(t, 4*firstByteDelay, asIs)
+			caller := d.connect(t)
+			time.Sleep(pollInterval)
+			d.stop()
+			time.Sleep(firstByteDelay)
+			_, err := io.WriteString(caller, request[0])
+			qt.Assert(t, err, qt.IsNil)
+			got := caller.receive(t)
+			qt.Assert(t, got.err, qt.IsNil)
+			qt.Check(t, got.status, qt.Equals, http.StatusServiceUnavailable)
+			qt.Check(t, got.verdict, qt.Equals, "notRun")
+			qt.Check(t, got.closes, qt.IsTrue)
+			qt.Check(t, <-d.stopped, qt.IsNil)
+		})
+	}
+}
--- a/internal/node/railentry/entry.go
+++ b/internal/node/railentry/entry.go
@@ -75,9 +75,12 @@
 		ConnState: railconn.TrackState, ErrorHandler: e.rejectUnreadable,
 	}
 	callers := &railconn.Listener{Listener: &railacceptor.Acceptor{Listener: e.CallerListener, Log: e.Log}, Limits: limits}
-	failed := make(chan error, 2)
+	failed, served := make(chan error, 2), make(chan struct{})
 	wg.Go(func() { failed <- listener.Run(workCtx, e.InternalListener) })
-	wg.Go(func() { failed <- server.Serve(callers) })
+	wg.Go(func() {
+		failed <- server.Serve(callers)
+		close(served)
+	})
 	wg.Go(func() { e.router.Run(workCtx) })
 	e.Log.Info("entry started", "name", e.Self.Name, "zone", e.Self.Zone)
 	var err error
@@ -86,7 +89,7 @@
 		e.Log.Error("no further connections are accepted; the entry stops", "err", err)
 	case <-ctx.Done():
 	}
-	return errors.CombineErrors(errors.Wrap(err, "serve"), e.drain(workCtx, server, callers, drainTimeout))
+	return errors.CombineErrors(errors.Wrap(err, "serve"), e.drain(workCtx, served, callers, drainTimeout))
 }
 
 // limits returns the time limits of callers' requests.
