Let a complete response stand when its records panic at an own entry

What callers saw: 502 mayHaveRun in place of a complete response, if what the entry records of it after its last frame panics (budget, completion, load). Cause: a panic in the forwarding of a request meant that it may have run, also once its end frame had been passed on. Change: an end frame that was passed on decides. Found by a review; the cases 'response is complete' and 'stream is complete' of TestPanicEndsOnlyItsRequestWithFinalResponse failed before. railfront passes with the race detector.

--- a/internal/node/railfront/panic.go
+++ b/internal/node/railfront/panic.go
@@ -26,14 +26,25 @@
 // errFailed is the reason that a caller gets. It does not say with what the entry has panicked.
 var errFailed = errors.New("the entry has failed on this request")
 
-// forwardContained is Forward. After a panic, the request may have run.
+// forwardContained is Forward. After a panic, the request may have run, unless its complete response has been passed on.
 func (f *Front) forwardContained(ctx context.Context, req railrequest.Request, sink func(endpoint string, frame *railproto.Frame) error) (verdict railverdict.Verdict, frame *railproto.Frame, err error) {
+	var end *railproto.Frame
 	defer func() {
-		if railpanic.Recovered(recover(), f.Log, unitForward, "request", req.ID) != nil {
+		switch p := railpanic.Recovered(recover(), f.Log, unitForward, "request", req.ID); {
+		case p == nil:
+		case end != nil:
+			verdict, frame, err = railverdict.Ran, end, nil
+		default:
 			verdict, frame, err = railverdict.MayHaveRun, nil, errFailed
 		}
 	}()
-	return f.Forward(ctx, req, sink)
+	return f.Forward(ctx, req, func(endpoint string, frame *railproto.Frame) error {
+		err := sink(endpoint, frame)
+		if err == nil && frame.GetKind() == railproto.FrameKind_FRAME_KIND_END {
+			end = frame
+		}
+		return err
+	})
 }
 
 // observe calls Observe. A panic in it must not take the place of a response.
--- a/internal/node/railfront/panic_test.go
+++ b/internal/node/railfront/panic_test.go
@@ -41,6 +41,8 @@
 		"before the response":       {"/orders/x", "forward", 502, "mayHaveRun"},
 		"in the response":           {"/orders/x", "part", 502, "mayHaveRun"},
 		"response is recorded":      {"/orders/x", "record", 200, "ran"},
+		"response is complete":      {"/orders/x", "complete", 200, "ran"},
+		"stream is complete":        {"/chat/x", "complete", 200, ""},
 		"before the first event":    {"/chat/x", "forward", 502, "mayHaveRun"},
 		"in the stream":             {"/chat/x", "part", 200, ""},
 		"end of stream is recorded": {"/chat/x", "record", 200, ""},
@@ -71,7 +73,7 @@
 			c.Check(got.status, qt.Equals, test.status)
 			c.Check(got.verdict, qt.Equals, test.verdict)
 			c.Check(got.body, qt.Not(qt.Contains), "panic")
-			c.Check(strings.Contains(got.body, "event: end"), qt.Equals, test.path == "/chat/x" && test.step == "record")
+			c.Check(strings.Contains(got.body, "event: end"), qt.Equals, test.path == "/chat/x" && (test.step == "record" || test.step == "complete"))
 			c.Check(strings.Contains(got.body, "event: error"), qt.Equals, test.path == "/chat/x" && test.step == "part")
 			close(release)
 			c.Check((<-other).status, qt.Equals, http.StatusOK)
@@ -115,6 +117,9 @@
 				panic("in the response")
 			}
 			c.Check(s("e", end), qt.IsNil)
+			if req.Key == panicKey && step == "complete" {
+				panic("after the response")
+			}
 			return railverdict.Ran, end, nil
 		},
 		Observe: func(req railrequest.Request, _ railverdict.Verdict, _, _ time.Duration) {
