--- a/internal/config/railconfigclient/client_test.go
+++ b/internal/config/railconfigclient/client_test.go
@@ -188,6 +188,13 @@
 	return nil
 }
 
+// countStoreReads returns how often the agent has read the configuration from the store.
+func (c *testCluster) countStoreReads() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.storeReads
+}
+
 func (c *testCluster) Instances(context.Context) ([]railinstance.Instance, error) {
 	return nil, errors.New("unexpected call")
 }
@@ -208,7 +215,7 @@
 		time.Sleep(10 * time.Millisecond)
 		qt.Check(t, c.wantedVersion(), qt.Equals, int64(2))
 		qt.Check(t, c.entry("entry-far").requests, qt.Equals, 0)
-		qt.Check(t, c.storeReads, qt.Equals, 0)
+		qt.Check(t, c.countStoreReads(), qt.Equals, 0)
 		var hosts []string
 		for _, i := range c.client.Instances(time.Second) {
 			hosts = append(hosts, i.Host())
@@ -231,7 +238,7 @@
 				c.setVersion(2)
 				time.Sleep(100 * time.Millisecond)
 				qt.Check(t, c.wantedVersion(), qt.Equals, int64(2))
-				qt.Check(t, c.storeReads, qt.Equals, 0)
+				qt.Check(t, c.countStoreReads(), qt.Equals, 0)
 			})
 		})
 	}
--- a/internal/config/railconfigclient/restore_test.go
+++ b/internal/config/railconfigclient/restore_test.go
@@ -29,10 +29,10 @@
 		})
 		c.setVersion(2)
 		time.Sleep(10 * time.Second)
-		reads := c.storeReads
+		reads := c.countStoreReads()
 		c.setVersion(3)
 		time.Sleep(10 * time.Second)
 		qt.Check(t, c.wantedVersion(), qt.Equals, int64(3))
-		qt.Check(t, c.storeReads, qt.Equals, reads, qt.Commentf("the entries answer"))
+		qt.Check(t, c.countStoreReads(), qt.Equals, reads, qt.Commentf("the entries answer"))
 	})
 }
