Send no request to a service without a share of its route

A route whose services all have weight 0 sent its requests to the last of them: the empty set of services was read as the last one.

--- a/internal/config/railroute/route.go
+++ b/internal/config/railroute/route.go
@@ -57,21 +57,23 @@
 	return len(r.Regions) == 0 || slices.Contains(r.Regions, region)
 }
 
-// PickService returns the service for a point in [0, 1), with the services weighted. It returns an empty string if the route has no
-// service.
+// PickService returns the service for a point in [0, 1), with the services weighted. It returns an empty string if no service has a
+// positive weight.
 func (r Route) PickService(point float64) string {
 	total := 0
 	for _, s := range r.Services {
-		total += s.Weight
+		total += max(s.Weight, 0)
 	}
 	remaining := point * float64(total)
+	last := ""
 	for _, s := range r.Services {
+		if s.Weight <= 0 {
+			continue
+		}
 		if remaining -= float64(s.Weight); remaining < 0 {
 			return s.Service
 		}
+		last = s.Service
 	}
-	if len(r.Services) == 0 {
-		return ""
-	}
-	return r.Services[len(r.Services)-1].Service
+	return last
 }
