Require keys once customers are listed, even if no key is left

What callers saw: once the last key of all was taken away, gateways asked for no key.

Cause: RequiresKeys took "no key is known" for "no customers are configured". An empty set was read as an absent one.

The change: the catalog remembers that customers were set.

--- a/internal/config/railcatalog/catalog.go
+++ b/internal/config/railcatalog/catalog.go
@@ -21,6 +21,8 @@
 	routesByHost   map[string][]railroute.Route
 	backends       map[string]railbackend.Backend
 	customersByKey map[string]railcustomer.Customer
+	// requiresKeys is set once the customers were set, also if there is none.
+	requiresKeys   bool
 	zonesOut       map[string]bool
 	wantedVersions map[string]int64
 }
@@ -81,9 +83,10 @@
 	return v, ok
 }
 
-// RequiresKeys reports whether requests must present an API key, which is so once any customer is configured.
+// RequiresKeys reports whether requests must present an API key. This is so if the configuration lists customers, even if none of them has
+// a key or the list is empty.
 func (c Catalog) RequiresKeys() bool {
-	return len(c.customersByKey) > 0
+	return c.requiresKeys
 }
 
 // Backend returns the service with the given name, or false if there is none.
@@ -148,9 +151,9 @@
 	return c
 }
 
-// WithCustomers returns a copy of the catalog with its customers replaced; the map is keyed by API key.
+// WithCustomers returns a copy of the catalog that requires keys, with its customers replaced; the map is keyed by API key.
 func (c Catalog) WithCustomers(customers map[string]railcustomer.Customer) Catalog {
-	c.customersByKey = maps.Clone(customers)
+	c.customersByKey, c.requiresKeys = maps.Clone(customers), true
 	return c
 }
 
