Read no more of a staged piece than the size of a piece

PROTOCOL.md lets bytes that are no answer come without end.

Cause: any response was read up to 8 MiB, and its buffer grows by doubling; an over-long piece was an error of the whole pass, which began anew at once. The class: a response that is bounded by the largest of all responses in place of its own size.

The change: the client for pieces takes no more than the configured size of a piece.

--- a/internal/command/railcarriercmd/carrier.go
+++ b/internal/command/railcarriercmd/carrier.go
@@ -58,7 +58,8 @@
 		Self: self, SharedKey: []byte(settings.SharedKey), InternalListener: internalListener, AgentPort: port, Dialer: dialer, Socket: socket, Catalog: p.Config.Get, WantedVersions: p.Config.WantedVersions,
 		Engine: &platform.Engine{
 			Timeout: settings.CallTimeout, Address: settings.EndpointAddress,
-			Layers: func() int { return p.Layers(settings.Service) },
+			Layers:     func() int { return p.Layers(settings.Service) },
+			PieceBytes: func() int { return p.PieceBytes(settings.Service) },
 		},
 		Origin:      p.Origin(),
 		Entries:     configClient.Entries,
--- a/internal/command/railsiteprocess/process.go
+++ b/internal/command/railsiteprocess/process.go
@@ -18,6 +18,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/command/railexit"
 	"github.com/fulmarrail/fulmarrail/internal/command/railfactory"
 	"github.com/fulmarrail/fulmarrail/internal/config/railactiveconfig"
+	"github.com/fulmarrail/fulmarrail/internal/config/railbackend"
 	"github.com/fulmarrail/fulmarrail/internal/config/railsite"
 	"github.com/fulmarrail/fulmarrail/internal/config/railstaleness"
 	"github.com/fulmarrail/fulmarrail/internal/core/railadmin"
@@ -295,12 +296,22 @@
 
 // Layers returns the number of layers of the model that a service's engines serve, or 0 if it is unknown.
 func (p *Process) Layers(service string) int {
+	return p.engine(service).Layers
+}
+
+// PieceBytes returns the size in bytes of a piece of the weights that a service's engines load, or 0 if it is unknown.
+func (p *Process) PieceBytes(service string) int {
+	return p.engine(service).ChunkBytes
+}
+
+// engine returns the configuration of a service's engines, or the zero value if it is unknown.
+func (p *Process) engine(service string) railbackend.Engine {
 	catalog, _ := p.Config.Get()
 	b, ok := catalog.Backend(service)
 	if !ok || b.Engine == nil {
-		return 0
+		return railbackend.Engine{}
 	}
-	return b.Engine.Layers
+	return *b.Engine
 }
 
 func (p *Process) serveAdmin(ctx context.Context) error {
