Refuse requests for whose bodies no memory is left

What callers saw: 31 orders of 4 MiB at a time made a gateway exceed 284 MB.

Cause: each body was held up to four times (the server's buffer, the call's copy, one for each attempt, one to send it beside the response), nothing bounded the memory of all requests together, and the runtime knew no limit. The class: work that is bounded one by one, but not in sum.

The change: a body is taken from the server and shared by all attempts, so that it is held once. What has arrived of a request beyond 64 KiB is reserved from a pool, a quarter of the process's memory (new setting memory, filled in from the deploy file; 256 MB by default), until its response is written; without enough, the caller gets 503 at once, which is true: the request has not run. The runtime collects garbage earlier as three quarters of that memory are used. Own entries have such a pool too.

What remains: a declared length makes the server allocate its buffer at once, which is not counted before its bytes arrive.

--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -39,6 +39,9 @@
 )
 
 const (
+	// requestMemoryDivisor is the ratio of the process's memory to that for larger requests. The rest is for connections, responses and
+	// garbage.
+	requestMemoryDivisor = 4
 	// entriesPollWait is the long polling time for the table of entries.
 	entriesPollWait = 20 * time.Second
 	// peerTimeoutShare is the timeout for reading a table from another entry, as a share of that of reading the configuration from the store, so
@@ -108,7 +111,7 @@
 	g.quarantine = &railquarantine.Quarantine{Log: raillog.Named(p.Log, "quarantine")}
 	g.frontend = &railgateway.Gateway{
 		CallerListener: callerListener, ReadyListener: readyListener, ReadyPath: platform.ReadyPath, Translator: platform.Translator{}, Catalog: g.catalog, MinVersion: p.Config.MinVersion, NextMinVersion: p.Config.NextMinVersion,
-		EntriesKnown: g.entriesKnown, ConfigAge: g.configAge, EndpointListAge: g.instancesAge, MaxConfigAge: p.Limits.MaxKeyAge, RetryShare: site.Bounds.RetryShare / 2,
+		EntriesKnown: g.entriesKnown, ConfigAge: g.configAge, EndpointListAge: g.instancesAge, MaxConfigAge: p.Limits.MaxKeyAge, MaxRequestMemory: site.Process.MemoryBytes() / requestMemoryDivisor, RetryShare: site.Bounds.RetryShare / 2,
 		ObjectivePercent: site.Process.ObjectivePercent, Quarantine: g.quarantine,
 		Log: raillog.Named(p.Log, "front"),
 	}
--- a/internal/command/railsiteprocess/process.go
+++ b/internal/command/railsiteprocess/process.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"reflect"
+	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -116,6 +117,7 @@
 	ctx, cancel := p.Factory.Context()
 	defer cancel()
 	go p.reloadSettings(hangups)
+	debug.SetMemoryLimit(p.Site.Process.MemoryBytes() / 4 * 3) // Leaves room for what the runtime does not count.
 	p.initStore()
 	if err := p.serveAdmin(ctx); err != nil {
 		return err
--- a/internal/config/railsite/settings.go
+++ b/internal/config/railsite/settings.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	bytesPerMegabit = 1e6 / 8
+	bytesPerMegabit  = 1e6 / 8
+	bytesPerMegabyte = 1e6
 	// minRevocationDelay leaves time for several calls of the store, so that keys are not refused while it responds.
 	minRevocationDelay = 200 * time.Millisecond
 
@@ -45,6 +46,7 @@
 	Service           string        `key:"service" help:"the service of the endpoint beside the process; carriers only"`
 	EndpointAddress   string        `key:"endpoint" help:"IP address and port of that endpoint; carriers only"`
 	LinkMbitPerSecond float64       `key:"link" unit:"Mbit/s" default:"0" min:"0" max:"1000000" help:"rate of the VM's link, each way, below which weights are paced; 0 for no pace"`
+	MemoryMegabytes   int           `key:"memory" unit:"MB" default:"256" min:"32" max:"1000000" help:"memory that the process may use; gateways reject requests that would exceed it"`
 	CallTimeout       time.Duration `key:"timeout" unit:"duration" default:"1s" min:"10ms" max:"1m" help:"longest time for one call of the store or one connection"`
 	ObjectivePercent  float64       `key:"objective" unit:"percent" default:"99" min:"50" max:"99.999" help:"requests of each route that are to be answered whole and on time; gateways only"`
 	LogLevel          string        `key:"logLevel" default:"info" oneof:"debug info warn error" help:"least level of the lines that are logged"`
@@ -69,6 +71,11 @@
 	return host, port, errors.Wrap(err, "parse setting inner")
 }
 
+// MemoryBytes returns the memory that the process may use, in bytes.
+func (p Process) MemoryBytes() int64 {
+	return int64(p.MemoryMegabytes) * bytesPerMegabyte
+}
+
 // LinkBytesPerSecond returns the capacity of the VM's network link in bytes per second, or 0 if it is unknown.
 func (p Process) LinkBytesPerSecond() int {
 	return int(p.LinkMbitPerSecond * bytesPerMegabit)
--- a/internal/endpoint/railexchange/exchange.go
+++ b/internal/endpoint/railexchange/exchange.go
@@ -55,11 +55,13 @@
 }
 
 // Start sends a request to an address and returns after it has read the response header. Cancelling ctx ends the whole exchange,
-// including reads of the body. On error, the verdict tells whether the request may have run.
+// including reads of the body. On error, the verdict tells whether the request may have run. Start releases the request once it is sent,
+// which may be after it has returned; a raw body must not change before the exchange is garbage.
 func Start(ctx context.Context, address string, req *fasthttp.Request) (*Exchange, railverdict.Verdict, error) {
 	dialer := net.Dialer{Timeout: ConnectTimeout, Control: setUserTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
+		fasthttp.ReleaseRequest(req)
 		return nil, railverdict.NotRun, errors.Wrap(err, "connect")
 	}
 	e := &Exchange{conn: conn, sendResult: make(chan error, 1)}
@@ -104,13 +106,16 @@
 	})
 }
 
+// send writes and releases the request.
 func (e *Exchange) send(req *fasthttp.Request) error {
 	if len(req.Body()) <= asyncSendBytes {
+		defer fasthttp.ReleaseRequest(req)
 		return e.write(req)
 	}
-	clone := &fasthttp.Request{}
-	req.CopyTo(clone)
-	go func() { e.sendResult <- e.writeContained(clone) }()
+	go func() {
+		defer fasthttp.ReleaseRequest(req)
+		e.sendResult <- e.writeContained(req)
+	}()
 	return nil
 }
 
--- a/internal/endpoint/railupstream/client.go
+++ b/internal/endpoint/railupstream/client.go
@@ -61,7 +61,6 @@
 	ctx, cancel := withTimeout(ctx)
 	defer cancel()
 	hreq := c.newRequest(fasthttp.MethodPost, req.GetPath(), req.GetBody())
-	defer fasthttp.ReleaseRequest(hreq)
 	hreq.Header.SetContentType(req.GetContentType())
 	hreq.Header.Set(requestIDHeader, req.GetRequestId())
 	hreq.Header.Set(priorityHeader, strconv.Itoa(int(req.GetPriority())))
@@ -211,7 +210,6 @@
 	ctx, cancel := withTimeout(ctx)
 	defer cancel()
 	req := c.newRequest(method, path, body)
-	defer fasthttp.ReleaseRequest(req)
 	req.Header.Set(fenceHeader, strconv.FormatInt(fence, 10))
 	exchange, _, err := railexchange.Start(ctx, c.Address, req)
 	if err != nil {
--- a/internal/endpoint/railupstream/stream.go
+++ b/internal/endpoint/railupstream/stream.go
@@ -127,7 +127,6 @@
 func (c *Client) resumeStream(ctx context.Context, requestID string, s *eventStream, emit func(*railproto.Frame)) error {
 	nextEvent := strconv.FormatUint(s.count, 10)
 	req := c.newRequest(fasthttp.MethodGet, "/streams/"+requestID, nil)
-	defer fasthttp.ReleaseRequest(req)
 	req.Header.Set(lastEventHeader, nextEvent)
 	exchange, _, err := railexchange.Start(ctx, c.Address, req)
 	if err != nil {
--- a/internal/node/railconn/conn.go
+++ b/internal/node/railconn/conn.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/fulmarrail/fulmarrail/internal/limit/railconnlimits"
+	"github.com/fulmarrail/fulmarrail/internal/limit/railmemory"
 	"github.com/fulmarrail/fulmarrail/internal/node/railloss"
 )
 
@@ -81,6 +82,11 @@
 	// respondedEarly is set if a response was begun before its request had been received in full.
 	respondedEarly bool
 	progress       progress
+	// memory is the pool of which the current request holds reserved bytes, or nil if there is no bound. outOfMemory is set if it had too
+	// few.
+	memory      *railmemory.Pool
+	reserved    int
+	outOfMemory bool
 }
 
 // Watch calls onDisconnect if the caller disconnects before stop is called. The connection must not be read until stop has returned.
@@ -109,10 +115,19 @@
 	}
 }
 
-// Read reads from the connection, beginning with the data that was received during Watch. If the connection is idle or new and is drained, or its
-// idle time is over, Read closes it and returns io.EOF. If the time for a request is over, or it has been cut off, Read returns an error that is a
-// timeout. Data that had arrived by then is still returned, unless the request was cut off.
+// Read is like read, and reserves memory for the request that arrives. It returns an error if there is none left.
 func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.read(p)
+	if n > 0 && !c.reserveMemory() {
+		return 0, errNoMemory
+	}
+	return n, err
+}
+
+// read reads from the connection, beginning with the data that was received during Watch. If the connection is idle or new and is drained, or its
+// idle time is over, read closes it and returns io.EOF. If the time for a request is over, or it has been cut off, read returns an error that is a
+// timeout. Data that had arrived by then is still returned, unless the request was cut off.
+func (c *Conn) read(p []byte) (int, error) {
 	if n, err := c.takeSavedRead(p); n > 0 || err != nil {
 		c.noteRead(p[:n], err)
 		return n, err
@@ -154,6 +169,9 @@
 	if c.hasRespondedEarly() || c.hasMoreInput() {
 		c.sendEnd(make([]byte, discardBufferBytes))
 	}
+	c.mu.Lock()
+	c.releaseMemory()
+	c.mu.Unlock()
 	c.onClose()
 	return c.Conn.Close()
 }
@@ -208,6 +226,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.progress = progress{}
+	c.releaseMemory()
 	_ = c.enter(connAnswered, 0) // On a closed connection, the next read fails anyway.
 }
 
--- a/internal/node/railconn/listener.go
+++ b/internal/node/railconn/listener.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/fulmarrail/fulmarrail/internal/limit/railconnlimits"
+	"github.com/fulmarrail/fulmarrail/internal/limit/railmemory"
 	"github.com/fulmarrail/fulmarrail/internal/node/railloss"
 )
 
@@ -16,6 +17,8 @@
 
 	// Limits returns the limits that are in force. If it is nil, there are none.
 	Limits func() railconnlimits.Limits
+	// Memory bounds the memory of all larger requests, from their arrival to the end of their responses. If it is nil, there is no bound.
+	Memory *railmemory.Pool
 
 	mu       sync.Mutex
 	conns    map[*Conn]bool
@@ -30,7 +33,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := &Conn{Conn: conn, draining: l.draining, currentLimits: l.Limits, onLoss: l.OnLoss}
+	c := &Conn{Conn: conn, draining: l.draining, currentLimits: l.Limits, onLoss: l.OnLoss, memory: l.Memory}
 	if c.currentLimits == nil {
 		c.currentLimits = func() railconnlimits.Limits { return railconnlimits.Limits{} }
 	}
--- a/internal/node/railconn/unreadable.go
+++ b/internal/node/railconn/unreadable.go
@@ -13,6 +13,8 @@
 	var headTooLong *fasthttp.ErrSmallBuffer
 	conn, ok := c.(*Conn)
 	switch timedOut := ok && conn.hasTimedOut(); { // The error itself doesn't tell: that of a chunked body hides its cause.
+	case ok && conn.isOutOfMemory():
+		return fasthttp.StatusServiceUnavailable, "the entry has no memory left for the request"
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return fasthttp.StatusRequestEntityTooLarge, "the body is too long"
 	case errors.As(err, &headTooLong):
--- a/internal/node/railentry/entry.go
+++ b/internal/node/railentry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/config/railfolder"
 	"github.com/fulmarrail/fulmarrail/internal/core/raillog"
 	"github.com/fulmarrail/fulmarrail/internal/limit/railconnlimits"
+	"github.com/fulmarrail/fulmarrail/internal/limit/railmemory"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/node/railconn"
 	"github.com/fulmarrail/fulmarrail/internal/node/railfront"
@@ -26,8 +27,10 @@
 )
 
 const (
-	maxBodyBytes   = 16 << 20
-	maxConnections = 1 << 16
+	maxBodyBytes = 16 << 20
+	// maxRequestMemory is the maximum memory for all larger requests together, in bytes.
+	maxRequestMemory = 256 << 20
+	maxConnections   = 1 << 16
 	// maxHeaderBytes is the maximum size of a request's headers.
 	maxHeaderBytes = 16 << 10
 	headerTimeout  = 30 * time.Second
@@ -74,7 +77,7 @@
 		ReadBufferSize: maxHeaderBytes, Logger: discardLogger{}, CloseOnShutdown: true, HeaderReceived: railconn.HeaderReceived(bodyTimeout),
 		ConnState: railconn.TrackState, ErrorHandler: e.rejectUnreadable,
 	}
-	callers := &railconn.Listener{Listener: &railacceptor.Acceptor{Listener: e.CallerListener, Log: e.Log}, Limits: limits}
+	callers := &railconn.Listener{Listener: &railacceptor.Acceptor{Listener: e.CallerListener, Log: e.Log}, Limits: limits, Memory: &railmemory.Pool{MaxBytes: maxRequestMemory}}
 	failed, served := make(chan error, 2), make(chan struct{})
 	wg.Go(func() { failed <- listener.Run(workCtx, e.InternalListener) })
 	wg.Go(func() {
--- a/internal/node/railgateway/attempt.go
+++ b/internal/node/railgateway/attempt.go
@@ -139,7 +139,6 @@
 	req := g.newRequest(c, a.lease, lastEventID)
 	sent = railverdict.MayHaveRun
 	exchange, verdict, err := railexchange.Start(a.ctx, a.lease.Instance.Address, req)
-	fasthttp.ReleaseRequest(req)
 	a.exchange = exchange
 	if err != nil {
 		return verdict, a.markCause(c, err)
@@ -228,10 +227,11 @@
 	return railverdict.Ran, nil
 }
 
-// newRequest returns the request to send to a lease's endpoint. The caller must release it.
+// newRequest returns the request to send to a lease's endpoint. All attempts share the caller's body.
 func (g *Gateway) newRequest(c *call, lease *railfleet.Lease, lastEventID string) *fasthttp.Request {
 	req := fasthttp.AcquireRequest()
 	c.upstream.CopyTo(req)
+	req.SetBodyRaw(c.body)
 	params := railheader.Attempt{Instance: lease.Instance.ID, Customer: c.customer.Name, Timeout: time.Until(g.drainState.limit(c.deadline))}
 	if lease.Instance.WeightsVersion > 0 {
 		params.WeightsVersion = lease.Instance.WeightsVersion
--- a/internal/node/railgateway/gateway.go
+++ b/internal/node/railgateway/gateway.go
@@ -62,6 +62,8 @@
 	ConfigAge func() time.Duration
 	// EndpointListAge returns the time since the list of endpoints was last confirmed to be current.
 	EndpointListAge func() time.Duration
+	// MaxRequestMemory is the maximum memory for all larger requests together, in bytes, or 0 for no maximum. What exceeds it is rejected.
+	MaxRequestMemory int64
 	// MaxConfigAge is the configuration age above which customers' keys are not accepted, since one may have been revoked.
 	MaxConfigAge time.Duration
 	// MinVersion returns the oldest version of a model's weights on which a response may start now.
@@ -103,6 +105,9 @@
 		DisablePreParseMultipartForm: true, HeaderReceived: railconn.HeaderReceived(bodyTimeout), ConnState: railconn.TrackState, ErrorHandler: g.rejectUnreadable,
 	}
 	listener := &railconn.Listener{Listener: &railacceptor.Acceptor{Listener: g.CallerListener, Log: g.Log}, Limits: g.limits, OnLoss: g.logLoss}
+	if g.MaxRequestMemory > 0 {
+		listener.Memory = &railmemory.Pool{MaxBytes: g.MaxRequestMemory}
+	}
 	ready := &fasthttp.Server{Handler: g.readiness, NoDefaultServerHeader: true, Logger: discardLogger{}}
 	failed, served := make(chan error, 2), make(chan struct{})
 	go func() {
--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -42,8 +42,10 @@
 	customer railcustomer.Customer
 	// keyRequired is set if the request was accepted by its key, which must still be valid at each attempt.
 	keyRequired bool
-	// upstream is the request as it is sent to endpoints, without the headers that are set for each attempt.
+	// upstream is the request as it is sent to endpoints, without the headers that are set for each attempt and without its body. body is
+	// not changed, since attempts may still send it after the request has ended.
 	upstream fasthttp.Request
+	body     []byte
 	// sendDelay is the time until the request was sent to the endpoint that answered it, firstDelay the time until its response
 	// started, and maxGap the longest pause between two events of the response.
 	sendDelay, firstDelay, maxGap time.Duration
@@ -109,6 +111,7 @@
 		g.reject(c, rejected)
 		return
 	}
+	c.body = ctx.Request.SwapBody(nil) // The server would use the memory for its next request.
 	ctx.Request.CopyTo(&c.upstream)
 	removeHopByHopHeaders(&c.upstream.Header)
 	g.inFlight.Add(1)
--- a/internal/node/railgateway/unreadable.go
+++ b/internal/node/railgateway/unreadable.go
@@ -1,10 +1,12 @@
 package railgateway
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
 	"github.com/fulmarrail/fulmarrail/internal/node/railconn"
@@ -14,6 +16,7 @@
 // rejectUnreadable responds to a request that could not be read.
 func (g *Gateway) rejectUnreadable(ctx *fasthttp.RequestCtx, err error) {
 	status, reason := railconn.UnreadableStatus(ctx.Conn(), err, g.drainState.draining.Load())
+	metrics.GetOrCreateCounter(fmt.Sprintf(`fulmarrail_gateway_unreadable_requests_total{status="%d"}`, status)).Inc()
 	ctx.Error(reason+"\n", status)
 	if status == fasthttp.StatusServiceUnavailable {
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, formatSeconds(railretrydetector.RetryAfter(0, 0, rand.Float64())))
