Let a starting gateway ask the others for the configuration that they serve

Cause: a started gateway takes no configuration older than the one in the entries' rows, but these rows lie in the same store: in the copy they are as old as the configuration. The class: what guards against an old copy was read from that copy.

The change: a gateway asks each other entry once, at its start, which version of the configuration it serves, and takes no older one for as long as before. The brief for agents tells the version to callers without a service too.

What remains: gateways that the copy's rows do not list are not asked.

--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -82,8 +82,10 @@
 	peerAddrs    []*net.UDPAddr
 	instanceRows map[string]railreplica.Row
 	instances    []railinstance.Instance
-	// entriesConfig is the newest configuration that the entries' rows mention, and startedAt the time since boot at which this process started.
+	// entriesConfig is the newest configuration that the entries' rows mention, and servedConfig the newest that the other entries had when
+	// this process started. startedAt is the time since boot at which it did.
 	entriesConfig int64
+	servedConfig  servedConfig
 	startedAt     time.Duration
 }
 
@@ -244,6 +246,7 @@
 	g.entriesConfig, g.peerAddrs = newest, addrs
 	g.mu.Unlock()
 	g.entries.SetMembers(members)
+	g.servedConfig.askOnce(others, g.requestConfigVersion)
 	g.configServer.NotifyChange()
 }
 
--- a/internal/command/railgatewaycmd/parts.go
+++ b/internal/command/railgatewaycmd/parts.go
@@ -16,6 +16,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/store/railtable"
 	"github.com/fulmarrail/fulmarrail/internal/store/railversion"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildatagram"
+	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
 
 // newRelay returns the relay that distributes weights to agents. It returns an error if the setting inner is not a host and port.
@@ -84,12 +85,19 @@
 }
 
 // catalog returns the configuration in force, or false if there is none yet or the other entries are not known. A process that has started
-// lately does not take an older one than other entries have had: the store may have been restored from a copy, and the operators' rows are
-// still to be written again.
+// lately does not take an older one than other entries have or have had: the store may have been restored from a copy, and the operators'
+// rows are still to be written again.
 func (g *gateway) catalog() (railcatalog.Catalog, bool) {
 	catalog, known := g.Config.Get()
+	served, asked := g.servedConfig.newest()
 	g.mu.Lock()
-	behind := catalog.Version < g.entriesConfig && g.Clock.Now()-g.startedAt < maxBehindTime
+	behind := catalog.Version < max(g.entriesConfig, served) && g.Clock.Now()-g.startedAt < maxBehindTime
 	g.mu.Unlock()
-	return catalog, known && g.entriesKnown() && !behind
+	return catalog, known && g.entriesKnown() && asked && !behind
+}
+
+// requestConfigVersion asks another entry for the version of its configuration.
+func (g *gateway) requestConfigVersion(ctx context.Context, address string) (int64, error) {
+	reply, err := g.relay.Dialer.Entry(ctx, address).Brief(ctx, &railproto.BriefRequest{})
+	return reply.GetConfiguration(), err
 }
--- a/internal/config/railconfigserver/server.go
+++ b/internal/config/railconfigserver/server.go
@@ -44,7 +44,7 @@
 
 // Brief returns the configuration for the agents of a service. It waits until that differs from what the caller knows by its hash,
 // until the wait requested by the caller ends, or until the configuration is too old. In the latter two cases the reply holds
-// only the hash and the age. It returns the error of ctx once that is done.
+// only the hash, the age and the configuration's version. It returns the error of ctx once that is done.
 func (s *Server) Brief(ctx context.Context, req *railproto.BriefRequest) (*railproto.BriefReply, error) {
 	waitTimer := time.NewTimer(min(time.Duration(req.GetWaitMillis())*time.Millisecond, maxWait))
 	defer waitTimer.Stop()
@@ -59,7 +59,9 @@
 		case brief.GetHash() != req.GetKnown():
 			return brief, nil
 		case waited || s.Age() > s.MaxAge:
-			return &railproto.BriefReply{Hash: brief.GetHash(), AgeMillis: brief.GetAgeMillis(), HeldMillis: brief.GetHeldMillis()}, nil
+			return &railproto.BriefReply{
+				Hash: brief.GetHash(), AgeMillis: brief.GetAgeMillis(), HeldMillis: brief.GetHeldMillis(), Configuration: brief.GetConfiguration(),
+			}, nil
 		}
 		select {
 		case <-ageTicker.C:
@@ -87,12 +89,12 @@
 func (s *Server) newBrief(service string) *railproto.BriefReply {
 	catalog, known := s.Config.Get()
 	backend, _ := catalog.Backend(service)
-	reply := &railproto.BriefReply{AgeMillis: s.Age().Milliseconds()}
+	reply := &railproto.BriefReply{AgeMillis: s.Age().Milliseconds(), Configuration: catalog.Version}
 	if !known || backend.Engine == nil {
 		return reply
 	}
 	origin, _ := catalog.Origin()
-	reply.Configuration, reply.Model, reply.Layers = catalog.Version, backend.Engine.Model, int32(backend.Engine.Layers)
+	reply.Model, reply.Layers = backend.Engine.Model, int32(backend.Engine.Layers)
 	reply.Chunks, reply.ChunkBytes = int32(backend.Engine.Chunks), int32(backend.Engine.ChunkBytes)
 	reply.Origin, reply.OriginZone, reply.OriginLink = origin.OriginAddress, origin.Zone, int64(origin.Link)
 	for _, n := range s.Config.WantedVersions(backend.Engine.Model) {
