Send requests to endpoints with the path that their callers sent

Cause: the HTTP library had parsed the URI, kept that with each copy of the request, and sent it normalized in place of what was received. The class: a copy of a parsed form is forwarded in place of the received bytes. Own deployments had it too, where the client of an endpoint set the whole URI.

The change: only the header is copied, and the request's own URI is never parsed, so that the received target is sent.

--- a/internal/endpoint/railupstream/client.go
+++ b/internal/endpoint/railupstream/client.go
@@ -158,7 +158,8 @@
 func (c *Client) newRequest(method, path string, body []byte) *fasthttp.Request {
 	req := fasthttp.AcquireRequest()
 	req.Header.SetMethod(method)
-	req.SetRequestURI("http://" + c.Address + path)
+	req.Header.SetRequestURI(path) // The request's own URI would be sent normalized.
+	req.Header.SetHost(c.Address)
 	req.SetBodyRaw(body)
 	req.SetConnectionClose()
 	return req
--- a/internal/node/railgateway/attempt.go
+++ b/internal/node/railgateway/attempt.go
@@ -230,7 +230,7 @@
 // newRequest returns the request to send to a lease's endpoint. All attempts share the caller's body.
 func (g *Gateway) newRequest(c *call, lease *railfleet.Lease, lastEventID string) *fasthttp.Request {
 	req := fasthttp.AcquireRequest()
-	c.upstream.CopyTo(req)
+	c.upstream.CopyTo(&req.Header)
 	req.SetBodyRaw(c.body)
 	params := railheader.Attempt{Instance: lease.Instance.ID, Customer: c.customer.Name, Timeout: time.Until(g.drainState.limit(c.deadline))}
 	if lease.Instance.WeightsVersion > 0 {
--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -42,9 +42,9 @@
 	customer railcustomer.Customer
 	// keyRequired is set if the request was accepted by its key, which must still be valid at each attempt.
 	keyRequired bool
-	// upstream is the request as it is sent to endpoints, without the headers that are set for each attempt and without its body. body is
-	// not changed, since attempts may still send it after the request has ended.
-	upstream fasthttp.Request
+	// upstream is the header as it is sent to endpoints, without the fields that are set for each attempt. body is not changed, since attempts
+	// may still send it after the request has ended.
+	upstream fasthttp.RequestHeader
 	body     []byte
 	// sendDelay is the time until the request was sent to the endpoint that answered it, firstDelay the time until its response
 	// started, and maxGap the longest pause between two events of the response.
@@ -112,8 +112,8 @@
 		return
 	}
 	c.body = ctx.Request.SwapBody(nil) // The server would use the memory for its next request.
-	ctx.Request.CopyTo(&c.upstream)
-	removeHopByHopHeaders(&c.upstream.Header)
+	ctx.Request.Header.CopyTo(&c.upstream) // A copy of the whole request would hold its parsed URI, which is sent normalized.
+	removeHopByHopHeaders(&c.upstream)
 	g.inFlight.Add(1)
 	c.begin(g.drainState.ctx)
 	g.forward(c)
