Don't wait for ever for a lost order or a slow audit

Found by reading the new loader: an order without an answer is repeated before pieces of another version are staged, and that needs its own pieces. Once these were dropped, with two newer versions complete, the carrier would have waited until the engine restarted. An order that leaves the engine without complete weights takes its place now. An audit had 10 s in all, so that on a slow VM it could never end; each piece has 5 s by itself now.

--- a/internal/rollout/railloader/loader.go
+++ b/internal/rollout/railloader/loader.go
@@ -23,8 +23,6 @@
 	callTimeout = time.Second
 	// stageTimeout bounds one attempt to stage the pieces; the next one goes on where it has ended.
 	stageTimeout = 5 * time.Second
-	// auditTimeout bounds an audit, whose pieces may arrive slowly.
-	auditTimeout = 10 * time.Second
 	// loadPollInterval is the time between reads of the engine's state during a load.
 	loadPollInterval = 25 * time.Millisecond
 	// loadTimeout bounds the wait for an ordered load, including the time until the engine's running responses have ended.
@@ -204,7 +202,8 @@
 }
 
 // settle returns once no order for other weights than w is pending. Such an order must not be accepted after pieces of w are staged, so
-// it is repeated until the engine has accepted one of the two.
+// it is repeated until the engine has accepted one of the two. If its pieces can't be staged any more, an order that leaves the engine
+// without complete weights takes its place.
 func (l *Loader) settle(ctx context.Context, w raildownloader.Weights) error {
 	state, err := l.State(ctx)
 	switch {
@@ -216,8 +215,8 @@
 		return nil
 	}
 	p := *l.pending
-	if err := l.stage(ctx, p.weights); err != nil {
-		return err
+	if err := l.stage(ctx, p.weights); err != nil && l.Layers() > 1 {
+		p.layers = l.lastLayer()
 	}
 	return l.order(ctx, p.weights, p.layers)
 }
@@ -275,8 +274,6 @@
 // audit reads the pieces of all layers that the engine holds and that are not known to be intact. It reports whether all pieces are intact,
 // and records that the layers are. The pieces must not have been put since the engine has loaded them.
 func (l *Loader) audit(ctx context.Context, w raildownloader.Weights) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, auditTimeout)
-	defer cancel()
 	before := *l.last
 	unknown := before.Held
 	if before.Sequence == l.intactSequence && l.intact.From == unknown.From && l.intact.End > unknown.From {
--- a/internal/rollout/railloader/loader_test.go
+++ b/internal/rollout/railloader/loader_test.go
@@ -205,10 +205,36 @@
 	})
 }
 
-// lostOrders delivers the first orders to the engine two seconds late, without an answer.
+// Guards against a loader that waits for ever for an order for a version whose pieces it no longer has.
+func TestLostOrderOfDroppedVersionHoldsNothingUp(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		e := newEngine()
+		l := newLoader(e)
+		l.Engine = &lostOrders{Engine: e, lose: 1, dropped: true}
+		qt.Assert(t, l.Load(t.Context(), weights(e, 2)), qt.IsNotNil)
+		e.LoseStaged()
+		chunk := l.Stager.Chunk
+		dropped := weights(e, 2).Manifest
+		l.Stager.Chunk = func(ctx context.Context, digest string) ([]byte, error) {
+			if dropped.Index(digest) >= 0 {
+				return nil, errors.New("the chunk was dropped")
+			}
+			return chunk(ctx, digest)
+		}
+		took := install(t, l, e, 3)
+		qt.Check(t, took < slowInstallTime, qt.IsTrue, qt.Commentf("took %s", took))
+		time.Sleep(4 * time.Second)
+		served, faults := e.Serving()
+		qt.Check(t, served, qt.Equals, int64(3))
+		qt.Check(t, faults, qt.HasLen, 0)
+	})
+}
+
+// lostOrders delivers the first orders to the engine two seconds late, or drops them, without an answer.
 type lostOrders struct {
 	*railmodelengine.Engine
-	lose int
+	lose    int
+	dropped bool
 }
 
 func (l *lostOrders) StartLoad(ctx context.Context, o railloadorder.Order) error {
@@ -216,7 +242,9 @@
 		return l.Engine.StartLoad(ctx, o)
 	}
 	l.lose--
-	time.AfterFunc(2*time.Second, func() { _ = l.Engine.StartLoad(context.Background(), o) })
+	if !l.dropped {
+		time.AfterFunc(2*time.Second, func() { _ = l.Engine.StartLoad(context.Background(), o) })
+	}
 	<-ctx.Done()
 	return errors.Wrap(ctx.Err(), "no answer")
 }
--- a/internal/rollout/railstager/stage.go
+++ b/internal/rollout/railstager/stage.go
@@ -20,6 +20,8 @@
 	verificationTTL = 1500 * time.Millisecond
 	// Unverified is the age of the verification of a piece that was never verified, or was found to be corrupt.
 	Unverified time.Duration = math.MaxInt64
+	// pieceTimeout bounds the time to put or read one piece, which may be long on a slow VM.
+	pieceTimeout = 5 * time.Second
 	// maxConcurrentCalls is the number of pieces that are put or read concurrently.
 	maxConcurrentCalls = 16
 )
@@ -168,6 +170,8 @@
 	if err != nil {
 		return errors.Wrapf(err, "read the chunk of piece %d", i)
 	}
+	ctx, cancel := context.WithTimeout(ctx, pieceTimeout)
+	defer cancel()
 	began := s.Now()
 	s.forget(i)
 	if err := s.Engine.PutPiece(ctx, model, i, data); err != nil {
@@ -179,6 +183,8 @@
 
 // read reads the staged piece with index i and reports whether it matches the manifest.
 func (s *Stager) read(ctx context.Context, model string, m railmanifest.Manifest, i int) (data []byte, intact bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, pieceTimeout)
+	defer cancel()
 	began := s.Now()
 	data, err = s.Engine.Piece(ctx, model, i)
 	switch {
--- a/internal/standin/railmodelengine/engine.go
+++ b/internal/standin/railmodelengine/engine.go
@@ -226,6 +226,13 @@
 	}
 }
 
+// LoseStaged makes the engine lose its staged pieces.
+func (e *Engine) LoseStaged() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.staged = nil
+}
+
 // Serve makes the engine hold all layers of a version, with its pieces staged.
 func (e *Engine) Serve(version int64) {
 	e.mu.Lock()
