Let the installer's tests use the stand-in for engines

The tests of the installer had an engine of their own, written again in the stand-in that the loader's tests use. With the stand-in they also play the load in two parts. It judges pieces of another version and missing ones as strictly as before: with the verification of pieces left out, TestCorruptPiecesAreNeverLoaded fails.

--- a/internal/rollout/railinstaller/installer_test.go
+++ b/internal/rollout/railinstaller/installer_test.go
@@ -17,18 +17,18 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railchunks"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/raildownloader"
-	"github.com/fulmarrail/fulmarrail/internal/rollout/railenginestate"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railfetcher"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railfetchorder"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railinstaller"
-	"github.com/fulmarrail/fulmarrail/internal/rollout/railloadorder"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railmanifest"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railmemstore"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railstager"
+	"github.com/fulmarrail/fulmarrail/internal/standin/railmodelengine"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
 
 const (
+	layerCount        = 4
 	pieceCount        = 8
 	pieceBytes        = 24
 	defaultPieceDelay = 100 * time.Millisecond
@@ -36,79 +36,21 @@
 	rolloutTime = 8 * time.Second
 )
 
-// fakeEngine loads the staged pieces when ordered to, and records whether they belonged to different versions.
-type fakeEngine struct {
-	mu        sync.Mutex
-	staged    map[int]string
-	state     railenginestate.State
-	loaded    []int64
-	mixed     bool
-	drainTime time.Duration
-}
-
-func (e *fakeEngine) PutPiece(_ context.Context, _ string, index int, data []byte) error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.staged[index] = string(data)
-	return nil
-}
-
-func (e *fakeEngine) Piece(_ context.Context, _ string, index int) ([]byte, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return []byte(e.staged[index]), nil
-}
-
-func (e *fakeEngine) StagedPieces(context.Context, string) ([]int, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	var indexes []int
-	for i := range e.staged {
-		indexes = append(indexes, i)
-	}
-	return indexes, nil
-}
-
-func (e *fakeEngine) State(context.Context) (railenginestate.State, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.state, nil
-}
-
-func (e *fakeEngine) StartLoad(_ context.Context, o railloadorder.Order) error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	version := o.Version
-	for i := range pieceCount {
-		e.mixed = e.mixed || e.staged[i] != pieceContent(version, i)
-	}
-	e.state.Busy = true
-	e.state.Sequence++
-	time.AfterFunc(e.drainTime, func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		e.state = railenginestate.State{Version: version, HeldVersion: version, Sequence: e.state.Sequence}
-		e.loaded = append(e.loaded, version)
-	})
-	return nil
-}
-
-func pieceContent(version int64, index int) string {
-	return "piece " + strconv.Itoa(index) + " of version " + strconv.FormatInt(version, 10)
-}
-
 func manifest(version int64) railmanifest.Manifest {
 	m := railmanifest.Manifest{Version: strconv.FormatInt(version, 10), ChunkSize: pieceBytes, Size: pieceBytes * pieceCount}
 	for i := range pieceCount {
-		m.Chunks = append(m.Chunks, railmanifest.Sum([]byte(pieceContent(version, i))))
+		m.Chunks = append(m.Chunks, railmanifest.Sum((&railmodelengine.Engine{PieceBytes: pieceBytes}).Content(version, i)))
 	}
 	return m
 }
 
 // testEnv runs an installer with a fake engine and an origin that takes pieceDelay for each piece.
 type testEnv struct {
-	engine *fakeEngine
+	engine *railmodelengine.Engine
 	mu     sync.Mutex
+	// loadedVersions holds the versions that the engine began to serve, and faults what was wrong with the pieces that it loaded.
+	loadedVersions []int64
+	faults         []string
 	// wantedSince holds the time at which each version became wanted.
 	wantedSince map[int64]time.Time
 	originDown  bool
@@ -122,8 +64,11 @@
 
 // newTestEnv starts an installer for an engine that serves a version, or 0 for none. setup runs before the start.
 func newTestEnv(t *testing.T, serving int64, setup func(*testEnv)) *testEnv {
-	env := &testEnv{engine: &fakeEngine{staged: map[int]string{}, drainTime: time.Second}, wantedSince: map[int64]time.Time{1: time.Now()}, pieceDelay: defaultPieceDelay}
-	env.engine.state.Version, env.engine.state.HeldVersion = serving, serving
+	env := &testEnv{wantedSince: map[int64]time.Time{1: time.Now()}, pieceDelay: defaultPieceDelay}
+	env.engine = &railmodelengine.Engine{Layers: layerCount, Pieces: pieceCount, PieceBytes: pieceBytes, LoadTime: time.Second, OnComplete: env.recordLoad}
+	if serving > 0 {
+		env.engine.Serve(serving)
+	}
 	chunks := &railmemstore.MemoryStore{}
 	store := &railchunks.Store{Backend: chunks}
 	self := railmember.Member{Name: "self", Region: "r"}
@@ -147,7 +92,7 @@
 		},
 	}
 	env.installer = &railinstaller.Installer{
-		Engine: env.engine, Layers: func() int { return 0 }, Downloader: env.downloader, Stager: stager, Log: log, SetIdle: func(bool) {},
+		Engine: env.engine, Layers: func() int { return layerCount }, Downloader: env.downloader, Stager: stager, Log: log, SetIdle: func(bool) {},
 		LoadDelay: func(int64, int64) time.Duration { return time.Until(time.Unix(0, int64(env.loadAtNanos))) },
 		Notify: func(version int64, changesIn time.Duration) {
 			env.mu.Lock()
@@ -172,7 +117,7 @@
 	}
 	select {
 	case <-time.After(env.pieceDelay):
-		return []byte(pieceContent(version, index)), nil
+		return env.engine.Content(version, index), nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -200,19 +145,26 @@
 	env.originDown = down
 }
 
-func (env *testEnv) loaded() ([]int64, bool) {
-	env.engine.mu.Lock()
-	defer env.engine.mu.Unlock()
-	return env.engine.loaded, env.engine.mixed
+func (env *testEnv) recordLoad(version int64, faults []string) {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	env.loadedVersions, env.faults = append(env.loadedVersions, version), append(env.faults, faults...)
+}
+
+// loaded returns the versions that the engine began to serve, and whether any of them was loaded from wrong pieces.
+func (env *testEnv) loaded() (versions []int64, wrong bool) {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	return slices.Clone(env.loadedVersions), len(env.faults) > 0
 }
 
 func TestEmptyEngineLoadsImmediately(t *testing.T) {
 	railvirtualtime.Test(t, func(t *testing.T) {
 		env := newTestEnv(t, 0, func(env *testEnv) { env.loadAtNanos = time.Duration(time.Now().Add(time.Hour).UnixNano()) })
 		time.Sleep(3 * time.Second)
-		loaded, mixed := env.loaded()
+		loaded, wrong := env.loaded()
 		qt.Check(t, loaded, qt.DeepEquals, []int64{1})
-		qt.Check(t, mixed, qt.IsFalse)
+		qt.Check(t, wrong, qt.IsFalse)
 		env.mu.Lock()
 		defer env.mu.Unlock()
 		qt.Check(t, env.notifications, qt.DeepEquals, []int64{0, 1})
@@ -229,9 +181,9 @@
 		loaded, _ := env.loaded()
 		qt.Check(t, len(loaded), qt.Equals, 0)
 		time.Sleep(4 * time.Second)
-		loaded, mixed := env.loaded()
+		loaded, wrong := env.loaded()
 		qt.Check(t, loaded, qt.DeepEquals, []int64{2})
-		qt.Check(t, mixed, qt.IsFalse)
+		qt.Check(t, wrong, qt.IsFalse)
 	})
 }
 
@@ -241,9 +193,9 @@
 		time.Sleep(300 * time.Millisecond)
 		env.addWanted(3)
 		time.Sleep(3 * time.Second)
-		loaded, mixed := env.loaded()
+		loaded, wrong := env.loaded()
 		qt.Check(t, loaded, qt.DeepEquals, []int64{3})
-		qt.Check(t, mixed, qt.IsFalse)
+		qt.Check(t, wrong, qt.IsFalse)
 	})
 }
 
@@ -259,9 +211,9 @@
 		time.Sleep(3500 * time.Millisecond)
 		env.setOriginDown(false)
 		time.Sleep(8 * time.Second)
-		loaded, mixed := env.loaded()
+		loaded, wrong := env.loaded()
 		qt.Check(t, loaded, qt.DeepEquals, []int64{2, 3})
-		qt.Check(t, mixed, qt.IsFalse)
+		qt.Check(t, wrong, qt.IsFalse)
 	})
 }
 
@@ -269,12 +221,12 @@
 	railvirtualtime.Test(t, func(t *testing.T) {
 		env := newTestEnv(t, 0, func(env *testEnv) {
 			for i := range pieceCount {
-				env.engine.staged[i] = "spoilt"
+				qt.Check(t, env.engine.PutPiece(t.Context(), "m", i, []byte("spoilt")), qt.IsNil)
 			}
 		})
 		time.Sleep(8 * time.Second)
-		loaded, mixed := env.loaded()
+		loaded, wrong := env.loaded()
 		qt.Check(t, loaded, qt.DeepEquals, []int64{1})
-		qt.Check(t, mixed, qt.IsFalse)
+		qt.Check(t, wrong, qt.IsFalse)
 	})
 }
