--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -111,7 +111,7 @@
 		g.reject(c, rejected)
 		return
 	}
-	c.body = ctx.Request.SwapBody(nil) // The server would use the memory for its next request.
+	c.body = ctx.Request.SwapBody(nil)     // The server would use the memory for its next request.
 	ctx.Request.Header.CopyTo(&c.upstream) // A copy of the whole request would hold its parsed URI, which is sent normalized.
 	removeHopByHopHeaders(&c.upstream)
 	g.inFlight.Add(1)
