Stage corrupt pieces again right after their layers were dropped

An engine that loads all layers whatever the order is for, as the stand-in of the review does, was never repaired: corrupt layers are dropped by an order for others, and their pieces were staged only once the engine held nothing but these. Pieces are staged, and the layers ordered, right after the drop now; an engine that keeps to the order sees the same calls as before.

TestEngineThatLoadsWholeModelsIsRepaired failed before.

--- a/internal/rollout/railloader/loader.go
+++ b/internal/rollout/railloader/loader.go
@@ -168,7 +168,10 @@
 		return l.withdrawLastLayer(ctx, w)
 	}
 	l.Suspend(ctx)
-	return l.order(ctx, w, l.lastLayer()) // Drops the other layers.
+	if err := l.order(ctx, w, l.lastLayer()); err != nil { // Drops the other layers.
+		return err
+	}
+	return l.loadFirstPart(ctx, w)
 }
 
 // loadFirstPart loads all layers but the last one on an engine that holds none of them.
--- a/internal/rollout/railloader/loader_test.go
+++ b/internal/rollout/railloader/loader_test.go
@@ -190,6 +190,23 @@
 	}
 }
 
+// Guards against corrupt layers that an engine never loads again, since it loads all layers whatever the order is for.
+func TestEngineThatLoadsWholeModelsIsRepaired(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		e := newEngine()
+		e.LoadsWholeModels = true
+		e.OnOrder = func(o railloadorder.Order) bool {
+			if o.Sequence == 0 {
+				e.Corrupt(3, 17, 23)
+				time.Sleep(freezeTime)
+			}
+			return false
+		}
+		took := install(t, newLoader(e), e, 2)
+		qt.Check(t, took < slowInstallTime, qt.IsTrue, qt.Commentf("took %s", took))
+	})
+}
+
 // Guards against an engine that accepts a late order for an older version while the pieces of a newer one are staged.
 func TestLateOrderNeverLoadsPiecesOfTwoVersions(t *testing.T) {
 	railvirtualtime.Test(t, func(t *testing.T) {
--- a/internal/standin/railmodelengine/engine.go
+++ b/internal/standin/railmodelengine/engine.go
@@ -25,6 +25,8 @@
 	Layers, Pieces, PieceBytes int
 	// PutTime, ReadTime and LoadTime are the times that it takes to stage a piece, to read one and to load all layers.
 	PutTime, ReadTime, LoadTime time.Duration
+	// LoadsWholeModels makes the engine load all layers at each order, whatever layers that is for.
+	LoadsWholeModels bool
 	// OnPut is called after a piece was staged, with the number of pieces staged so far. OnOrder is called before an order is accepted;
 	// the order's answer is lost if it returns true. OnComplete is called when the engine begins to hold all layers, with what was wrong with
 	// the pieces that they were loaded from. They may be nil.
@@ -131,10 +133,10 @@
 		return errors.Mark(errors.Newf("sequence is %d, and the order expects %d", e.sequence, o.Sequence), railloadorder.ErrRejected)
 	}
 	layers := o.Layers
-	if layers == (raillayers.Range{}) {
-		layers.End = e.Layers
+	if layers == (raillayers.Range{}) || e.LoadsWholeModels {
+		layers = raillayers.Range{End: e.Layers}
 	}
-	if o.Version == e.heldVersion && layers == e.held {
+	if o.Version == e.heldVersion && layers == e.held && !e.LoadsWholeModels {
 		return nil
 	}
 	e.sequence++
@@ -146,7 +148,7 @@
 // load makes the engine hold layers of a version. The lock is held.
 func (e *Engine) load(version int64, layers raillayers.Range) {
 	kept := raillayers.Range{}
-	if version == e.heldVersion {
+	if version == e.heldVersion && !e.LoadsWholeModels {
 		kept = raillayers.Range{From: max(layers.From, e.held.From), End: min(layers.End, e.held.End)}
 	}
 	faults := map[int]string{}
