Load a newer version in place of an unproven one with a single layer

Found by reading: a model with one layer can't be withdrawn from service by dropping a layer, and the installer tried that again and again before it loaded a newer version, which never came. It goes on to the newer version now.

TestUnprovenLoadOfSingleLayerIsReplacedByNextVersion failed before.

--- a/internal/rollout/railinstaller/installer_test.go
+++ b/internal/rollout/railinstaller/installer_test.go
@@ -20,6 +20,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railfetcher"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railfetchorder"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railinstaller"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railloadorder"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railmanifest"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railmemstore"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railstager"
@@ -230,3 +231,30 @@
 		qt.Check(t, wrong, qt.IsFalse)
 	})
 }
+
+// Guards against a newer version that never comes, since an engine whose model has one layer can't be withdrawn from service after a load that
+// is not proven.
+func TestUnprovenLoadOfSingleLayerIsReplacedByNextVersion(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, 1, func(env *testEnv) {
+			env.wantedSince[2] = time.Now()
+			env.engine.Layers = 1
+			env.installer.Layers = func() int { return 1 }
+			env.engine.OnOrder = func(o railloadorder.Order) bool {
+				if o.Sequence == 0 {
+					env.engine.Corrupt(0)
+					time.Sleep(4 * time.Second)
+				}
+				return false
+			}
+		})
+		time.Sleep(8 * time.Second)
+		env.addWanted(3)
+		time.Sleep(8 * time.Second)
+		loaded, _ := env.loaded()
+		qt.Check(t, loaded, qt.DeepEquals, []int64{2, 3})
+		version, faults := env.engine.Serving()
+		qt.Check(t, version, qt.Equals, int64(3))
+		qt.Check(t, faults, qt.HasLen, 0)
+	})
+}
--- a/internal/rollout/railinstaller/load.go
+++ b/internal/rollout/railinstaller/load.go
@@ -30,7 +30,7 @@
 			return nil
 		case state.Busy:
 			return errors.New("engine is executing another order")
-		case !proven && state.Version > 0 && state.Version != w.Version:
+		case !proven && state.Version > 0 && state.Version != w.Version && n.Layers() > 1:
 			err = n.withdraw(ctx, state.Version)
 		case w.Version == 0:
 			n.awaitFetched(ctx)
