--- a/internal/rollout/railinstaller/load.go
+++ b/internal/rollout/railinstaller/load.go
@@ -22,19 +22,19 @@
 			n.SetIdle(n.hasNothingToServe(state.Version))
 			err = n.loader.VerifyInherited(ctx, w)
 		}
-		proven := n.loader.Proven(state)
+		serves := state.Version > 0 && n.loader.Proven(state)
 		switch {
 		case err != nil:
 			return err
-		case proven && state.Version > 0 && w.Version <= state.Version:
+		case serves && w.Version <= state.Version:
 			return nil
 		case state.Busy:
 			return errors.New("engine is executing another order")
-		case !proven && state.Version > 0 && state.Version != w.Version && n.Layers() > 1:
+		case n.mustWithdraw(state, w.Version):
 			err = n.withdraw(ctx, state.Version)
 		case w.Version == 0:
 			n.awaitFetched(ctx)
-		case proven && state.Version > 0 && n.LoadDelay(state.Version, w.Version) > 0:
+		case serves && n.LoadDelay(state.Version, w.Version) > 0:
 			n.awaitTurn(ctx, state.Version, w.Version)
 		default:
 			err = n.load(ctx, w, state.Version)
@@ -53,6 +53,12 @@
 	railtimer.Sleep(ctx, min(delay, pollInterval))
 }
 
+// mustWithdraw reports whether the engine holds complete weights that may have been loaded from corrupt pieces, and that a load of the given
+// version would not verify first. Weights of a single layer can't be withdrawn.
+func (n *Installer) mustWithdraw(state railenginestate.State, version int64) bool {
+	return state.Version > 0 && state.Version != version && !n.loader.Proven(state) && n.Layers() > 1
+}
+
 // withdraw takes a version out of service that may have been loaded from corrupt pieces.
 func (n *Installer) withdraw(ctx context.Context, version int64) error {
 	model, _ := n.Downloader.Wanted()
