--- a/internal/rollout/railloader/loader_test.go
+++ b/internal/rollout/railloader/loader_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -299,11 +300,24 @@
 func TestSeriesOfDisruptionsNeverServesCorruptPieces(t *testing.T) {
 	for seed := range uint64(60) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			railvirtualtime.Test(t, func(t *testing.T) { playSeries(t, rand.New(rand.NewPCG(seed, 0))) })
+			railvirtualtime.Test(t, func(t *testing.T) { playSeries(t, rand.New(&lockedSource{source: rand.NewPCG(seed, 0)})) })
 		})
 	}
 }
 
+// lockedSource is a source of random numbers for several goroutines.
+type lockedSource struct {
+	mu     sync.Mutex
+	source rand.Source
+}
+
+// Uint64 returns a random number.
+func (s *lockedSource) Uint64() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.source.Uint64()
+}
+
 func playSeries(t *testing.T, random *rand.Rand) {
 	e := newEngine()
 	e.PutTime = time.Duration(random.IntN(1500)) * time.Millisecond
