--- a/internal/membership/railfleet/endpoint.go
+++ b/internal/membership/railfleet/endpoint.go
@@ -46,6 +46,8 @@
 	failures int
 	// noticedAt is the time of the last notice of the weights version from the endpoint's carrier. The list shows it later.
 	noticedAt time.Time
+	// noticed is set while the last notice decides on the weights version in place of the list.
+	noticed bool
 	// weightsChangeAt is the announced time of the next weights change, or zero if unknown.
 	weightsChangeAt time.Time
 	backoffUntil    time.Time
@@ -73,11 +75,16 @@
 	return max(1, int(e.report.Load().LimitShare(now)*float64(e.Slots+maxQueued)))
 }
 
+// noticeExpired reports whether the carrier's last notice has decided on the endpoint's weights until now.
+func (e *endpoint) noticeExpired(now time.Time) bool {
+	return e.noticed && now.Sub(e.noticedAt) >= noticeTTL
+}
+
 func (e *endpoint) update(i railinstance.Instance) {
 	if time.Since(e.noticedAt) < noticeTTL {
 		i.WeightsVersion = e.WeightsVersion
 	} else {
-		e.weightsChangeAt = time.Time{}
+		e.weightsChangeAt, e.noticed = time.Time{}, false
 	}
 	if e.WeightsVersion != i.WeightsVersion || e.misdirected && e.RowVersion != i.RowVersion {
 		e.backoffUntil, e.failures, e.misdirected = time.Time{}, 0, false
@@ -97,7 +104,7 @@
 	if e.misdirected && e.WeightsVersion != version {
 		e.backoffUntil, e.misdirected = time.Time{}, false
 	}
-	e.WeightsVersion, e.noticedAt, e.weightsChangeAt = version, now, time.Time{}
+	e.WeightsVersion, e.noticed, e.noticedAt, e.weightsChangeAt = version, true, now, time.Time{}
 	if changesIn > 0 {
 		e.weightsChangeAt = now.Add(changesIn)
 	}
--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -119,6 +119,9 @@
 			e = &endpoint{slowdown: 1}
 			f.Log.Info("endpoint appears", "endpoint", i.ID, "address", i.Address, "service", i.Service, "zone", i.Zone, "weights", i.WeightsVersion, "row", railversion.String(i.RowVersion))
 		}
+		if e.noticeExpired(time.Now()) {
+			f.Log.Info("endpoint's row decides again on its weights", "endpoint", i.ID, "noticed", e.WeightsVersion, "listed", i.WeightsVersion, "row", railversion.String(i.RowVersion), "noticeAge", time.Since(e.noticedAt))
+		}
 		e.update(i)
 		e.report = f.listedReport(i)
 		endpoints[i.ID] = e
--- a/internal/membership/railfleet/lease.go
+++ b/internal/membership/railfleet/lease.go
@@ -31,6 +31,8 @@
 	StartBy time.Time
 	// Load is the load at the endpoint from all entries when the lease was granted, without this request.
 	Load railenginelatency.Load
+	// NoticeAge is the age of the carrier's notice that decided on the endpoint's weights version, or 0 if the list did.
+	NoticeAge time.Duration
 
 	fleet       *Fleet
 	endpoint    *endpoint
@@ -42,6 +44,9 @@
 
 func (f *Fleet) newLease(e *endpoint, req Requirements, predicted time.Duration, now time.Time) *Lease {
 	l := &Lease{Instance: e.Instance, PredictedDelay: predicted, fleet: f, endpoint: e, requestLoad: railenginelatency.Load{Running: 1}, grantedAt: now, Load: e.ownLoad.Add(f.peersLoad(e.hash))}
+	if e.noticed {
+		l.NoticeAge = now.Sub(e.noticedAt)
+	}
 	if engine := req.Backend.Engine; engine != nil {
 		if e.WeightsVersion < req.DueVersion {
 			l.StartBy = req.DueAt.Add(-startMargin - engine.Timing.MaxPassTime(engine.Slots))
--- a/internal/node/railgateway/attempt.go
+++ b/internal/node/railgateway/attempt.go
@@ -269,5 +269,5 @@
 
 func (g *Gateway) logFailedAttempt(c *call, lease *railfleet.Lease, verdict railverdict.Verdict, err error) {
 	g.Log.Info("attempt failed", "request", c.ID, "endpoint", lease.Instance.ID, "zone", lease.Instance.Zone,
-		"row", railversion.String(lease.Instance.RowVersion), "weights", lease.Instance.WeightsVersion, "startWithin", lease.StartWithin(), "verdict", verdict, "parts", c.SharedParts, "err", err, "after", time.Since(c.start))
+		"row", railversion.String(lease.Instance.RowVersion), "weights", lease.Instance.WeightsVersion, "noticeAge", lease.NoticeAge, "startWithin", lease.StartWithin(), "verdict", verdict, "parts", c.SharedParts, "err", err, "after", time.Since(c.start))
 }
--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -265,7 +265,7 @@
 	}
 	lease := a.lease
 	g.Log.Info("request answered", "request", c.ID, "route", c.route.Name, "customer", c.customer.Name,
-		"endpoint", lease.Instance.ID, "zone", lease.Instance.Zone, "row", railversion.String(lease.Instance.RowVersion), "weights", lease.Instance.WeightsVersion, "startWithin", lease.StartWithin(), "held", c.sendDelay, "predicted", lease.PredictedDelay,
+		"endpoint", lease.Instance.ID, "zone", lease.Instance.Zone, "row", railversion.String(lease.Instance.RowVersion), "weights", lease.Instance.WeightsVersion, "noticeAge", lease.NoticeAge, "startWithin", lease.StartWithin(), "held", c.sendDelay, "predicted", lease.PredictedDelay,
 		"first", c.firstDelay, "gap", c.maxGap, "running", lease.Load.Running, "unread", lease.Load.PendingPrefill, "prompt", c.PromptTokens, "deadline", c.Timeout, "later", c.likelyRetry, "after", time.Since(c.start), "late", late, "leftOut", suppressed)
 }
 
--- a/internal/rollout/railloader/loader.go
+++ b/internal/rollout/railloader/loader.go
@@ -256,7 +256,9 @@
 	kept, missing := l.split(w, layers)
 	keptIntact := l.intactSequence == l.last.Sequence && l.intact.Contains(kept)
 	sequence, serving := l.last.Sequence, l.last.Version
+	began := time.Now()
 	if err := l.send(ctx, w, layers); err != nil {
+		l.Log.Warn("order was not accepted, or its answer was lost", "version", w.Version, "layers", layers, "sequence", sequence, "unknown", l.pending != nil, "after", time.Since(began), "err", err)
 		return err
 	}
 	first, end := l.pieces(w, missing)
@@ -270,7 +272,7 @@
 	default:
 		l.intact = raillayers.Range{}
 	}
-	l.Log.Info("load ordered", "version", w.Version, "layers", layers, "serving", serving, "age", age, "intact", l.intact)
+	l.Log.Info("load ordered", "version", w.Version, "layers", layers, "serving", serving, "start", l.last.StartMillis, "sequence", l.intactSequence, "answered", time.Since(began), "age", age, "intact", l.intact)
 	return l.awaitLoad(ctx, w, layers)
 }
 
@@ -297,6 +299,7 @@
 		return false, nil
 	}
 	l.intact, l.intactSequence = before.Held, before.Sequence
+	l.Log.Info("loaded layers are intact by an audit", "version", w.Version, "layers", l.intact, "start", before.StartMillis, "sequence", before.Sequence)
 	return true, nil
 }
 
