--- a/internal/standin/railmodelengine/engine.go
+++ b/internal/standin/railmodelengine/engine.go
@@ -27,6 +27,8 @@
 	PutTime, ReadTime, LoadTime time.Duration
 	// LoadsWholeModels makes the engine load all layers at each order, whatever layers that is for.
 	LoadsWholeModels bool
+	// BeforePut is called before a piece is staged, with its index and its data. It may block. It may be nil.
+	BeforePut func(index int, data []byte)
 	// OnPut is called after a piece was staged, with the number of pieces staged so far. OnOrder is called before an order is accepted;
 	// the order's answer is lost if it returns true. OnComplete is called when the engine begins to hold all layers, with what was wrong with
 	// the pieces that they were loaded from. They may be nil.
@@ -64,6 +66,9 @@
 	if err := wait(ctx, e.PutTime); err != nil {
 		return err
 	}
+	if e.BeforePut != nil {
+		e.BeforePut(index, data)
+	}
 	e.mu.Lock()
 	if e.staged == nil {
 		e.staged = map[int]piece{}
