Send requests only to engines whose weights are proven

Cause: an engine's row shows complete weights whether or not they are intact. What kept a gateway from them was a refusal: one datagram of the carrier that counted for 4 s. It was lost, or ran out while the carrier audited the load, or a gateway had started since; and a carrier that started took complete weights that it found for proven until it had read their pieces. The class: safety that stands on a message which must arrive and last.

The fix turns it round. A gateway uses weights only with a proof: a positive statement about one start of an engine and the number of its last order. It needs no renewal, since weights in memory don't change without an order, and requests name their version, which engines check. So whatever is lost, late or killed keeps requests away from an engine. railproofs holds the proofs of a gateway; railannouncer repeats a carrier's statement until each gateway has replied; railproofkeeper asks carriers, other gateways and, if nobody answers, the engine itself: one that has accepted no order since its start holds what it came with. A failure of an engine, or a standstill of the gateway's process, puts proofs in doubt until the order's number is confirmed. A second load of the same version on the same start is the one case that the version doesn't tell apart: before the order that makes weights complete, the gateways drop all proofs of earlier orders and say so. A carrier that starts asks the gateways what was proven; only what nobody knows is audited.

--- a/internal/command/railcarriercmd/carrier.go
+++ b/internal/command/railcarriercmd/carrier.go
@@ -15,6 +15,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/node/railcarrier"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railannouncer"
 	"github.com/fulmarrail/fulmarrail/internal/store/railreplica"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildatagram"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
@@ -66,9 +67,8 @@
 		LinkRate:    settings.LinkBytesPerSecond(),
 		RolloutTime: p.Site.Bounds.RolloutTime, ZoneRegions: p.Site.ZoneRegions, Now: p.Clock.Now, Log: p.Log.With("engine", settings.EndpointAddress),
 		Instances: configClient.Instances,
-		NotifyEntries: func(version int64, loadsIn time.Duration) {
-			notice := &railproto.EndpointNotice{Address: settings.EndpointAddress, Version: version, ChangesInMillis: loadsIn.Milliseconds()}
-			socket.Send(&railproto.Datagram{Content: &railproto.Datagram_Notice{Notice: notice}}, raildatagram.Addresses(configClient.Entries())...)
+		Announcer: &railannouncer.Announcer{
+			Address: settings.EndpointAddress, Entries: configClient.Entries, Send: socket.Send, Log: raillog.Named(p.Log, "announcer"),
 		},
 	}
 	configClient.OnChange = carrier.ConfigChanged
--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railfleet"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
+	"github.com/fulmarrail/fulmarrail/internal/membership/railproofs"
 	"github.com/fulmarrail/fulmarrail/internal/node/railgateway"
 	"github.com/fulmarrail/fulmarrail/internal/node/railpeersource"
 	"github.com/fulmarrail/fulmarrail/internal/node/railrelay"
@@ -72,6 +73,8 @@
 	instanceFollower *railreplica.Follower
 	fleet            *railfleet.Fleet
 	quarantine       *railquarantine.Quarantine
+	proofs           *railproofs.Proofs
+	socket           *raildatagram.Socket
 
 	configServer *railconfigserver.Server
 	entries      *railentries.Entries
@@ -123,7 +126,9 @@
 	}
 	g.frontend.Fleet = g.fleet
 	socket := &raildatagram.Socket{Conn: packetConn, Log: raillog.Named(p.Log, "datagrams")}
+	g.socket = socket
 	timer := &railtimer.Service{}
+	keeper := g.newKeeper(timer)
 	broadcaster := &railloadbroadcast.Broadcaster{
 		Name: site.Process.Name, Incarnation: rand.Uint32(), Source: g.fleet, Timer: timer, Send: func(digest *railproto.LoadDigest) {
 			socket.Send(&railproto.Datagram{Content: &railproto.Datagram_Digest{Digest: digest}}, g.peerAddresses()...)
@@ -138,6 +143,7 @@
 	g.startFollowers(workCtx)
 	go g.relay.Run(workCtx)
 	go timer.Run(workCtx)
+	go keeper.Run(workCtx)
 	go broadcaster.Run(workCtx)
 	go g.shareQuarantine(workCtx, socket, timer)
 	go socket.Receive(workCtx, g.handleDatagram)
@@ -192,6 +198,7 @@
 	g.mu.Lock()
 	g.instances = instances
 	g.mu.Unlock()
+	g.proofs.SetInstances(instances)
 	g.fleet.SetInstances(instances)
 	g.configServer.NotifyChange()
 	g.relay.ConfigChanged()
@@ -279,7 +286,8 @@
 	return known
 }
 
-// handleDatagram applies a digest of loads or of suspected parts from another entry, or an inventory or a notice about an engine from its agent.
+// handleDatagram applies a digest of loads or of suspected parts from another entry, an inventory, or a notice about an engine
+// or a question about one.
 func (g *gateway) handleDatagram(from net.Addr, datagram *railproto.Datagram) {
 	if digest := datagram.GetDigest(); digest != nil {
 		g.entries.MarkSeen(digest.GetEntry())
@@ -292,6 +300,9 @@
 		g.relay.HandleInventory(from, inventory)
 	}
 	if n := datagram.GetNotice(); n != nil {
-		g.fleet.ApplyNotice(n.GetAddress(), n.GetVersion(), time.Duration(n.GetChangesInMillis())*time.Millisecond)
+		g.handleNotice(from, n)
+	}
+	if q := datagram.GetQuery(); q != nil {
+		g.answerQuery(from, q)
 	}
 }
--- a/internal/membership/railfleet/endpoint.go
+++ b/internal/membership/railfleet/endpoint.go
@@ -48,6 +48,11 @@
 	noticedAt time.Time
 	// noticed is set while the last notice decides on the weights version in place of the list.
 	noticed bool
+	// noticedRow is the version of the row that was listed when the last notice arrived.
+	noticedRow int64
+	// proofRequired is set if the endpoint may serve only weights that are proven to be intact, and provenVersion is their version, or 0.
+	proofRequired bool
+	provenVersion int64
 	// weightsChangeAt is the announced time of the next weights change, or zero if unknown.
 	weightsChangeAt time.Time
 	backoffUntil    time.Time
@@ -67,7 +72,7 @@
 	case !req.RegionAllowed(e.Region) || req.ZoneOut(e.Zone):
 		return false
 	}
-	return !req.Backend.IsEngine() || e.WeightsVersion > 0 && e.WeightsVersion >= req.MinVersion
+	return !req.Backend.IsEngine() || e.WeightsVersion > 0 && e.WeightsVersion >= req.MinVersion && (!e.proofRequired || e.WeightsVersion == e.provenVersion)
 }
 
 // maxRunning returns the number of requests that an endpoint may hold. It grows after a pause.
@@ -75,13 +80,15 @@
 	return max(1, int(e.report.Load().LimitShare(now)*float64(e.Slots+maxQueued)))
 }
 
-// noticeExpired reports whether the carrier's last notice has decided on the endpoint's weights until now.
-func (e *endpoint) noticeExpired(now time.Time) bool {
-	return e.noticed && now.Sub(e.noticedAt) >= noticeTTL
+// noticeDecides reports whether the carrier's last notice decides on the weights version in place of a row: for some time, and beyond that as
+// long as the row has not changed since a notice of proven weights, as while the store is away.
+func (e *endpoint) noticeDecides(rowVersion int64, now time.Time) bool {
+	proven := e.WeightsVersion > 0 && e.WeightsVersion == e.provenVersion
+	return e.noticed && (now.Sub(e.noticedAt) < noticeTTL || proven && rowVersion == e.noticedRow)
 }
 
 func (e *endpoint) update(i railinstance.Instance) {
-	if time.Since(e.noticedAt) < noticeTTL {
+	if e.noticeDecides(i.RowVersion, time.Now()) {
 		i.WeightsVersion = e.WeightsVersion
 	} else {
 		e.weightsChangeAt, e.noticed = time.Time{}, false
@@ -104,7 +111,7 @@
 	if e.misdirected && e.WeightsVersion != version {
 		e.backoffUntil, e.misdirected = time.Time{}, false
 	}
-	e.WeightsVersion, e.noticed, e.noticedAt, e.weightsChangeAt = version, true, now, time.Time{}
+	e.WeightsVersion, e.noticed, e.noticedAt, e.noticedRow, e.weightsChangeAt = version, true, now, e.RowVersion, time.Time{}
 	if changesIn > 0 {
 		e.weightsChangeAt = now.Add(changesIn)
 	}
--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -47,10 +47,16 @@
 	ColdOvershoot, ColdSlack float64
 	// Share returns this entry's share of the total requests per second that an endpoint accepts from all entries together.
 	Share func(endpoint string, total int) int
+	// RequireProofs keeps requests for engines from weights that SetProven has not named.
+	RequireProofs bool
 	// OnChange is called after each change that may free capacity for a queued request.
 	OnChange func()
 	// OnRestart is called with the ID of an endpoint that has started again, or whose address another one has taken over. It may be nil.
 	OnRestart func(endpoint string)
+	// OnFailure is called with the address of an endpoint that has not responded correctly. It may be nil.
+	OnFailure func(address string)
+	// Suspended reports whether this process has stood still and may have missed what it was told of engines' weights since. It may be nil.
+	Suspended func() bool
 	// StoreClock relates the versions of endpoints' rows to the time of the responses in which they have said that they leave. Without it,
 	// such an endpoint does not come back.
 	StoreClock *railstoreclock.Clock
@@ -58,6 +64,8 @@
 
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
+	// proven holds the version of the proven weights by the address of the engine.
+	proven map[string]int64
 	// reports holds the latest instance's report by the ID of the endpoint.
 	reports map[string]*reportSlot
 	peers   map[string]*peer
@@ -116,10 +124,10 @@
 	for _, i := range list {
 		e := f.endpoints[i.ID]
 		if e == nil || e.Address != i.Address || e.StartMillis != i.StartMillis {
-			e = &endpoint{slowdown: 1}
+			e = &endpoint{slowdown: 1, proofRequired: f.RequireProofs, provenVersion: f.proven[i.Address]}
 			f.Log.Info("endpoint appears", "endpoint", i.ID, "address", i.Address, "service", i.Service, "zone", i.Zone, "weights", i.WeightsVersion, "row", railversion.String(i.RowVersion))
 		}
-		if e.noticeExpired(time.Now()) {
+		if e.noticed && !e.noticeDecides(i.RowVersion, time.Now()) {
 			f.Log.Info("endpoint's row decides again on its weights", "endpoint", i.ID, "noticed", e.WeightsVersion, "listed", i.WeightsVersion, "row", railversion.String(i.RowVersion), "noticeAge", time.Since(e.noticedAt))
 		}
 		e.update(i)
@@ -159,9 +167,30 @@
 	}
 }
 
+// SetProven sets the version of the weights at an address that are proven to be intact, or 0 for none. It does not call OnChange.
+func (f *Fleet) SetProven(address string, version int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.proven == nil {
+		f.proven = map[string]int64{}
+	}
+	f.proven[address] = version
+	if version == 0 {
+		delete(f.proven, address)
+	}
+	for _, e := range f.endpoints {
+		if e.Address == address {
+			e.provenVersion = version
+		}
+	}
+}
+
 // Reserve picks the endpoint with the earliest predicted start of the response and counts the request there. It returns false
 // if no endpoint can start the response in time.
 func (f *Fleet) Reserve(req Requirements) (*Lease, bool) {
+	if req.Backend.IsEngine() && f.Suspended != nil && f.Suspended() {
+		return nil, false
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
--- a/internal/membership/railfleet/lease.go
+++ b/internal/membership/railfleet/lease.go
@@ -82,9 +82,13 @@
 
 // Done releases the lease and records the outcome of the request. Further calls have no effect.
 func (l *Lease) Done(outcome Outcome) {
-	if l.release(outcome) {
-		l.fleet.OnChange()
+	if !l.release(outcome) {
+		return
+	}
+	if outcome == Failed && l.fleet.OnFailure != nil {
+		l.fleet.OnFailure(l.Instance.Address)
 	}
+	l.fleet.OnChange()
 }
 
 // Silent records that the endpoint has not gone on with the request for longer than usual. The request stays there, but for some time
--- a/internal/node/railcarrier/carrier.go
+++ b/internal/node/railcarrier/carrier.go
@@ -20,6 +20,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/node/railpeer"
 	"github.com/fulmarrail/fulmarrail/internal/node/railstatus"
 	"github.com/fulmarrail/fulmarrail/internal/report/railagentreport"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railannouncer"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/raildownloader"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railinstaller"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railloader"
@@ -67,9 +68,8 @@
 	Instances      func(maxAge time.Duration) []railinstance.Instance
 	Entries        func() []railmember.Member
 	WantedVersions func(model string) []railschedule.WantedVersion
-	// NotifyEntries sends the entries the version that the engine serves, or 0 while it accepts no new requests, and the time until
-	// the version changes, or 0 if no change is planned.
-	NotifyEntries func(version int64, changesIn time.Duration)
+	// Announcer tells the entries what the engine serves and which weights are proven.
+	Announcer *railannouncer.Announcer
 	// LinkRate is the capacity of the VM's link in bytes per second, or 0 if it is not known.
 	LinkRate int
 	// RolloutTime is the time within which a new version must serve on all engines.
@@ -94,6 +94,7 @@
 		return errors.Wrap(err, "register the internal services")
 	}
 	go c.installer.Run(ctx)
+	go c.Announcer.Run(ctx)
 	go c.Socket.Receive(ctx, c.handleDatagram)
 	listener := &raillistener.Listener{Key: c.SharedKey, Handler: mux, Log: c.Log}
 	return listener.Run(ctx, c.InternalListener)
@@ -117,8 +118,8 @@
 	stager.Chunk = c.peer.ReadChunk
 	c.setRates(true)
 	c.installer = &railinstaller.Installer{
-		Engine: c.Engine, Layers: c.layers, Downloader: c.peer.Downloader(), LoadDelay: c.loadDelay, SetIdle: c.setRates, Notify: c.NotifyEntries, Stager: stager,
-		Log: raillog.Named(c.Log, "rollout"),
+		Engine: c.Engine, Layers: c.layers, Downloader: c.peer.Downloader(), LoadDelay: c.loadDelay, SetIdle: c.setRates, Notify: c.Announcer.Notify, Stager: stager,
+		OnProof: c.Announcer.SetProof, Known: c.Announcer.Known, Fence: c.Announcer.Fence, Log: raillog.Named(c.Log, "rollout"),
 	}
 }
 
@@ -196,11 +197,18 @@
 	return byName.Top("", append(list, c.Self), len(list)+1)
 }
 
-// handleDatagram applies another process's chunk inventory and ignores all other datagrams.
+// handleDatagram applies another process's chunk inventory, an entry's question about the engine or its reply to a notice, and ignores all other
+// datagrams.
 func (c *Carrier) handleDatagram(from net.Addr, datagram *railproto.Datagram) {
 	if inventory := datagram.GetInventory(); inventory != nil {
 		c.peer.HandleInventory(from, inventory)
 	}
+	if datagram.GetQuery() != nil {
+		c.Announcer.Answer(from)
+	}
+	if r := datagram.GetNoticeReply(); r != nil {
+		c.Announcer.HandleReply(from, r)
+	}
 }
 
 // loadDelay returns the time until this engine is to load a version. The engines load one after another, so that the others keep
--- a/internal/rollout/railinstaller/installer.go
+++ b/internal/rollout/railinstaller/installer.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fulmarrail/fulmarrail/internal/membership/railproof"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/raildownloader"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railloader"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railretryloop"
@@ -37,6 +38,10 @@
 	// Notify tells the entries which version the engine serves, or 0 while it accepts no new requests. If changesIn is not 0, the
 	// engine will replace that version after this time.
 	Notify func(version int64, changesIn time.Duration)
+	// OnProof, Known and Fence are those of the loader. They may be nil.
+	OnProof func(railproof.Proof)
+	Known   func(ctx context.Context, p railproof.Proof) (version int64, answered bool)
+	Fence   func(ctx context.Context, p railproof.Proof)
 	// SetIdle is called repeatedly with whether the engine has no weights that it may serve. An idle engine sends no responses
 	// that the transfer of weights could delay.
 	SetIdle func(idle bool)
@@ -57,7 +62,7 @@
 
 // Run fetches and installs the wanted versions until ctx is done.
 func (n *Installer) Run(ctx context.Context) {
-	n.loader = &railloader.Loader{Engine: n.Engine, Stager: n.Stager, Layers: n.Layers, Suspend: n.suspend, Log: n.Log}
+	n.loader = &railloader.Loader{Engine: n.Engine, Stager: n.Stager, Layers: n.Layers, Suspend: n.suspend, OnProof: n.OnProof, Known: n.Known, Fence: n.Fence, Log: n.Log}
 	var wg sync.WaitGroup
 	install := &railretryloop.Loop{Name: "install", RunOnce: n.install, Interval: installInterval, Wake: n.Downloader.Fetched(), Log: n.Log}
 	wg.Go(func() { n.Downloader.Run(ctx) })
--- a/internal/rollout/railinstaller/load.go
+++ b/internal/rollout/railinstaller/load.go
@@ -19,8 +19,8 @@
 		w := n.Downloader.LatestComplete()
 		state, err := n.readState(ctx)
 		if err == nil {
-			n.SetIdle(n.hasNothingToServe(state.Version))
 			err = n.loader.VerifyInherited(ctx, w)
+			n.SetIdle(n.hasNothingToServe(state.Version))
 		}
 		serves := state.Version > 0 && n.loader.Proven(state)
 		switch {
@@ -32,7 +32,7 @@
 			return errors.New("engine is executing another order")
 		case n.mustWithdraw(state, w.Version):
 			err = n.withdraw(ctx, state.Version)
-		case w.Version == 0:
+		case w.Version == 0, w.Version < state.Version:
 			n.awaitFetched(ctx)
 		case serves && n.LoadDelay(state.Version, w.Version) > 0:
 			n.awaitTurn(ctx, state.Version, w.Version)
@@ -56,7 +56,7 @@
 // mustWithdraw reports whether the engine holds complete weights that may have been loaded from corrupt pieces, and that a load of the given
 // version would not verify first. Weights of a single layer can't be withdrawn.
 func (n *Installer) mustWithdraw(state railenginestate.State, version int64) bool {
-	return state.Version > 0 && state.Version != version && !n.loader.Proven(state) && n.Layers() > 1
+	return state.Version > 0 && state.Version != version && !n.loader.Proven(state) && !n.loader.Inherited() && n.Layers() > 1
 }
 
 // withdraw takes a version out of service that may have been loaded from corrupt pieces.
--- a/internal/rollout/railloader/loader.go
+++ b/internal/rollout/railloader/loader.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
+	"github.com/fulmarrail/fulmarrail/internal/membership/railproof"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/raildownloader"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railenginestate"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/raillayers"
@@ -54,10 +55,20 @@
 	Layers func() int
 	// Suspend is called before an order that takes the engine out of service. It returns once the entries send no more requests.
 	Suspend func(ctx context.Context)
-	Log     *slog.Logger
+	// OnProof is called when what is known of the engine's weights may have changed. It may be nil.
+	OnProof func(railproof.Proof)
+	// Known returns the version of the weights that an entry knows to be proven in the state of a proof, or 0, and whether the entries could be
+	// asked. It may be nil if there are no entries.
+	Known func(ctx context.Context, p railproof.Proof) (version int64, answered bool)
+	// Fence returns once the entries use no weights that were loaded by orders before that of the given proof. It may be nil if there are no
+	// entries.
+	Fence func(ctx context.Context, p railproof.Proof)
+	Log   *slog.Logger
 
 	// last is the state of the engine that was read last, or nil if none was.
 	last *railenginestate.State
+	// fence is the proof of a state since which this process has stated nothing about the version that it loads.
+	fence railproof.Proof
 	// intact are the layers that are known to have been loaded from intact pieces, by the order with the sequence number intactSequence
 	// or earlier ones.
 	intact         raillayers.Range
@@ -84,39 +95,80 @@
 		return s, errors.Wrap(err, "read the engine's state")
 	}
 	l.observe(s)
+	l.publish()
 	return s, nil
 }
 
+// Proof returns what is known of the engine's weights in the state that was read last.
+func (l *Loader) Proof() railproof.Proof {
+	if l.last == nil {
+		return railproof.Proof{}
+	}
+	p := railproof.Proof{StartMillis: l.last.StartMillis, Sequence: l.last.Sequence}
+	if l.Proven(*l.last) {
+		p.Version = l.last.Version
+	}
+	return p
+}
+
+func (l *Loader) publish() {
+	if l.OnProof != nil {
+		l.OnProof(l.Proof())
+	}
+}
+
 // observe applies a state that was read.
 func (l *Loader) observe(s railenginestate.State) {
 	switch {
 	case l.last == nil:
-		l.inherited = true
+		l.adopt(s)
 	case !s.Follows(*l.last):
-		l.Log.Info("engine has restarted", "sequence", s.Sequence)
+		l.Log.Info("engine has restarted", "start", s.StartMillis, "sequence", s.Sequence)
 		l.Stager.Forget()
-		l.intact, l.intactSequence, l.inherited, l.pending = raillayers.Range{}, 0, false, nil
-	case l.pending != nil && s.Sequence != l.pending.sequence:
-		l.pending = nil // The engine has accepted it, or another one in its place.
-	}
-	if l.inherited && !s.Busy {
-		l.intact, l.intactSequence = raillayers.Range{}, s.Sequence
-		if s.Version > 0 {
-			l.intact = s.Held
-		}
+		l.pending = nil
+		l.adopt(s)
+	case s.Sequence != l.last.Sequence:
+		l.observeOrder(s)
 	}
 	l.last = &s
 }
 
-// Proven reports whether all layers that the engine held in a state are known to have been loaded from intact pieces. Complete weights of
-// an earlier process count as proven until VerifyInherited has found corrupt pieces.
+// adopt takes over an engine in a state that this process has not brought about. An engine that has accepted no order since its start holds what it
+// came with. Of other layers nothing is known.
+func (l *Loader) adopt(s railenginestate.State) {
+	l.intact, l.intactSequence, l.inherited = raillayers.Range{}, s.Sequence, s.Sequence > 0
+	if s.Sequence == 0 && s.Version > 0 {
+		l.intact = s.Held
+	}
+}
+
+// observeOrder applies a state in which the engine has accepted a further order: this process's last one, or one without an answer, which may be of
+// an earlier process.
+func (l *Loader) observeOrder(s railenginestate.State) {
+	if l.pending != nil && s.Sequence != l.pending.sequence {
+		l.pending = nil // The engine has accepted it, or another one in its place.
+	}
+}
+
+// Proven reports whether all layers that the engine held in a state are known to have been loaded from intact pieces.
 func (l *Loader) Proven(s railenginestate.State) bool {
-	return s.Sequence == l.intactSequence && l.intact.Contains(s.Held)
+	return s.HeldVersion > 0 && s.Sequence == l.intactSequence && l.intact.Contains(s.Held)
+}
+
+// Inherited reports whether an earlier process has loaded the engine's layers, and it is not known yet whether they are intact.
+func (l *Loader) Inherited() bool {
+	return l.inherited
 }
 
-// VerifyInherited verifies weights that an earlier process has loaded. Proven may report false afterwards.
+// VerifyInherited finds out whether complete weights that an earlier process has loaded are intact: an entry may know it, or their pieces tell.
 func (l *Loader) VerifyInherited(ctx context.Context, w raildownloader.Weights) error {
-	if !l.inherited || l.last.Busy || l.last.Version != w.Version || l.Layers() <= 1 {
+	if !l.inherited || l.last.Busy || l.last.Version == 0 {
+		return nil
+	}
+	if known, err := l.askEntries(ctx); err != nil || known {
+		return err
+	}
+	if l.last.Version != w.Version || l.Layers() <= 1 {
 		return nil
 	}
 	l.inherited = false
@@ -126,6 +178,25 @@
 	return err
 }
 
+// askEntries reports whether an entry knows that the engine's complete weights are proven. It returns an error if no entry could be asked: those that
+// know it go on using the engine.
+func (l *Loader) askEntries(ctx context.Context) (bool, error) {
+	if l.Known == nil {
+		return false, nil
+	}
+	version, answered := l.Known(ctx, l.Proof())
+	switch {
+	case version == l.last.Version:
+		l.intact, l.intactSequence, l.inherited = l.last.Held, l.last.Sequence, false
+		l.Log.Info("weights are proven by what an entry knows", "version", version, "start", l.last.StartMillis, "sequence", l.last.Sequence)
+		l.publish()
+		return true, nil
+	case !answered:
+		return false, errors.New("no entry has told what it knows of the engine's weights")
+	}
+	return false, nil
+}
+
 // Load makes the engine serve a version, and returns once it does. After an error the engine may hold any layers, and Proven tells whether
 // it may serve them.
 func (l *Loader) Load(ctx context.Context, w raildownloader.Weights) error {
@@ -133,6 +204,9 @@
 		return err
 	}
 	l.inherited = false
+	if l.last.Version != w.Version {
+		l.fence = l.Proof()
+	}
 	for range maxSteps {
 		if l.last.Holds(w.Version, l.allLayers()) && l.Proven(*l.last) {
 			return nil
@@ -152,6 +226,7 @@
 	case l.last.HeldVersion != w.Version, held == l.lastLayer() && l.Layers() > 1:
 		return l.loadFirstPart(ctx, w)
 	case proven && held == l.allButLast():
+		l.awaitFence(ctx)
 		if err := l.refresh(ctx, w, l.lastLayer()); err != nil {
 			return err
 		}
@@ -174,6 +249,18 @@
 	return l.loadFirstPart(ctx, w)
 }
 
+// awaitFence waits until no entry uses the version because of an earlier load on this start of the engine: requests name the version that they are
+// for, but can't tell two loads of it apart.
+func (l *Loader) awaitFence(ctx context.Context) {
+	if l.Fence == nil {
+		return
+	}
+	if l.fence == (railproof.Proof{}) || l.fence.StartMillis != l.last.StartMillis {
+		l.fence = l.Proof()
+	}
+	l.Fence(ctx, l.fence)
+}
+
 // loadFirstPart loads all layers but the last one on an engine that holds none of them.
 func (l *Loader) loadFirstPart(ctx context.Context, w raildownloader.Weights) error {
 	if err := l.stage(ctx, w); err != nil {
@@ -182,6 +269,7 @@
 	layers := l.allButLast()
 	if l.Layers() <= 1 {
 		layers = l.allLayers()
+		l.awaitFence(ctx)
 	}
 	if err := l.refresh(ctx, w, layers); err != nil {
 		return err
@@ -263,7 +351,7 @@
 	}
 	first, end := l.pieces(w, missing)
 	age := l.Stager.Age(w.Manifest, first, end)
-	l.intactSequence = sequence + 1
+	l.intactSequence, l.pending = sequence+1, nil
 	switch {
 	case keptIntact && age <= maxLoadAge:
 		l.intact = layers
@@ -300,6 +388,7 @@
 	}
 	l.intact, l.intactSequence = before.Held, before.Sequence
 	l.Log.Info("loaded layers are intact by an audit", "version", w.Version, "layers", l.intact, "start", before.StartMillis, "sequence", before.Sequence)
+	l.publish()
 	return true, nil
 }
 
@@ -312,7 +401,10 @@
 		o.Layers = raillayers.Range{}
 	}
 	err := l.Engine.StartLoad(ctx, o)
-	if err != nil && !errors.Is(err, railloadorder.ErrRejected) {
+	switch {
+	case errors.Is(err, railloadorder.ErrRejected):
+		l.pending = nil // One of two with the same number is not accepted either, or is seen to be.
+	case err != nil:
 		l.pending = &pendingOrder{weights: w, layers: layers, sequence: o.Sequence}
 	}
 	return errors.Wrap(err, "order the engine to load")
--- /dev/null
+++ b/internal/rollout/railloader/proof_test.go
@@ -0,0 +1,109 @@
+package railloader_test
+
+import (
+	"context"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmarrail/fulmarrail/internal/lab/railvirtualtime"
+	"github.com/fulmarrail/fulmarrail/internal/membership/railproof"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railloader"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railloadorder"
+	"github.com/fulmarrail/fulmarrail/internal/standin/railmodelengine"
+)
+
+// newProvingLoader returns a loader that fails the test if it states that weights are proven which were loaded from wrong pieces.
+func newProvingLoader(t *testing.T, e *railmodelengine.Engine) *railloader.Loader {
+	l := newLoader(e)
+	l.OnProof = func(p railproof.Proof) {
+		if version, faults := e.Serving(); p.Version > 0 && version == p.Version {
+			qt.Check(t, faults, qt.HasLen, 0, qt.Commentf("version %d counts as proven", version))
+		}
+	}
+	return l
+}
+
+// Guards against engines that serve nothing after a start of all processes: nobody has loaded what an engine came with.
+func TestWeightsThatEngineCameWithAreProven(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		e := newEngine()
+		e.Corrupt(0, 1, 2) // Staged pieces tell nothing of them.
+		l := newLoader(e)
+		_, err := l.State(t.Context())
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, l.Proof().Version, qt.Equals, int64(1))
+		qt.Check(t, l.VerifyInherited(t.Context(), weights(e, 1)), qt.IsNil)
+		qt.Check(t, e.Orders(), qt.HasLen, 0)
+	})
+}
+
+// Guards against requests on complete weights that a killed process has ordered and not proven, and against loads of weights that an entry knows
+// to be proven.
+func TestCompleteWeightsOfEarlierProcessAreProvenOnlyOnceThatIsKnown(t *testing.T) {
+	for name, test := range map[string]struct {
+		// version and answered are what the entries tell.
+		version  int64
+		answered bool
+		corrupt  []int
+		// orders is the number of orders that the second process gives.
+		orders    int
+		wantError bool
+	}{
+		"an entry knows that they are proven":           {version: 2, answered: true, corrupt: []int{0, pieces - 1}},
+		"no entry knows, and their pieces are intact":   {answered: true},
+		"no entry knows, and a piece has become bad":    {answered: true, corrupt: []int{pieces - 1}, orders: 2},
+		"no entry can be asked, and a piece is bad":     {corrupt: []int{pieces - 1}, wantError: true},
+		"an entry knows of another version":             {version: 1, answered: true},
+		"an entry knows of another one, a piece is bad": {version: 1, answered: true, corrupt: []int{pieces - 1}, orders: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			railvirtualtime.Test(t, func(t *testing.T) {
+				e := newEngine()
+				install(t, newLoader(e), e, 2)
+				before := len(e.Orders())
+				e.Corrupt(test.corrupt...)
+				l := newProvingLoader(t, e)
+				l.Known = func(context.Context, railproof.Proof) (int64, bool) { return test.version, test.answered }
+				state, err := l.State(t.Context())
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, l.Proof().Version, qt.Equals, int64(0), qt.Commentf("nothing is known yet"))
+				qt.Check(t, l.Proven(state), qt.IsFalse)
+				if test.wantError {
+					qt.Check(t, l.VerifyInherited(t.Context(), weights(e, 2)), qt.IsNotNil)
+					qt.Check(t, e.Orders(), qt.HasLen, before)
+					return
+				}
+				install(t, l, e, 2)
+				qt.Check(t, l.Proof().Version, qt.Equals, int64(2))
+				qt.Check(t, len(e.Orders())-before, qt.Equals, test.orders)
+			})
+		})
+	}
+}
+
+// Guards against entries that take a second load of a version for the first one, which was proven: requests name the version only.
+func TestEntriesDropEarlierProofsBeforeWeightsAreComplete(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		e := newEngine()
+		fenced := railproof.Proof{Sequence: -1}
+		complete := 0
+		e.OnOrder = func(o railloadorder.Order) bool {
+			if o.Layers.From == 0 && o.Layers.End == 0 {
+				complete++
+				qt.Check(t, fenced.Sequence >= 0, qt.IsTrue, qt.Commentf("no entry was asked before the order %+v", o))
+				qt.Check(t, fenced.Version == o.Version, qt.IsFalse)
+			}
+			fenced.Sequence = -1
+			return false
+		}
+		install1 := func(l *railloader.Loader, version int64) {
+			l.Fence = func(_ context.Context, p railproof.Proof) { fenced = p }
+			install(t, l, e, version)
+		}
+		install1(newLoader(e), 2)
+		e.Corrupt(pieces - 1)
+		install1(newLoader(e), 2)
+		qt.Check(t, complete, qt.Equals, 2)
+	})
+}
