Put no piece while an order may still be accepted, and don't audit what was loaded meanwhile

Cause: an audit after a load relies on no piece having been put since the engine took them. An order without an answer for the version that is being loaded was not waited for, so that its pieces were verified and put again while the engine could still accept it. A carrier that was killed leaves such an order too, and its successor knows nothing of it. The class: a look that is valid only while nobody writes, without a check that nobody did.

An order without an answer is now repeated, for the same version too, before any piece is put. And the loader counts puts: if an order that it has no answer of was accepted while pieces were being put, as seen by the engine's number of orders, what it loaded counts as corrupt. So do incomplete layers that a process finds when it starts; these are loaded again.

--- a/internal/rollout/railloader/loader.go
+++ b/internal/rollout/railloader/loader.go
@@ -67,6 +67,11 @@
 
 	// last is the state of the engine that was read last, or nil if none was.
 	last *railenginestate.State
+	// putEvents is the number of put events when that read began. accepted is the number of the order that the engine has last accepted by its
+	// answer.
+	putEvents, accepted int64
+	// unauditable is the number of an order that was accepted while pieces were being put, so that an audit can't tell what it has loaded.
+	unauditable int64
 	// fence is the proof of a state since which this process has stated nothing about the version that it loads.
 	fence railproof.Proof
 	// intact are the layers that are known to have been loaded from intact pieces, by the order with the sequence number intactSequence
@@ -90,11 +95,13 @@
 func (l *Loader) State(ctx context.Context) (railenginestate.State, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	putEvents := l.Stager.PutEvents()
 	s, err := l.Engine.State(ctx)
 	if err != nil {
 		return s, errors.Wrap(err, "read the engine's state")
 	}
 	l.observe(s)
+	l.putEvents = putEvents
 	l.publish()
 	return s, nil
 }
@@ -125,7 +132,7 @@
 	case !s.Follows(*l.last):
 		l.Log.Info("engine has restarted", "start", s.StartMillis, "sequence", s.Sequence)
 		l.Stager.Forget()
-		l.pending = nil
+		l.pending, l.accepted, l.unauditable = nil, 0, 0
 		l.adopt(s)
 	case s.Sequence != l.last.Sequence:
 		l.observeOrder(s)
@@ -134,8 +141,11 @@
 }
 
 // adopt takes over an engine in a state that this process has not brought about. An engine that has accepted no order since its start holds what it
-// came with. Of other layers nothing is known.
+// came with. Of other layers nothing is known; an earlier process may have put pieces again after a part of them was loaded.
 func (l *Loader) adopt(s railenginestate.State) {
+	if s.Busy || s.HeldVersion > 0 && s.Version == 0 {
+		l.unauditable = s.Sequence
+	}
 	l.intact, l.intactSequence, l.inherited = raillayers.Range{}, s.Sequence, s.Sequence > 0
 	if s.Sequence == 0 && s.Version > 0 {
 		l.intact = s.Held
@@ -148,6 +158,10 @@
 	if l.pending != nil && s.Sequence != l.pending.sequence {
 		l.pending = nil // The engine has accepted it, or another one in its place.
 	}
+	if s.Sequence != l.accepted && l.Stager.PutEvents() != l.putEvents {
+		l.unauditable = s.Sequence
+		l.Log.Warn("an order was accepted while pieces were being put", "start", s.StartMillis, "sequence", s.Sequence)
+	}
 }
 
 // Proven reports whether all layers that the engine held in a state are known to have been loaded from intact pieces.
@@ -292,9 +306,9 @@
 	return l.withdrawLastLayer(ctx, raildownloader.Weights{Model: model, Version: version})
 }
 
-// settle returns once no order for other weights than w is pending. Such an order must not be accepted after pieces of w are staged, so
-// it is repeated until the engine has accepted one of the two. If its pieces can't be staged any more, an order that leaves the engine
-// without complete weights takes its place.
+// settle returns once no order is pending of which it is not known whether the engine has accepted it, or will. No piece may be put before that: an
+// audit after the load would look at other pieces than the engine has loaded. So the order is repeated until the engine has accepted one of the two.
+// If it is for other weights than w whose pieces can't be staged any more, an order that leaves the engine without complete weights takes its place.
 func (l *Loader) settle(ctx context.Context, w raildownloader.Weights) error {
 	state, err := l.State(ctx)
 	switch {
@@ -302,12 +316,14 @@
 		return err
 	case state.Busy:
 		return errBusy
-	case l.pending == nil || l.pending.weights.Version == w.Version:
+	case l.pending == nil:
 		return nil
 	}
 	p := *l.pending
-	if err := l.stage(ctx, p.weights); err != nil && l.Layers() > 1 {
-		p.layers = l.lastLayer()
+	if p.weights.Version != w.Version {
+		if err := l.stage(ctx, p.weights); err != nil && l.Layers() > 1 {
+			p.layers = l.lastLayer()
+		}
 	}
 	return l.order(ctx, p.weights, p.layers)
 }
@@ -351,7 +367,7 @@
 	}
 	first, end := l.pieces(w, missing)
 	age := l.Stager.Age(w.Manifest, first, end)
-	l.intactSequence, l.pending = sequence+1, nil
+	l.intactSequence, l.accepted, l.pending = sequence+1, sequence+1, nil
 	switch {
 	case keptIntact && age <= maxLoadAge:
 		l.intact = layers
@@ -368,6 +384,9 @@
 // and records that the layers are. The pieces must not have been put since the engine has loaded them.
 func (l *Loader) audit(ctx context.Context, w raildownloader.Weights) (bool, error) {
 	before := *l.last
+	if before.Sequence == l.unauditable && before.Sequence > 0 {
+		return false, nil
+	}
 	unknown := before.Held
 	if before.Sequence == l.intactSequence && l.intact.From == unknown.From && l.intact.End > unknown.From {
 		unknown.From = min(l.intact.End, unknown.End)
--- a/internal/rollout/railloader/proof_test.go
+++ b/internal/rollout/railloader/proof_test.go
@@ -2,17 +2,23 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarrail/fulmarrail/internal/lab/railvirtualtime"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railproof"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/raillayers"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railloader"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railloadorder"
 	"github.com/fulmarrail/fulmarrail/internal/standin/railmodelengine"
 )
 
+// firstPart are all layers but the last.
+var firstPart = raillayers.Range{End: layers - 1}
+
 // newProvingLoader returns a loader that fails the test if it states that weights are proven which were loaded from wrong pieces.
 func newProvingLoader(t *testing.T, e *railmodelengine.Engine) *railloader.Loader {
 	l := newLoader(e)
@@ -107,3 +113,50 @@
 		qt.Check(t, complete, qt.Equals, 2)
 	})
 }
+
+// heldOrder is an engine whose first order is on its way until pieces are put by somebody else, and is accepted just before the first of these is
+// stored.
+type heldOrder struct {
+	*railmodelengine.Engine
+	begin    sync.Once
+	accepted chan struct{}
+	release  chan struct{}
+}
+
+func (h *heldOrder) PutPiece(ctx context.Context, model string, index int, data []byte) error {
+	h.begin.Do(func() {
+		close(h.release)
+		<-h.accepted
+	})
+	return h.Engine.PutPiece(ctx, model, index, data)
+}
+
+// Guards against a load from corrupt pieces that looks intact afterwards, since they were put again after a late order of a killed process was
+// accepted and before its acceptance was seen.
+func TestLateOrderOfKilledProcessIsNotProvenByPiecesPutSince(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		e := newEngine()
+		h := &heldOrder{Engine: e, accepted: make(chan struct{}), release: make(chan struct{})}
+		var once sync.Once
+		e.OnOrder = func(railloadorder.Order) bool {
+			once.Do(func() { <-h.release })
+			return false
+		}
+		killed := newLoader(e)
+		go func() {
+			ctx := context.WithoutCancel(t.Context())
+			_, err := killed.State(ctx)
+			qt.Check(t, err, qt.IsNil)
+			_, err = killed.Stager.Stage(ctx, "m", weights(e, 2).Manifest)
+			qt.Check(t, err, qt.IsNil)
+			e.Corrupt(0, 1, 2)
+			time.Sleep(freezeTime)
+			_ = e.StartLoad(ctx, railloadorder.Order{Model: "m", Version: 2, Layers: firstPart, Sequence: 0})
+			close(h.accepted)
+		}()
+		time.Sleep(2 * freezeTime)
+		l := newProvingLoader(t, e)
+		l.Engine, l.Stager.Engine = h, h
+		install(t, l, e, 2)
+	})
+}
--- a/internal/rollout/railstager/stage.go
+++ b/internal/rollout/railstager/stage.go
@@ -47,6 +47,8 @@
 	mu sync.Mutex
 	// verified holds the last verification of each piece, by index.
 	verified map[int]verification
+	// putEvents is the number of puts that have begun or ended.
+	putEvents int64
 }
 
 // verification records that a staged piece had a digest at some moment after at.
@@ -164,6 +166,19 @@
 	clear(s.verified)
 }
 
+// PutEvents returns a number that grows with each put that begins or ends.
+func (s *Stager) PutEvents() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.putEvents
+}
+
+func (s *Stager) countPut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.putEvents++
+}
+
 // put stages the piece with index i.
 func (s *Stager) put(ctx context.Context, model string, m railmanifest.Manifest, i int) error {
 	data, err := s.Chunk(ctx, m.Chunks[i])
@@ -174,6 +189,8 @@
 	defer cancel()
 	began := s.Now()
 	s.forget(i)
+	s.countPut()
+	defer s.countPut()
 	if err := s.Engine.PutPiece(ctx, model, i, data); err != nil {
 		return errors.Wrapf(err, "stage piece %d", i)
 	}
