Don't rely on pieces that a put without an answer may still replace

Cause: a put without an answer was taken for one that had not happened. Carried out late, a piece of an older version replaced one that had been verified, or an intact piece replaced a corrupt one that had been loaded, which an audit then found intact.

The stager remembers for a minute which content a put without an answer had. Other content than that of the load makes a check before the order prove nothing, so that the load is audited; the same content makes an audit prove nothing, so that it is loaded again. A put that has begun is not given up any more with the pass over all pieces, which made such puts on slow machines.

TestPutThatIsCarriedOutLateIsNoticed fails without the check.

--- a/internal/rollout/railloader/loader.go
+++ b/internal/rollout/railloader/loader.go
@@ -369,7 +369,7 @@
 	age := l.Stager.Age(w.Manifest, first, end)
 	l.intactSequence, l.accepted, l.pending = sequence+1, sequence+1, nil
 	switch {
-	case keptIntact && age <= maxLoadAge:
+	case keptIntact && age <= maxLoadAge && !l.Stager.MayDifferLater(w.Manifest, first, end):
 		l.intact = layers
 	case keptIntact:
 		l.intact = kept
@@ -392,6 +392,9 @@
 		unknown.From = min(l.intact.End, unknown.End)
 	}
 	first, end := l.pieces(w, unknown)
+	if l.Stager.MayHealLater(w.Manifest, first, end) {
+		return false, nil
+	}
 	corrupt, err := l.Stager.Audit(ctx, w.Model, w.Manifest, first, end)
 	if err != nil {
 		return false, err
--- a/internal/rollout/railloader/proof_test.go
+++ b/internal/rollout/railloader/proof_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarrail/fulmarrail/internal/lab/railvirtualtime"
@@ -16,6 +17,8 @@
 	"github.com/fulmarrail/fulmarrail/internal/standin/railmodelengine"
 )
 
+const latePiece = 3
+
 // firstPart are all layers but the last.
 var firstPart = raillayers.Range{End: layers - 1}
 
@@ -160,3 +163,47 @@
 		install(t, l, e, 2)
 	})
 }
+
+// latePuts is an engine that answers no put of one piece of version 2, and carries it out once the first order for version 3 is on its way.
+type latePuts struct {
+	*railmodelengine.Engine
+	mu   sync.Mutex
+	late []byte
+}
+
+func (l *latePuts) PutPiece(ctx context.Context, model string, index int, data []byte) error {
+	if index == latePiece && string(data) == string(l.Content(2, latePiece)) {
+		l.mu.Lock()
+		l.late = data
+		l.mu.Unlock()
+		return errors.New("no answer")
+	}
+	return l.Engine.PutPiece(ctx, model, index, data)
+}
+
+func (l *latePuts) StartLoad(ctx context.Context, o railloadorder.Order) error {
+	l.mu.Lock()
+	late := l.late
+	l.late = nil
+	l.mu.Unlock()
+	if late != nil {
+		if err := l.Engine.PutPiece(ctx, o.Model, latePiece, late); err != nil {
+			return err
+		}
+	}
+	return l.Engine.StartLoad(ctx, o)
+}
+
+// Guards against weights with a piece of another version, whose put was not answered and was carried out after the piece of the newer version had
+// been verified.
+func TestPutThatIsCarriedOutLateIsNoticed(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		e := newEngine()
+		late := &latePuts{Engine: e}
+		l := newProvingLoader(t, e)
+		l.Engine, l.Stager.Engine = late, late
+		qt.Check(t, reconcile(t.Context(), l, e, 2), qt.IsNotNil)
+		install(t, l, e, 3)
+		qt.Check(t, l.Proof().Version, qt.Equals, int64(3))
+	})
+}
--- a/internal/rollout/railstager/stage.go
+++ b/internal/rollout/railstager/stage.go
@@ -20,6 +20,8 @@
 	verificationTTL = 1500 * time.Millisecond
 	// Unverified is the age of the verification of a piece that was never verified, or was found to be corrupt.
 	Unverified time.Duration = math.MaxInt64
+	// latePutTime is the time for which a put that was not answered may still be carried out.
+	latePutTime = time.Minute
 	// pieceTimeout bounds the time to put or read one piece, which may be long on a slow VM.
 	pieceTimeout = 5 * time.Second
 	// maxConcurrentCalls is the number of pieces that are put or read concurrently.
@@ -49,6 +51,14 @@
 	verified map[int]verification
 	// putEvents is the number of puts that have begun or ended.
 	putEvents int64
+	// unanswered holds the puts of each piece that were not answered, and may still be carried out.
+	unanswered map[int][]unansweredPut
+}
+
+// unansweredPut is a put of the chunk with a digest that was given up at some time.
+type unansweredPut struct {
+	digest string
+	at     time.Duration
 }
 
 // verification records that a staged piece had a digest at some moment after at.
@@ -159,11 +169,12 @@
 	return oldest
 }
 
-// Forget drops all verifications, since the engine may have lost its staged pieces.
+// Forget drops all verifications, since the engine has started again and may have lost its staged pieces. It carries out no earlier put any more.
 func (s *Stager) Forget() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	clear(s.verified)
+	clear(s.unanswered)
 }
 
 // PutEvents returns a number that grows with each put that begins or ends.
@@ -173,25 +184,68 @@
 	return s.putEvents
 }
 
+// MayDifferLater reports whether one of the pieces from first up to end may still be replaced by other content, by a put that was not answered. Then
+// what was verified before an order proves nothing.
+func (s *Stager) MayDifferLater(m railmanifest.Manifest, first, end int) bool {
+	return s.hasUnanswered(m, first, end, false)
+}
+
+// MayHealLater reports whether one of the pieces from first up to end may still become intact, by a put that was not answered. Then what an audit finds
+// intact may have been corrupt when it was loaded.
+func (s *Stager) MayHealLater(m railmanifest.Manifest, first, end int) bool {
+	return s.hasUnanswered(m, first, end, true)
+}
+
+// hasUnanswered reports whether a put of one of the pieces from first up to end may still be carried out, of the manifest's content or of other.
+func (s *Stager) hasUnanswered(m railmanifest.Manifest, first, end int, same bool) bool {
+	now := s.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := first; i < end; i++ {
+		for _, put := range s.unanswered[i] {
+			if now-put.at < latePutTime && (put.digest == m.Chunks[i]) == same {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (s *Stager) countPut() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.putEvents++
 }
 
+func (s *Stager) recordUnanswered(i int, digest string) {
+	now := s.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unanswered == nil {
+		s.unanswered = map[int][]unansweredPut{}
+	}
+	list := slices.DeleteFunc(s.unanswered[i], func(put unansweredPut) bool { return put.digest == digest || now-put.at >= latePutTime })
+	s.unanswered[i] = append(list, unansweredPut{digest: digest, at: now})
+}
+
 // put stages the piece with index i.
 func (s *Stager) put(ctx context.Context, model string, m railmanifest.Manifest, i int) error {
 	data, err := s.Chunk(ctx, m.Chunks[i])
 	if err != nil {
 		return errors.Wrapf(err, "read the chunk of piece %d", i)
 	}
-	ctx, cancel := context.WithTimeout(ctx, pieceTimeout)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	// A put that has begun is not given up with its pass, since it may be carried out all the same.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), pieceTimeout)
 	defer cancel()
 	began := s.Now()
 	s.forget(i)
 	s.countPut()
 	defer s.countPut()
 	if err := s.Engine.PutPiece(ctx, model, i, data); err != nil {
+		s.recordUnanswered(i, m.Chunks[i])
 		return errors.Wrapf(err, "stage piece %d", i)
 	}
 	s.recordVerified(i, m.Chunks[i], began)
