Read Server-Limit from engines' answers

An engine in need names in its answers the requests a second that it takes from all machines together. Nothing read the header, and callers got it as if it was the gateway's. The platform adapter parses it now: the least of several valid values; values that are no decimal number of at least zero are counted and logged like other malformed headers and change nothing, so that a known limit stays. The gateway records it with the attempt's lease as soon as an answer's header has arrived, but not from a 421 or an answer with another request's ID. The report of the instance keeps the value, the arrival of the latest answer that named one, and the sending of the latest request whose answer named none: a limit ends only by an answer to a request that was sent after the limit was last named, and rises only by one sent after it arrived, since answers overtake each other.

Server-Leaving in a 421 still counts, as TestEndpointThatSaysItLeavesGetsNoFurtherRequests asks for: a 421 may come from the engine itself when its weights differ. A 503 with Retry-After is never a 421.

Tests: TestLimitOfRequestsIsParsed, TestLimitOfRequestsIsRemovedFromResponse, TestLimitHoldsUntilALaterRequestIsAnsweredWithoutIt.

--- /dev/null
+++ b/internal/membership/railfleet/limits.go
@@ -0,0 +1,55 @@
+package railfleet
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/fulmarrail/fulmarrail/internal/membership/railselfreport"
+	"github.com/fulmarrail/fulmarrail/internal/store/railversion"
+)
+
+var (
+	limitReports    = metrics.GetOrCreateCounter(`fulmarrail_endpoint_reports_total{report="limit"}`)
+	limitEndReports = metrics.GetOrCreateCounter(`fulmarrail_endpoint_reports_total{report="limitEnd"}`)
+)
+
+const (
+	// sourceResponse and sourceEntry are the sources of a report: a response of the endpoint, or another entry.
+	sourceResponse = "response"
+	sourceEntry    = "entry"
+)
+
+// RecordLimit records that the endpoint has named in a response the number of requests per second that it takes from all entries together.
+func (l *Lease) RecordLimit(perSecond float64) {
+	now := time.Now()
+	l.fleet.changeLimit(l.endpoint, sourceResponse, now, func(r *railselfreport.SelfReport) *railselfreport.SelfReport {
+		return r.WithLimit(l.grantedAt, now, perSecond)
+	})
+}
+
+// RecordNoLimit records that the endpoint has named no limit in a response.
+func (l *Lease) RecordNoLimit() {
+	if l.endpoint.report.Load().LimitNamedAt().IsZero() {
+		return // Nothing to end, as for nearly all responses.
+	}
+	l.fleet.changeLimit(l.endpoint, sourceResponse, time.Now(), func(r *railselfreport.SelfReport) *railselfreport.SelfReport {
+		return r.WithLimitEnd(l.grantedAt)
+	})
+}
+
+// changeLimit changes what an endpoint's report says of its limit, and logs it if that begins, changes or ends the limit.
+func (f *Fleet) changeLimit(e *endpoint, source string, now time.Time, change func(*railselfreport.SelfReport) *railselfreport.SelfReport) {
+	previous := e.report.update(change)
+	before, was := previous.Limit(now)
+	after, is := change(previous).Limit(now)
+	switch {
+	case is && (!was || before != after):
+		limitReports.Inc()
+		f.Log.Info("endpoint limits requests", "endpoint", e.ID, "source", source, "row", railversion.String(e.RowVersion), "perSecond", after, "before", before)
+	case was && !is:
+		limitEndReports.Inc()
+		f.Log.Info("endpoint limits requests no more", "endpoint", e.ID, "source", source, "row", railversion.String(e.RowVersion), "perSecond", before, "age", now.Sub(previous.LimitNamedAt()))
+		f.OnChange()
+	}
+}
--- a/internal/membership/railselfreport/report.go
+++ b/internal/membership/railselfreport/report.go
@@ -21,6 +21,12 @@
 	leavingListed bool
 	// pausedUntil is the time until which the instance has asked for no requests, or zero.
 	pausedUntil time.Time
+	// limit is the latest limit that the instance has named, and limitSince the arrival of the response that named it.
+	limit      float64
+	limitSince time.Time
+	// limitNamedAt is the arrival of the latest response that named a limit. limitEndedAt is the time at which the latest request was sent
+	// whose response named none.
+	limitNamedAt, limitEndedAt time.Time
 }
 
 // New returns the report of an instance that has said nothing.
--- a/internal/node/railgateway/attempt.go
+++ b/internal/node/railgateway/attempt.go
@@ -144,7 +144,7 @@
 		return verdict, a.markCause(c, err)
 	}
 	a.responseInfo = g.Translator.ParseResponse(&exchange.Header)
-	g.recordSelfReport(a)
+	g.recordSelfReport(c, a)
 	verdict, err = g.readResponse(c, a)
 	return verdict, a.markCause(c, err)
 }
--- a/internal/request/railheader/header.go
+++ b/internal/request/railheader/header.go
@@ -63,6 +63,11 @@
 	Leaving bool
 	// Pause is the time for which the endpoint wants no requests from this VM, or 0 if not stated.
 	Pause time.Duration
+	// Limit is the number of requests per second that the endpoint takes from all VMs together. It holds if Limited is set.
+	Limit   float64
+	Limited bool
+	// Unlimited reports whether the response names no limit, not even a malformed one.
+	Unlimited bool
 	// Malformed holds the headers that were ignored because of their values.
 	Malformed []Header
 }
