Keep to the limits that engines name, all gateways together

Cause: nothing obeyed the limit that an answer names.

Each gateway keeps to its share of the limit now, in any window of 4 s or more: railquota turns the rate into a number of requests and a window (13 in 4.06 s for 3.2 a second, one in 10 s for 0.1 or less), railentries divides the number, with the remainder for the gateways that rank first for this endpoint, so that a limit of 1 is kept by 60 gateways: four have one request each. The shares add up whatever digests are lost and whoever is frozen or cut off. A gateway whose list lacks a new one sends at most what it sent before; the new one's share comes on top until the lists agree, at most its part of the limit, and the rule leaves half the limit and 5 requests for that. A request is counted where its lease is granted, so that first tries, repeats, resumed streams and searches for a standby all count; one that was sent before the limit was known counts from its answer on. Checks after an engine (railexchange.Refuses) open a connection and send no request.

opening.go is the one place that says when an endpoint takes requests from this gateway: backoff, pause, limit and a share of 0 of the cold limit. The cold limit's second stays with the load, as before, since a request waits for it in its place in the queue.

An engine that is silent keeps its limit. After 30 s without an answer four gateways more may send it a request each, since those with a share may be gone; that is within the rule. After ten minutes of silence the limit ends.

--- /dev/null
+++ b/internal/limit/railsends/history.go
@@ -0,0 +1,80 @@
+package railsends
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fulmarrail/fulmarrail/internal/limit/railquota"
+)
+
+// History holds the times of the latest requests that were sent to an endpoint. The zero value is empty. It is not safe for concurrent use.
+type History struct {
+	sends []time.Time
+}
+
+// Record records a request that was sent at the given time, and drops those that are older than it by the quota's window or more.
+func (h *History) Record(q railquota.Quota, sentAt time.Time) {
+	h.drop(sentAt.Add(-q.Window))
+	h.sends = append(h.sends, sentAt)
+	slices.SortFunc(h.sends, time.Time.Compare) // The last one may be that of a request that was sent before the limit was known.
+}
+
+func (h *History) drop(before time.Time) {
+	kept := slices.IndexFunc(h.sends, func(at time.Time) bool { return at.After(before) })
+	if kept < 0 {
+		kept = len(h.sends)
+	}
+	h.sends = h.sends[kept:]
+}
+
+// OpensAt returns the earliest time from now on at which the quota allows a request. The quota must allow any.
+func (h *History) OpensAt(q railquota.Quota, now time.Time) time.Time {
+	return opensAt(h.sends, q, now)
+}
+
+// CountBy returns how many requests the quota allows from now until the given time, or atMost if that is less.
+func (h *History) CountBy(q railquota.Quota, now, by time.Time, atMost int) int {
+	if q.Requests <= 0 {
+		return 0
+	}
+	sends := slices.Clone(h.sends)
+	for n := range atMost {
+		next := opensAt(sends, q, now)
+		if next.After(by) {
+			return n
+		}
+		sends = append(sends, next)
+	}
+	return atMost
+}
+
+// Count returns the number of requests in the quota's window before now.
+func (h *History) Count(q railquota.Quota, now time.Time) int {
+	n := 0
+	for _, at := range slices.Backward(h.sends) {
+		if now.Sub(at) >= q.Window {
+			break
+		}
+		n++
+	}
+	return n
+}
+
+func opensAt(sends []time.Time, q railquota.Quota, now time.Time) time.Time {
+	n := len(sends)
+	if n == 0 {
+		return now
+	}
+	opens := latest(now, sends[n-1].Add(q.Spacing()))
+	if n >= q.Requests {
+		opens = latest(opens, sends[n-q.Requests].Add(q.Window))
+	}
+	return opens
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -34,8 +34,6 @@
 	startMargin = 100 * time.Millisecond
 	// drainOverrun is the time for which responses may continue past the announced time of a weights change.
 	drainOverrun = time.Second
-	// coldShare is the fraction of an endpoint's cold limit that all entries together use.
-	coldShare = 0.9
 )
 
 // Fleet is the set of endpoints with their load. It is safe for concurrent use; its exported fields must be set before its first
@@ -232,20 +230,12 @@
 	return n
 }
 
-// usable reports whether an endpoint may get the request, regardless of its load.
-func (f *Fleet) usable(e *endpoint, req Requirements, now time.Time) bool {
-	if !e.eligible(req) || req.Tried[e.ID] || now.Before(e.backoffUntil) || e.report.Load().Paused(now) {
-		return false
-	}
-	return f.withinColdLimit(e, req.Backend, 0)
-}
-
 // predictStart predicts the time until the response starts, including the network penalty. It returns false if that is too late, if
 // the endpoint has no capacity for the request, if the prompt would delay the endpoint's other responses too long, or if the response
 // would continue past a planned change of the weights. Without a timing model, each request in flight adds one millisecond, so that
 // the least loaded endpoint is preferred.
 func (f *Fleet) predictStart(e *endpoint, req Requirements, now time.Time) (time.Duration, bool) {
-	if !f.withinColdLimit(e, req.Backend, e.recentSends.Count(now)) {
+	if e.recentSends.Count(now) >= f.coldQuota(e, req.Backend) {
 		return 0, false
 	}
 	load := e.ownLoad.Add(f.peersLoad(e.hash))
@@ -286,13 +276,3 @@
 	}
 	return 0
 }
-
-// withinColdLimit reports whether this entry may send one more request to an endpoint after having sent the given number in the
-// last second. The cold limit applies to warm endpoints too, since an endpoint may turn cold at any time.
-func (f *Fleet) withinColdLimit(e *endpoint, backend railbackend.Backend, sent int) bool {
-	if backend.ColdPerSecond <= 0 {
-		return true
-	}
-	limit := coldShare * (backend.ColdPerSecond*f.ColdOvershoot + f.ColdSlack)
-	return sent < f.Share(e.ID, int(limit))
-}
--- a/internal/membership/railfleet/limits.go
+++ b/internal/membership/railfleet/limits.go
@@ -26,6 +26,19 @@
 	l.fleet.changeLimit(l.endpoint, sourceResponse, now, func(r *railselfreport.SelfReport) *railselfreport.SelfReport {
 		return r.WithLimit(l.grantedAt, now, perSecond)
 	})
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	l.countSend(now)
+}
+
+// countSend counts the request within the endpoint's limit, once there is one.
+func (l *Lease) countSend(now time.Time) {
+	quota, limited := l.fleet.limitQuota(l.endpoint, now)
+	if !limited || l.counted {
+		return
+	}
+	l.counted = true
+	l.endpoint.report.sends.Record(quota, l.grantedAt)
 }
 
 // RecordNoLimit records that the endpoint has named no limit in a response.
--- a/internal/membership/railfleet/limits_load_test.go
+++ b/internal/membership/railfleet/limits_load_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -45,11 +46,14 @@
 	knownBy map[int]time.Time
 }
 
-// limitedLoad is a deployment of gateways before engines with limits. Everything runs in one virtual processor.
+// limitedLoad is a deployment of gateways before engines with limits.
 type limitedLoad struct {
-	random   *rand.Rand
 	gateways []*railfleet.Fleet
-	engines  map[string]*limitedEngine
+
+	// mu guards all below and the engines' state.
+	mu      sync.Mutex
+	random  *rand.Rand
+	engines map[string]*limitedEngine
 	// digestLoss is the share of digests that are lost.
 	digestLoss float64
 	asked      int
@@ -87,14 +91,19 @@
 		go b.Run(t.Context())
 	}
 	for start := time.Now(); time.Since(start) < limitedLoadTime; {
-		time.Sleep(time.Duration(load.random.ExpFloat64() / perSecond * float64(time.Second)))
-		load.request(load.random.IntN(len(load.gateways)))
+		load.mu.Lock()
+		pause, gateway := load.random.ExpFloat64()/perSecond, load.random.IntN(len(load.gateways))
+		load.mu.Unlock()
+		time.Sleep(time.Duration(pause * float64(time.Second)))
+		load.request(gateway)
 	}
 	time.Sleep(time.Second) // The last responses.
 }
 
 // spread sends a digest to the other gateways.
 func (load *limitedLoad) spread(from int, digest *railproto.LoadDigest) {
+	load.mu.Lock()
+	defer load.mu.Unlock()
 	for i, f := range load.gateways {
 		if i != from && load.random.Float64() >= load.digestLoss {
 			time.AfterFunc(digestDelay, func() { f.MergeDigest(digest) })
@@ -104,6 +113,8 @@
 
 // request lets a gateway send a request to an engine that may take it, if there is one.
 func (load *limitedLoad) request(gateway int) {
+	load.mu.Lock()
+	defer load.mu.Unlock()
 	load.asked++
 	l, ok := load.gateways[gateway].Reserve(railfleet.Requirements{
 		Backend: railbackend.Backend{Name: "engines"}, RegionAllowed: func(string) bool { return true }, ZoneOut: func(string) bool { return false },
@@ -116,17 +127,22 @@
 	if known, ok := e.knownBy[gateway]; ok && time.Since(known) >= knownAfter {
 		e.arrivals = append(e.arrivals, time.Now())
 	}
-	time.AfterFunc(time.Duration(50+load.random.IntN(250))*time.Millisecond, func() {
-		if e.firstNamed.IsZero() {
-			e.firstNamed = time.Now()
-		}
-		if _, ok := e.knownBy[gateway]; !ok {
-			e.knownBy[gateway] = time.Now()
-		}
-		l.RecordLimit(e.limit)
-		l.Started()
-		l.Done(railfleet.Answered)
-	})
+	time.AfterFunc(time.Duration(50+load.random.IntN(250))*time.Millisecond, func() { load.respond(e, gateway, l) })
+}
+
+// respond gives a gateway the response to a request, with the engine's limit.
+func (load *limitedLoad) respond(e *limitedEngine, gateway int, l *railfleet.Lease) {
+	load.mu.Lock()
+	defer load.mu.Unlock()
+	if e.firstNamed.IsZero() {
+		e.firstNamed = time.Now()
+	}
+	if _, ok := e.knownBy[gateway]; !ok {
+		e.knownBy[gateway] = time.Now()
+	}
+	l.RecordLimit(e.limit)
+	l.Started()
+	l.Done(railfleet.Answered)
 }
 
 // worstWindow returns the largest number of requests that an engine got in any limitWindow that counts.
@@ -142,6 +158,15 @@
 	return worst
 }
 
+// served returns the number of requests that were sent to engines, and that which their limits allow in the whole time.
+func (load *limitedLoad) served() (served int, allowed float64) {
+	for _, e := range load.engines {
+		served += e.served
+		allowed += e.limit * limitedLoadTime.Seconds()
+	}
+	return served, allowed
+}
+
 // checkLimits checks that no engine got more than its limit allows.
 func (load *limitedLoad) checkLimits(t *testing.T) {
 	t.Helper()
@@ -164,6 +189,8 @@
 						load.digestLoss = loss
 						load.run(t, demand)
 						load.checkLimits(t)
+						served, taken := load.served()
+						t.Logf("%d of %d served, the limits allow %.0f", served, load.asked, taken)
 					})
 				})
 			}
--- a/internal/membership/railfleet/selfreports.go
+++ b/internal/membership/railfleet/selfreports.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/fulmarrail/fulmarrail/internal/limit/railsends"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railselfreport"
 	"github.com/fulmarrail/fulmarrail/internal/store/railversion"
@@ -24,6 +25,8 @@
 // the instance leaves the list and is listed again.
 type reportSlot struct {
 	atomic.Pointer[railselfreport.SelfReport]
+	// sends holds the requests that were sent to the instance while it has named a limit. It is guarded by the fleet's mutex.
+	sends railsends.History
 	// unlistedSince is the time at which the instance left the list, or zero if it is listed.
 	unlistedSince time.Time
 }
@@ -147,22 +150,3 @@
 	f.Log.Info("endpoint asks for no requests", "endpoint", l.Instance.ID, "source", "response", "row", railversion.String(l.Instance.RowVersion), "age", time.Duration(0), "for", d)
 	f.OnChange()
 }
-
-// FirstPauseEnd returns the time at which the first of the endpoints that could serve a request ends its pause. It returns false unless
-// all of them have asked for no requests.
-func (f *Fleet) FirstPauseEnd(req Requirements) (time.Time, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := time.Now()
-	var first time.Time
-	for _, e := range f.endpoints {
-		switch r := e.report.Load(); {
-		case !e.eligible(req):
-		case !r.Paused(now) && !req.Tried[e.ID]:
-			return time.Time{}, false
-		case r.Paused(now) && (first.IsZero() || r.PausedUntil().Before(first)):
-			first = r.PausedUntil()
-		}
-	}
-	return first, !first.IsZero()
-}
