Let gateways tell each other of engines' limits

A gateway learned of a limit only by its own answers: with 60 gateways and no digests, each sent an engine in need a first request. Load digests carry limits now, at once when one begins, changes or ends, and with the full digests every half second, so that a lost one matters little and a gateway that restarts learns them. A limit is named with the age of its last naming or of the request whose answer ended it; the newer observation holds. It belongs to an instance (ID, address, start time), whose hash names it. Only the gateway with the latest answer repeats a limit, so that it is sent about twice a second whatever the number of gateways, about 20 bytes to each: at 340 gateways and 1,700 engines that all name limits, about 70 kB/s come in at a gateway; nothing without limits. This figure is calculated, not measured.

--- a/internal/membership/railfleet/endpoint.go
+++ b/internal/membership/railfleet/endpoint.go
@@ -1,6 +1,7 @@
 package railfleet
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/fulmarrail/fulmarrail/internal/limit/railenginelatency"
@@ -35,6 +36,8 @@
 
 	// hash identifies the endpoint in load digests.
 	hash uint32
+	// instanceHash identifies the instance in limits, which end with it.
+	instanceHash uint32
 	// ownLoad is the load from this entry.
 	ownLoad     railenginelatency.Load
 	recentSends railwindow.Window
@@ -84,6 +87,7 @@
 	}
 	e.Instance = i
 	e.hash = uint32(railhash.Score(i.ID, i.Address))
+	e.instanceHash = uint32(railhash.Score(i.ID+" "+strconv.FormatInt(i.StartMillis, 10), i.Address))
 }
 
 func (e *endpoint) backOff(now time.Time, d time.Duration) {
--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -56,6 +56,8 @@
 
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
+	// instances holds the endpoints by the hashes of their instances.
+	instances map[uint32]*endpoint
 	// reports holds the latest instance's report by the ID of the endpoint.
 	reports map[string]*reportSlot
 	peers   map[string]*peer
@@ -110,6 +112,7 @@
 		f.reports = map[string]*reportSlot{}
 	}
 	endpoints := make(map[string]*endpoint, len(list))
+	instances := make(map[uint32]*endpoint, len(list))
 	addresses := make(map[string]bool, len(list))
 	for _, i := range list {
 		e := f.endpoints[i.ID]
@@ -119,7 +122,7 @@
 		}
 		e.update(i)
 		e.report = f.listedReport(i)
-		endpoints[i.ID] = e
+		endpoints[i.ID], instances[e.instanceHash] = e, e
 		addresses[i.Address] = true
 	}
 	f.expireReports(endpoints, time.Now())
@@ -132,7 +135,7 @@
 			restarted = append(restarted, id)
 		}
 	}
-	f.endpoints = endpoints
+	f.endpoints, f.instances = endpoints, instances
 	return restarted
 }
 
--- a/internal/membership/railfleet/lease.go
+++ b/internal/membership/railfleet/lease.go
@@ -53,11 +53,7 @@
 	e.recentSends.Add(now)
 	l.countSend(now)
 	f.markChanged(e)
-	f.once.Do(f.init)
-	select {
-	case f.loadIncreased <- struct{}{}:
-	default:
-	}
+	f.signalIncrease()
 	return l
 }
 
--- a/internal/membership/railfleet/peers.go
+++ b/internal/membership/railfleet/peers.go
@@ -57,7 +57,7 @@
 	return list, f.sequence
 }
 
-// LoadIncreased returns a channel that receives a value after a lease has been granted.
+// LoadIncreased returns a channel that receives a value after a lease has been granted or a limit has changed.
 func (f *Fleet) LoadIncreased() <-chan struct{} {
 	f.once.Do(f.init)
 	return f.loadIncreased
@@ -67,6 +67,15 @@
 	f.loadIncreased = make(chan struct{}, 1)
 }
 
+// signalIncrease lets the next digest be sent at once.
+func (f *Fleet) signalIncrease() {
+	f.once.Do(f.init)
+	select {
+	case f.loadIncreased <- struct{}{}:
+	default:
+	}
+}
+
 // markChanged records that this entry's load at an endpoint has changed.
 func (f *Fleet) markChanged(e *endpoint) {
 	e.loadUnreported = true
@@ -75,8 +84,9 @@
 
 // MergeDigest merges a load digest from another entry. It returns false if the digest is outdated, or partial and without loads.
 func (f *Fleet) MergeDigest(digest *railproto.LoadDigest) bool {
+	limitsEnded := f.mergeLimits(digest.GetLimits())
 	changed := f.merge(digest)
-	if changed {
+	if changed || limitsEnded {
 		f.OnChange()
 	}
 	return changed
--- a/internal/membership/railfleet/selfreports.go
+++ b/internal/membership/railfleet/selfreports.go
@@ -27,6 +27,10 @@
 	atomic.Pointer[railselfreport.SelfReport]
 	// sends holds the requests that were sent to the instance while it has named a limit. It is guarded by the fleet's mutex.
 	sends railsends.History
+	// heardLimitAt is the time of the latest response to this entry in which the instance named a limit, and limitEndSeen that of the one that
+	// ended it. limitUnreported is set until the other entries are told of a change. They are guarded by the fleet's mutex.
+	heardLimitAt, limitEndSeen time.Time
+	limitUnreported            bool
 	// unlistedSince is the time at which the instance left the list, or zero if it is listed.
 	unlistedSince time.Time
 }
--- a/internal/wire/railloadbroadcast/broadcaster.go
+++ b/internal/wire/railloadbroadcast/broadcaster.go
@@ -24,7 +24,11 @@
 	// ChangedLoads returns the load at the endpoints where it has changed since the last call of AllLoads or ChangedLoads, and the
 	// sequence number.
 	ChangedLoads() ([]*railproto.EndpointLoad, uint64)
-	// LoadIncreased returns a channel that receives a value after requests were sent.
+	// AllLimits returns the limits of endpoints of which this entry has the latest response.
+	AllLimits() []*railproto.EndpointLimit
+	// ChangedLimits returns the limits that have changed in responses to this entry since the last call of AllLimits or ChangedLimits.
+	ChangedLimits() []*railproto.EndpointLimit
+	// LoadIncreased returns a channel that receives a value after requests were sent or a limit has changed.
 	LoadIncreased() <-chan struct{}
 }
 
@@ -39,7 +43,7 @@
 	Timer *railtimer.Service
 }
 
-// Run sends digests until ctx is done: increases at once, decreases periodically, and a full digest every half second.
+// Run sends digests until ctx is done: increases and changes of limits at once, decreases periodically, and a full digest every half second.
 func (b *Broadcaster) Run(ctx context.Context) {
 	decreaseTicks, stopDecreaseTicks := b.Timer.Subscribe(decreaseInterval)
 	defer stopDecreaseTicks()
@@ -49,8 +53,7 @@
 		select {
 		case <-ctx.Done():
 		case <-fullTicks:
-			loads, sequence := b.Source.AllLoads()
-			b.send(loads, sequence, false)
+			b.sendAll()
 		case <-decreaseTicks:
 			b.sendChanges()
 		case <-b.Source.LoadIncreased():
@@ -60,12 +63,20 @@
 	}
 }
 
+func (b *Broadcaster) sendAll() {
+	loads, sequence := b.Source.AllLoads()
+	b.send(&railproto.LoadDigest{Sequence: sequence, Loads: loads, Limits: b.Source.AllLimits()})
+}
+
 func (b *Broadcaster) sendChanges() {
-	if loads, sequence := b.Source.ChangedLoads(); len(loads) > 0 {
-		b.send(loads, sequence, true)
+	loads, sequence := b.Source.ChangedLoads()
+	limits := b.Source.ChangedLimits()
+	if len(loads) > 0 || len(limits) > 0 {
+		b.send(&railproto.LoadDigest{Sequence: sequence, Loads: loads, Limits: limits, Partial: true})
 	}
 }
 
-func (b *Broadcaster) send(loads []*railproto.EndpointLoad, sequence uint64, partial bool) {
-	b.Send(&railproto.LoadDigest{Entry: b.Name, Incarnation: b.Incarnation, Sequence: sequence, Loads: loads, Partial: partial})
+func (b *Broadcaster) send(digest *railproto.LoadDigest) {
+	digest.Entry, digest.Incarnation = b.Name, b.Incarnation
+	b.Send(digest)
 }
