Reject at once what engines' limits leave no place for

What callers would see: while all engines of a service have used their limits, a request waited until its time was over and was then told that no engine was free, though it was known when it came that the limits left no place for it. The predicted wait follows the grants of the last second, of which there are none at a limit of 0.5 a second, so that everything was queued.

railfleet's Forecast counts the requests that the endpoints take in a request's time, from the one place that decides when each opens (opening.go: limits, pauses, failures), and takes the place of FirstPauseEnd. A request is rejected at once if its endpoints take none in its time, or if those of the service take no more than wait ahead of it; where an endpoint without a limit opens in time, nobody is. The same holds for those that wait, when a limit begins. Retry-After follows the first opening, unless other gateways may have places: then it is short. The refusal's log line tells how many endpoints are limited and how many requests they take in time. Failures count as closings now: a request is no longer kept waiting for an endpoint that backs off beyond its time, unless a new row may end that before.

Requests ahead that may only use other endpoints are not told apart: the rule by count applies only if all endpoints of the service that open in time have limits.

--- /dev/null
+++ b/internal/membership/railfleet/forecast.go
@@ -0,0 +1,76 @@
+package railfleet
+
+import "time"
+
+// Forecast says when the endpoints that could serve a request take it, as far as their limits, pauses and failures tell.
+type Forecast struct {
+	// Own is the number of requests like it that they take from this entry by a given time, and Total that of any requests that all endpoints of
+	// the service take. Both are bounded by the number that was asked for.
+	Own, Total int
+	// OpensAt is the time at which the first of them takes a request from this entry, or zero if none does at a known time.
+	OpensAt time.Time
+	// Limited is the number of them that have named a limit. Elsewhere reports whether other entries may send requests to one of them that has
+	// none for this entry.
+	Limited   int
+	Elsewhere bool
+	// Bounded reports whether all endpoints of the service that open by then have named limits, so that Total is no matter of load.
+	Bounded bool
+}
+
+// Forecast counts up to atMost requests that endpoints take by the given time, regardless of their load. It returns false if no endpoint could
+// serve the request, or if that may change at any time.
+func (f *Fleet) Forecast(req Requirements, by time.Time, atMost int) (Forecast, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now, known := time.Now(), false
+	forecast := Forecast{Bounded: true}
+	for _, e := range f.endpoints {
+		if e.Service != req.Backend.Name || e.Draining {
+			continue
+		}
+		o := f.opening(e, req.Backend, now)
+		grants := e.countGrants(o, by, atMost)
+		forecast.Total = min(forecast.Total+grants, atMost)
+		forecast.Bounded = forecast.Bounded && (o.limited || grants == 0)
+		switch {
+		case !e.eligible(req):
+		case req.Tried[e.ID]:
+			// It gets the request no more, but may get it from the caller again.
+			known = known || o.asked
+			forecast = forecast.withOpening(o, o.asked)
+		case o.uncertain:
+			return Forecast{}, false
+		default:
+			known = true
+			forecast.Own = min(forecast.Own+grants, atMost)
+			forecast = forecast.withOpening(o, true)
+		}
+	}
+	return forecast, known
+}
+
+// withOpening returns a forecast with the opening of an endpoint that could serve the request, if relevant.
+func (p Forecast) withOpening(o opening, relevant bool) Forecast {
+	if !relevant {
+		return p
+	}
+	if o.limited {
+		p.Limited++
+		p.Elsewhere = p.Elsewhere || o.quota.Requests <= 0
+	}
+	if !o.at.IsZero() && (p.OpensAt.IsZero() || o.at.Before(p.OpensAt)) {
+		p.OpensAt = o.at
+	}
+	return p
+}
+
+// countGrants returns the number of requests that an endpoint takes from this entry by the given time, or atMost if that is less.
+func (e *endpoint) countGrants(o opening, by time.Time, atMost int) int {
+	switch {
+	case o.at.IsZero() || o.at.After(by):
+		return 0
+	case o.limited:
+		return e.report.sends.CountBy(o.quota, o.at, by, atMost)
+	}
+	return atMost
+}
--- a/internal/membership/railfleet/opening.go
+++ b/internal/membership/railfleet/opening.go
@@ -21,6 +21,8 @@
 type opening struct {
 	// at is the earliest time at which it does, or zero if it doesn't at any known time.
 	at time.Time
+	// asked reports whether the endpoint itself has asked for that, and uncertain whether it may open before.
+	asked, uncertain bool
 	// limited reports whether the endpoint has named a limit, and quota is this entry's share of it.
 	limited bool
 	quota   railquota.Quota
@@ -30,9 +32,9 @@
 // has asked for none, within the limit that it has named, and within this entry's share of its cold limit.
 func (f *Fleet) opening(e *endpoint, backend railbackend.Backend, now time.Time) opening {
 	said := e.report.Load()
-	o := opening{at: latest(now, e.backoffUntil, said.PausedUntil())}
+	o := opening{at: latest(now, e.backoffUntil, said.PausedUntil()), asked: said.Paused(now), uncertain: e.misdirected && now.Before(e.backoffUntil)}
 	if f.coldQuota(e, backend) <= 0 {
-		o.at = time.Time{}
+		o.at, o.uncertain = time.Time{}, true // The list of entries is not known yet.
 	}
 	if o.quota, o.limited = f.limitQuota(e, now); !o.limited {
 		return o
@@ -43,6 +45,7 @@
 	case !o.at.IsZero():
 		o.at = latest(o.at, e.report.sends.OpensAt(o.quota, now))
 	}
+	o.asked = o.asked || !o.open(now)
 	return o
 }
 
@@ -81,25 +84,6 @@
 	return f.Share(e.ID, int(coldShare*(backend.ColdPerSecond*f.ColdOvershoot+f.ColdSlack)))
 }
 
-// FirstPauseEnd returns the time at which the first of the endpoints that could serve a request ends its pause. It returns false unless
-// all of them have asked for no requests.
-func (f *Fleet) FirstPauseEnd(req Requirements) (time.Time, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := time.Now()
-	var first time.Time
-	for _, e := range f.endpoints {
-		switch r := e.report.Load(); {
-		case !e.eligible(req):
-		case !r.Paused(now) && !req.Tried[e.ID]:
-			return time.Time{}, false
-		case r.Paused(now) && (first.IsZero() || r.PausedUntil().Before(first)):
-			first = r.PausedUntil()
-		}
-	}
-	return first, !first.IsZero()
-}
-
 // latest returns the latest of some times.
 func latest(first time.Time, others ...time.Time) time.Time {
 	for _, t := range others {
--- a/internal/membership/railfleet/selfreports_test.go
+++ b/internal/membership/railfleet/selfreports_test.go
@@ -148,7 +148,7 @@
 }
 
 // The end of the first pause matters to a caller, and only endpoints that could serve the request count.
-func TestFirstPauseEndCoversEndpointsThatCouldServe(t *testing.T) {
+func TestForecastCoversEndpointsThatCouldServe(t *testing.T) {
 	for name, c := range map[string]struct {
 		change func(second *railinstance.Instance, req *railfleet.Requirements)
 		all    bool
@@ -170,9 +170,12 @@
 				second := engine("2")
 				c.change(&second, &req)
 				f.SetInstances([]railinstance.Instance{engine("1"), second})
-				end, all := f.FirstPauseEnd(req)
-				qt.Check(t, all, qt.Equals, c.all)
-				qt.Check(t, !all || time.Until(end) == 3*time.Second, qt.IsTrue)
+				forecast, known := f.Forecast(req, time.Now().Add(2*time.Second), 1)
+				qt.Assert(t, known, qt.IsTrue)
+				qt.Check(t, forecast.Own == 0, qt.Equals, c.all)
+				qt.Check(t, !c.all || time.Until(forecast.OpensAt) == 3*time.Second, qt.IsTrue)
+				forecast, _ = f.Forecast(req, time.Now().Add(3*time.Second), 1)
+				qt.Check(t, forecast.Own, qt.Equals, count(!req.Tried["1"]), qt.Commentf("the pause ends by then"))
 			})
 		})
 	}
--- a/internal/routing/railadmitter/admitter.go
+++ b/internal/routing/railadmitter/admitter.go
@@ -38,21 +38,27 @@
 	ErrBusy = errors.New("no endpoint can begin the answer in time")
 	// ErrNoEndpoint means that no endpoint could take the request, regardless of load.
 	ErrNoEndpoint = errors.New("no endpoint may take the request")
-	// ErrPaused means that all endpoints that could take the request have asked for no requests for some time.
+	// ErrPaused means that all endpoints that could take the request have asked for no requests for some time, or have just failed.
 	ErrPaused = errors.New("all endpoints ask for no requests for now")
+	// ErrLimited means that all endpoints that could take the request have named limits, which leave it no place in time.
+	ErrLimited = errors.New("the endpoints' limits leave no place in time")
 )
 
 // RejectionError is the error of a rejected request. It holds the state of the endpoints and the queue when the request arrived.
 type RejectionError struct {
-	// Cause is ErrBusy, ErrNoEndpoint or ErrPaused, or a panic in the choice of an endpoint for the request.
+	// Cause is ErrBusy, ErrNoEndpoint, ErrPaused or ErrLimited, or a panic in the choice of an endpoint for the request.
 	Cause error
 	// Eligible is the number of endpoints that could take the request, regardless of their load. Ahead is the number of waiting
 	// requests that precede it.
 	Eligible, Ahead int
 	// ExpectedWait is the predicted wait behind the requests ahead.
 	ExpectedWait time.Duration
-	// PauseRemaining is the time until the first endpoint takes requests again, or 0 unless Cause is ErrPaused.
+	// PauseRemaining is the time until the first endpoint takes requests again, or 0 unless Cause is ErrPaused or ErrLimited, and 0 if other
+	// entries may have a place at an endpoint already.
 	PauseRemaining time.Duration
+	// Limited is the number of endpoints that could take the request and have named limits, and Grants the number of requests that the endpoints
+	// take in the request's time. Both are 0 unless Cause is ErrPaused or ErrLimited.
+	Limited, Grants int
 }
 
 // Error returns the text of the cause.
@@ -127,9 +133,13 @@
 			return l, nil, false
 		}
 	}
-	rejection := &RejectionError{Cause: ErrBusy, Eligible: a.Fleet.CountUsable(w.requirements), Ahead: ahead, ExpectedWait: a.predictWait(now, ahead)}
-	if paused, ok := a.pauseRejection(w.requirements, w.grantBy, now); ok {
-		return nil, paused, false
+	forecast, known := a.forecast(w, now, ahead)
+	if closed, ok := closedRejection(forecast, known, now, ahead); ok {
+		return nil, closed, false
+	}
+	rejection := &RejectionError{Cause: ErrBusy, Eligible: a.Fleet.CountUsable(w.requirements), Ahead: ahead}
+	if !known || !forecast.Bounded {
+		rejection.ExpectedWait = a.predictWait(now, ahead) // Limits tell more than the rate of recent grants.
 	}
 	noEndpoint := rejection.Eligible == 0 && !now.Before(w.grantBy)
 	if noEndpoint {
@@ -195,7 +205,7 @@
 		if !ok {
 			break
 		}
-		l, rejection, usable := a.decide(w, now)
+		l, rejection, usable := a.decide(w, now, len(unservable))
 		if l != nil {
 			a.waiting.Pop()
 			a.recordGrant(now)
@@ -220,7 +230,7 @@
 
 // decide returns a lease for a waiting request, or the reason why it can't get one in time any more, or whether there is an endpoint that may take it
 // later. A panic ends the wait of this request only: the retry is made on behalf of all that wait, and often by a request that has just ended.
-func (a *Admitter) decide(w *waiter, now time.Time) (lease *railfleet.Lease, rejection error, usable bool) {
+func (a *Admitter) decide(w *waiter, now time.Time, ahead int) (lease *railfleet.Lease, rejection error, usable bool) {
 	defer func() {
 		if p := railpanic.Recovered(recover(), a.Log, unitWaiting); p != nil {
 			rejection = &RejectionError{Cause: p}
@@ -232,8 +242,9 @@
 	if l, ok := a.reserve(w.requirements, w.grantBy, now); ok {
 		return l, nil, true
 	}
-	if paused, ok := a.pauseRejection(w.requirements, w.grantBy, now); ok {
-		return nil, paused, true
+	forecast, known := a.forecast(w, now, ahead)
+	if closed, ok := closedRejection(forecast, known, now, ahead); ok {
+		return nil, closed, true
 	}
 	return nil, nil, a.Fleet.CountUsable(w.requirements) > 0
 }
@@ -286,14 +297,30 @@
 	}
 }
 
-// pauseRejection returns the rejection of a request that no endpoint can take before grantBy, because all that could have asked for no
-// requests until later.
-func (a *Admitter) pauseRejection(requirements railfleet.Requirements, grantBy, now time.Time) (*RejectionError, bool) {
-	end, ok := a.Fleet.FirstPauseEnd(requirements)
-	if !ok || end.Before(grantBy) {
+// forecast returns how much of a request and those ahead of it the endpoints take in its time. Each of them may be granted up to pollInterval after
+// an endpoint opens for it.
+func (a *Admitter) forecast(w *waiter, now time.Time, ahead int) (railfleet.Forecast, bool) {
+	by := w.grantBy.Add(-time.Duration(ahead+1) * pollInterval)
+	if by.Before(now) {
+		by = now
+	}
+	return a.Fleet.Forecast(w.requirements, by, ahead+1)
+}
+
+// closedRejection returns the rejection of a request that no endpoint can take in time, because all that could have asked for no requests until
+// later, have just failed, or have named limits that leave no place behind the requests ahead.
+func closedRejection(forecast railfleet.Forecast, known bool, now time.Time, ahead int) (*RejectionError, bool) {
+	if !known || forecast.Own > 0 && forecast.Total > ahead {
 		return nil, false
 	}
-	return &RejectionError{Cause: ErrPaused, PauseRemaining: end.Sub(now)}, true
+	rejection := &RejectionError{Cause: ErrPaused, Ahead: ahead, Limited: forecast.Limited, Grants: forecast.Total}
+	if forecast.Limited > 0 {
+		rejection.Cause = ErrLimited
+	}
+	if !forecast.Elsewhere && !forecast.OpensAt.IsZero() {
+		rejection.PauseRemaining = max(forecast.OpensAt.Sub(now), 0)
+	}
+	return rejection, true
 }
 
 // reserve tries to reserve capacity at an endpoint under the current configuration. The time left until grantBy extends
