--- a/internal/limit/railsends/history.go
+++ b/internal/limit/railsends/history.go
@@ -32,14 +32,18 @@
 	return opensAt(h.sends, q, now)
 }
 
-// CountBy returns how many requests the quota allows from now until the given time, or atMost if that is less.
-func (h *History) CountBy(q railquota.Quota, now, by time.Time, atMost int) int {
+// CountBy returns how many requests the quota allows between two times, or atMost if that is less. Each of them but one that may be sent at once
+// is sent after a delay.
+func (h *History) CountBy(q railquota.Quota, from, by time.Time, delay time.Duration, atMost int) int {
 	if q.Requests <= 0 {
 		return 0
 	}
 	sends := slices.Clone(h.sends)
 	for n := range atMost {
-		next := opensAt(sends, q, now)
+		next := opensAt(sends, q, from)
+		if next.After(from) {
+			next = next.Add(delay)
+		}
 		if next.After(by) {
 			return n
 		}
--- a/internal/limit/railsends/history_test.go
+++ b/internal/limit/railsends/history_test.go
@@ -44,13 +44,14 @@
 	q := railquota.Quota{Requests: 2, Window: 4 * time.Second}
 	var h railsends.History
 	now := time.Now()
-	qt.Check(t, h.CountBy(q, now, now, 9), qt.Equals, 1)
-	qt.Check(t, h.CountBy(q, now, now.Add(time.Second), 9), qt.Equals, 2)
+	qt.Check(t, h.CountBy(q, now, now, 0, 9), qt.Equals, 1)
+	qt.Check(t, h.CountBy(q, now, now.Add(time.Second), 0, 9), qt.Equals, 2)
 	h.Record(q, now)
-	qt.Check(t, h.CountBy(q, now, now.Add(999*time.Millisecond), 9), qt.Equals, 0)
-	qt.Check(t, h.CountBy(q, now, now.Add(4*time.Second), 9), qt.Equals, 2)
-	qt.Check(t, h.CountBy(q, now, now.Add(time.Hour), 9), qt.Equals, 9)
-	qt.Check(t, h.CountBy(railquota.Quota{Window: time.Second}, now, now.Add(time.Hour), 9), qt.Equals, 0)
+	qt.Check(t, h.CountBy(q, now, now.Add(999*time.Millisecond), 0, 9), qt.Equals, 0)
+	qt.Check(t, h.CountBy(q, now, now.Add(4*time.Second), 0, 9), qt.Equals, 2)
+	qt.Check(t, h.CountBy(q, now, now.Add(time.Hour), 0, 9), qt.Equals, 9)
+	qt.Check(t, h.CountBy(railquota.Quota{Window: time.Second}, now, now.Add(time.Hour), 0, 9), qt.Equals, 0)
+	qt.Check(t, h.CountBy(q, now, now.Add(4*time.Second), time.Millisecond, 9), qt.Equals, 1, qt.Commentf("the second is late"))
 	qt.Check(t, h.Count(q, now.Add(time.Second)), qt.Equals, 1)
 	qt.Check(t, h.Count(q, now.Add(4*time.Second)), qt.Equals, 0)
 }
--- a/internal/membership/railfleet/forecast.go
+++ b/internal/membership/railfleet/forecast.go
@@ -17,19 +17,20 @@
 	Bounded bool
 }
 
-// Forecast counts up to atMost requests that endpoints take by the given time, regardless of their load. It returns false if no endpoint could
-// serve the request, or if that may change at any time.
-func (f *Fleet) Forecast(req Requirements, by time.Time, atMost int) (Forecast, bool) {
+// Forecast counts up to atMost requests that endpoints take by the given time, regardless of their load, if each is sent up to delay after an endpoint
+// opens for it. It returns false if no endpoint could serve the request, or if that may change at any time.
+func (f *Fleet) Forecast(req Requirements, by time.Time, delay time.Duration, atMost int) (Forecast, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now, known := time.Now(), false
+	by = latest(by, now) // An endpoint that is open now counts for a request that can't wait, too.
 	forecast := Forecast{Bounded: true}
 	for _, e := range f.endpoints {
 		if e.Service != req.Backend.Name || e.Draining {
 			continue
 		}
 		o := f.opening(e, req.Backend, now)
-		grants := e.countGrants(o, by, atMost)
+		grants := e.countGrants(o, now, by, delay, atMost)
 		forecast.Total = min(forecast.Total+grants, atMost)
 		forecast.Bounded = forecast.Bounded && (o.limited || grants == 0)
 		switch {
@@ -65,12 +66,16 @@
 }
 
 // countGrants returns the number of requests that an endpoint takes from this entry by the given time, or atMost if that is less.
-func (e *endpoint) countGrants(o opening, by time.Time, atMost int) int {
+func (e *endpoint) countGrants(o opening, now, by time.Time, delay time.Duration, atMost int) int {
+	from := o.at
+	if o.at.After(now) {
+		from = o.at.Add(delay)
+	}
 	switch {
-	case o.at.IsZero() || o.at.After(by):
+	case o.at.IsZero() || from.After(by):
 		return 0
 	case o.limited:
-		return e.report.sends.CountBy(o.quota, o.at, by, atMost)
+		return e.report.sends.CountBy(o.quota, from, by, delay, atMost)
 	}
 	return atMost
 }
--- a/internal/routing/railadmitter/admitter.go
+++ b/internal/routing/railadmitter/admitter.go
@@ -19,7 +19,9 @@
 	pollInterval = 25 * time.Millisecond
 	// minWakeInterval is the least time between two retries, however many changes are reported.
 	minWakeInterval = 2 * time.Millisecond
-	rateWindow      = time.Second
+	// maxGrantDelay is the longest time until a retry after an endpoint has opened without a change that is reported.
+	maxGrantDelay = pollInterval + minWakeInterval
+	rateWindow    = time.Second
 	// dropCheckInterval is the interval at which all waiting requests are checked for being dropped by the configuration. Those that are to be granted
 	// a lease are always checked.
 	dropCheckInterval = 100 * time.Millisecond
@@ -133,7 +135,7 @@
 			return l, nil, false
 		}
 	}
-	forecast, known := a.forecast(w, now, ahead)
+	forecast, known := a.Fleet.Forecast(w.requirements, w.grantBy, maxGrantDelay, ahead+1)
 	if closed, ok := closedRejection(forecast, known, now, ahead); ok {
 		return nil, closed, false
 	}
@@ -242,7 +244,7 @@
 	if l, ok := a.reserve(w.requirements, w.grantBy, now); ok {
 		return l, nil, true
 	}
-	forecast, known := a.forecast(w, now, ahead)
+	forecast, known := a.Fleet.Forecast(w.requirements, w.grantBy, maxGrantDelay, ahead+1)
 	if closed, ok := closedRejection(forecast, known, now, ahead); ok {
 		return nil, closed, true
 	}
@@ -297,16 +299,6 @@
 	}
 }
 
-// forecast returns how much of a request and those ahead of it the endpoints take in its time. Each of them may be granted up to pollInterval after
-// an endpoint opens for it.
-func (a *Admitter) forecast(w *waiter, now time.Time, ahead int) (railfleet.Forecast, bool) {
-	by := w.grantBy.Add(-time.Duration(ahead+1) * pollInterval)
-	if by.Before(now) {
-		by = now
-	}
-	return a.Fleet.Forecast(w.requirements, by, ahead+1)
-}
-
 // closedRejection returns the rejection of a request that no endpoint can take in time, because all that could have asked for no requests until
 // later, have just failed, or have named limits that leave no place behind the requests ahead.
 func closedRejection(forecast railfleet.Forecast, known bool, now time.Time, ahead int) (*RejectionError, bool) {
