Let gateways lend each other parts of their shares of a limit

A gateway that has no endpoint for a request, but would with a greater share, asks one of those that have one (QuotaLoan, a datagram), and others one after the other if that lends nothing, five at most; the request waits meanwhile, for one round trip in the usual case. The lender counts the request in its own share as one sent at the end of the loan's time (0.2 s from the question on, by the borrower's clock), before it answers. So the bound holds whatever is lost, late, frozen or ended: a lost answer costs the place for a window. While nobody lends, the pause between questions doubles from 0.1 s up to 2 s, so that gateways whose shares are all in use send a few questions each second and callers are refused at once. The entries that have a share are the same that railentries counts.

A digest holds at most 200 limits, as it has to fit into a datagram.

--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -123,6 +123,9 @@
 	}
 	g.frontend.Fleet = g.fleet
 	socket := &raildatagram.Socket{Conn: packetConn, Log: raillog.Named(p.Log, "datagrams")}
+	g.fleet.Holders, g.fleet.Ask = g.entries.Holders, func(entry string, loan *railproto.QuotaLoan) {
+		socket.Send(&railproto.Datagram{Content: &railproto.Datagram_Loan{Loan: loan}}, g.entryAddress(entry)...)
+	}
 	timer := &railtimer.Service{}
 	broadcaster := &railloadbroadcast.Broadcaster{
 		Name: site.Process.Name, Incarnation: rand.Uint32(), Source: g.fleet, Timer: timer, Send: func(digest *railproto.LoadDigest) {
@@ -140,7 +143,12 @@
 	go timer.Run(workCtx)
 	go broadcaster.Run(workCtx)
 	go g.shareQuarantine(workCtx, socket, timer)
-	go socket.Receive(workCtx, g.handleDatagram)
+	go socket.Receive(workCtx, func(from net.Addr, datagram *railproto.Datagram) {
+		g.handleDatagram(from, datagram)
+		if loan := datagram.GetLoan(); loan != nil {
+			g.handleLoan(socket, from, loan)
+		}
+	})
 	go g.publishEntryRow(workCtx)
 	if err := g.serveInternal(workCtx, internalListener); err != nil {
 		return err
@@ -268,6 +276,20 @@
 	return g.peerAddrs
 }
 
+// entryAddress returns the address of an entry in a list, which is empty if it is not known.
+func (g *gateway) entryAddress(name string) []*net.UDPAddr {
+	members, _ := g.entries.Members()
+	return raildatagram.Addresses(slices.DeleteFunc(slices.Clone(members), func(m railmember.Member) bool { return m.Name != name }))
+}
+
+// handleLoan answers another entry that asks for a part of an endpoint's limit, or applies the answer to this entry.
+func (g *gateway) handleLoan(socket *raildatagram.Socket, from net.Addr, loan *railproto.QuotaLoan) {
+	answer := g.fleet.HandleLoan(loan)
+	if to, ok := from.(*net.UDPAddr); ok && answer != nil {
+		socket.Send(&railproto.Datagram{Content: &railproto.Datagram_Loan{Loan: answer}}, to)
+	}
+}
+
 func (g *gateway) members() []railmember.Member {
 	members, _ := g.entries.Members()
 	return members
--- a/internal/limit/railsends/history.go
+++ b/internal/limit/railsends/history.go
@@ -12,9 +12,9 @@
 	sends []time.Time
 }
 
-// Record records a request that was sent at the given time, and drops those that are older than it by the quota's window or more.
-func (h *History) Record(q railquota.Quota, sentAt time.Time) {
-	h.drop(sentAt.Add(-q.Window))
+// Record records a request that was sent at the given time, or will have been sent by then, and drops those that have left the quota's window.
+func (h *History) Record(q railquota.Quota, now, sentAt time.Time) {
+	h.drop(now.Add(-q.Window))
 	h.sends = append(h.sends, sentAt)
 	slices.SortFunc(h.sends, time.Time.Compare) // The last one may be that of a request that was sent before the limit was known.
 }
--- a/internal/limit/railsends/history_test.go
+++ b/internal/limit/railsends/history_test.go
@@ -21,7 +21,7 @@
 		for range 5000 {
 			now = now.Add(time.Duration(r.Int64N(int64(100 * time.Millisecond))))
 			if h.OpensAt(q, now).Equal(now) {
-				h.Record(q, now)
+				h.Record(q, now, now)
 				sends = append(sends, now)
 			}
 		}
@@ -36,7 +36,7 @@
 	q := railquota.Quota{Requests: 10, Window: 4 * time.Second}
 	var h railsends.History
 	now := time.Now()
-	h.Record(q, now)
+	h.Record(q, now, now)
 	qt.Check(t, h.OpensAt(q, now), qt.Equals, now.Add(200*time.Millisecond))
 }
 
@@ -46,7 +46,7 @@
 	now := time.Now()
 	qt.Check(t, h.CountBy(q, now, now, 0, 9), qt.Equals, 1)
 	qt.Check(t, h.CountBy(q, now, now.Add(time.Second), 0, 9), qt.Equals, 2)
-	h.Record(q, now)
+	h.Record(q, now, now)
 	qt.Check(t, h.CountBy(q, now, now.Add(999*time.Millisecond), 0, 9), qt.Equals, 0)
 	qt.Check(t, h.CountBy(q, now, now.Add(4*time.Second), 0, 9), qt.Equals, 2)
 	qt.Check(t, h.CountBy(q, now, now.Add(time.Hour), 0, 9), qt.Equals, 9)
--- a/internal/membership/railentries/entries.go
+++ b/internal/membership/railentries/entries.go
@@ -87,6 +87,22 @@
 	return share
 }
 
+// Holders returns the names of the other entries that have a share of a total.
+func (e *Entries) Holders(endpoint string, total int) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.loaded {
+		return nil
+	}
+	e.expire()
+	holders := e.names
+	if total < len(e.names) {
+		byName := railhash.Ranking[string]{Name: func(name string) string { return name }}
+		holders = byName.Top(endpoint, e.names, total)
+	}
+	return slices.DeleteFunc(slices.Clone(holders), func(name string) bool { return name == e.Self })
+}
+
 // computeShare divides the total evenly; the remainder goes to the entries that rank first for the endpoint.
 func (e *Entries) computeShare(key shareKey) int {
 	base, remainder := key.total/len(e.names), key.total%len(e.names)
--- a/internal/membership/railentries/entries_test.go
+++ b/internal/membership/railentries/entries_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"slices"
 	"testing"
 	"time"
 
@@ -41,6 +42,26 @@
 	}
 }
 
+func TestHoldersAreTheOthersWithAShare(t *testing.T) {
+	for _, n := range []int{1, 2, 17, 39, 40, 100} {
+		var want []string
+		for _, m := range members(n) {
+			e := newEntries(m.Name)
+			e.SetMembers(members(n))
+			if e.Share("i-1", total) > 0 && m.Name != "entry-0" {
+				want = append(want, m.Name)
+			}
+		}
+		e := newEntries("entry-0")
+		qt.Check(t, e.Holders("i-1", total), qt.HasLen, 0)
+		e.SetMembers(members(n))
+		got := e.Holders("i-1", total)
+		slices.Sort(got)
+		slices.Sort(want)
+		qt.Check(t, len(got) == len(want) && slices.Equal(got, want), qt.IsTrue, qt.Commentf("%d entries: %v, want %v", n, got, want))
+	}
+}
+
 // Guards against overloading cold engines after a power loss of all VMs. All entries start at the same time, and each one read
 // the configuration before the list of entries: a cold engine that accepts 44 requests per second got 47.
 func TestShareIsZeroBeforeEntryListIsLoaded(t *testing.T) {
--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/routing/railhash"
 	"github.com/fulmarrail/fulmarrail/internal/store/railstoreclock"
 	"github.com/fulmarrail/fulmarrail/internal/store/railversion"
+	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
 
 const (
@@ -45,6 +46,10 @@
 	ColdOvershoot, ColdSlack float64
 	// Share returns this entry's share of the total requests per second that an endpoint accepts from all entries together.
 	Share func(endpoint string, total int) int
+	// Holders returns the names of the other entries that have a share of a total, and Ask sends one of them a question for a loan, which may
+	// be lost. Without Ask, this entry keeps to its own share.
+	Holders func(endpoint string, total int) []string
+	Ask     func(entry string, loan *railproto.QuotaLoan)
 	// OnChange is called after each change that may free capacity for a queued request.
 	OnChange func()
 	// OnRestart is called with the ID of an endpoint that has started again, or whose address another one has taken over. It may be nil.
@@ -64,6 +69,7 @@
 	// peerLoads holds the sum of the other entries' loads by endpoint hash.
 	peerLoads     map[uint32]railenginelatency.Load
 	sequence      uint64
+	borrower      borrower
 	once          sync.Once
 	loadIncreased chan struct{}
 }
@@ -180,6 +186,7 @@
 		}
 	}
 	if best == nil {
+		f.borrow(req, now)
 		return nil, false
 	}
 	return f.newLease(best, req, earliest, now), true
--- a/internal/membership/railfleet/limits.go
+++ b/internal/membership/railfleet/limits.go
@@ -71,14 +71,18 @@
 	return true
 }
 
-// countSend counts the request within the endpoint's limit, once there is one.
+// countSend counts the request within the endpoint's limit, once there is one: in this entry's share, or as a loan from another's.
 func (l *Lease) countSend(now time.Time) {
 	quota, limited := l.fleet.limitQuota(l.endpoint, now)
 	if !limited || l.counted {
 		return
 	}
 	l.counted = true
-	l.endpoint.report.sends.Record(quota, l.grantedAt)
+	slot := l.endpoint.report
+	if l.grantedAt.Equal(now) && !slot.open(quota, now) && slot.takeLoan(now) {
+		return
+	}
+	slot.sends.Record(quota, now, l.grantedAt)
 }
 
 // changeLimit changes what an endpoint's report says of its limit, and logs it if that begins, changes or ends the limit.
--- a/internal/membership/railfleet/limits_load_test.go
+++ b/internal/membership/railfleet/limits_load_test.go
@@ -1,6 +1,7 @@
 package railfleet_test
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -18,6 +19,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railfleet"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
+	"github.com/fulmarrail/fulmarrail/internal/routing/railadmitter"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railloadbroadcast"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
@@ -32,14 +34,16 @@
 	knownAfter     = 500 * time.Millisecond
 
 	limitedLoadTime = 20 * time.Second
-	digestDelay     = 3 * time.Millisecond
+	datagramDelay   = 3 * time.Millisecond
+	// limitedWait is the time for which a request may wait for an engine.
+	limitedWait = 300 * time.Millisecond
 )
 
 // limitedEngine names a limit in all its responses.
 type limitedEngine struct {
 	limit      float64
 	firstNamed time.Time
-	// arrivals holds the times of requests from gateways that had got a response with the limit by then.
+	// arrivals holds the times of requests from gateways that had got a response with the limit by then, and of all if no datagrams are lost.
 	arrivals []time.Time
 	served   int
 	// knownBy holds the time of the first response with the limit by gateway.
@@ -48,15 +52,25 @@
 
 // limitedLoad is a deployment of gateways before engines with limits.
 type limitedLoad struct {
-	gateways []*railfleet.Fleet
+	gateways  []*railfleet.Fleet
+	admitters []*railadmitter.Admitter
+	// lends is set if gateways lend each other parts of their shares.
+	lends bool
+	// loss is the share of datagrams that are lost.
+	loss float64
+
+	members []railmember.Member
+	entries []*railentries.Entries
+
+	// randomMu guards random and the range of the gateways that run.
+	randomMu sync.Mutex
+	random   *rand.Rand
+	from, to int
 
 	// mu guards all below and the engines' state.
 	mu      sync.Mutex
-	random  *rand.Rand
 	engines map[string]*limitedEngine
-	// digestLoss is the share of digests that are lost.
-	digestLoss float64
-	asked      int
+	asked   int
 }
 
 // newLimitedLoad returns a deployment whose gateways all know each other.
@@ -68,20 +82,37 @@
 		list = append(list, railinstance.Instance{ID: id, Service: "engines", Address: id, Slots: 16})
 		load.engines[id] = &limitedEngine{limit: limit, knownBy: map[int]time.Time{}}
 	}
-	var members []railmember.Member
 	for i := range gateways {
-		members = append(members, railmember.Member{Name: fmt.Sprint("gateway-", i)})
+		load.members = append(load.members, railmember.Member{Name: fmt.Sprint("gateway-", i)})
 	}
-	for _, m := range members {
+	for _, m := range load.members {
 		entries := &railentries.Entries{Self: m.Name, Log: slog.New(slog.DiscardHandler)}
-		entries.SetMembers(members)
-		f := &railfleet.Fleet{Share: entries.Share, OnChange: func() {}, Log: slog.New(slog.DiscardHandler)}
+		entries.SetMembers(load.members)
+		load.entries = append(load.entries, entries)
+		f := &railfleet.Fleet{Share: entries.Share, Holders: entries.Holders, OnChange: func() {}, Log: slog.New(slog.DiscardHandler)}
 		f.SetInstances(list)
-		load.gateways = append(load.gateways, f)
+		a := &railadmitter.Admitter{Fleet: f}
+		f.OnChange = a.Wake
+		load.gateways, load.admitters = append(load.gateways, f), append(load.admitters, a)
 	}
+	load.setActive(0, gateways)
 	return load
 }
 
+// setActive lets only the gateways of a range run.
+func (load *limitedLoad) setActive(from, to int) {
+	load.randomMu.Lock()
+	defer load.randomMu.Unlock()
+	load.from, load.to = from, to
+}
+
+// list lets the gateways of a range know of the first n only.
+func (load *limitedLoad) list(n, from, to int) {
+	for _, e := range load.entries[from:to] {
+		e.SetMembers(load.members[:n])
+	}
+}
+
 // run plays a load of the given number of requests per second, spread evenly over the gateways.
 func (load *limitedLoad) run(t *testing.T, perSecond float64) {
 	timer := &railtimer.Service{}
@@ -89,45 +120,75 @@
 	for i, f := range load.gateways {
 		b := &railloadbroadcast.Broadcaster{Name: fmt.Sprint("gateway-", i), Source: f, Timer: timer, Send: func(d *railproto.LoadDigest) { load.spread(i, d) }}
 		go b.Run(t.Context())
+		if load.lends {
+			f.Ask = func(name string, loan *railproto.QuotaLoan) { load.ask(i, name, loan) }
+		}
 	}
 	for start := time.Now(); time.Since(start) < limitedLoadTime; {
-		load.mu.Lock()
-		pause, gateway := load.random.ExpFloat64()/perSecond, load.random.IntN(len(load.gateways))
-		load.mu.Unlock()
+		pause := draw(load, (*rand.Rand).ExpFloat64) / perSecond
+		gateway := draw(load, func(r *rand.Rand) int { return load.from + r.IntN(load.to-load.from) })
 		time.Sleep(time.Duration(pause * float64(time.Second)))
-		load.request(gateway)
+		go load.request(t.Context(), gateway)
 	}
 	time.Sleep(time.Second) // The last responses.
 }
 
 // spread sends a digest to the other gateways.
 func (load *limitedLoad) spread(from int, digest *railproto.LoadDigest) {
-	load.mu.Lock()
-	defer load.mu.Unlock()
 	for i, f := range load.gateways {
-		if i != from && load.random.Float64() >= load.digestLoss {
-			time.AfterFunc(digestDelay, func() { f.MergeDigest(digest) })
+		if i != from {
+			load.send(from, i, func() { f.MergeDigest(digest) })
 		}
 	}
 }
 
-// request lets a gateway send a request to an engine that may take it, if there is one.
-func (load *limitedLoad) request(gateway int) {
+// ask sends a question for a loan to a gateway, and the answer back.
+func (load *limitedLoad) ask(from int, name string, loan *railproto.QuotaLoan) {
+	var to int
+	if _, err := fmt.Sscanf(name, "gateway-%d", &to); err != nil {
+		panic(err)
+	}
+	load.send(from, to, func() {
+		answer := load.gateways[to].HandleLoan(loan)
+		load.send(to, from, func() { load.gateways[from].HandleLoan(answer) })
+	})
+}
+
+// send delivers a datagram between two gateways that run, unless it is lost.
+func (load *limitedLoad) send(from, to int, deliver func()) {
+	load.randomMu.Lock()
+	defer load.randomMu.Unlock()
+	runs := min(from, to) >= load.from && max(from, to) < load.to
+	if runs && load.random.Float64() >= load.loss {
+		time.AfterFunc(datagramDelay, deliver)
+	}
+}
+
+// draw calls a function of the source of random numbers.
+func draw[T any](load *limitedLoad, from func(*rand.Rand) T) T {
+	load.randomMu.Lock()
+	defer load.randomMu.Unlock()
+	return from(load.random)
+}
+
+// request lets a gateway send a request to an engine that may take it, if there is one in time.
+func (load *limitedLoad) request(ctx context.Context, gateway int) {
+	l, err := load.admitters[gateway].Acquire(ctx, railfleet.Requirements{
+		Backend: railbackend.Backend{Name: "engines"}, RegionAllowed: func(string) bool { return true }, ZoneOut: func(string) bool { return false },
+	}, 0, "", time.Now().Add(limitedWait))
 	load.mu.Lock()
 	defer load.mu.Unlock()
 	load.asked++
-	l, ok := load.gateways[gateway].Reserve(railfleet.Requirements{
-		Backend: railbackend.Backend{Name: "engines"}, RegionAllowed: func(string) bool { return true }, ZoneOut: func(string) bool { return false },
-	})
-	if !ok {
+	if err != nil {
 		return
 	}
 	e := load.engines[l.Instance.ID]
 	e.served++
-	if known, ok := e.knownBy[gateway]; ok && time.Since(known) >= knownAfter {
+	if known, ok := e.knownBy[gateway]; ok && time.Since(known) >= knownAfter || load.loss == 0 {
 		e.arrivals = append(e.arrivals, time.Now())
 	}
-	time.AfterFunc(time.Duration(50+load.random.IntN(250))*time.Millisecond, func() { load.respond(e, gateway, l) })
+	latency := draw(load, func(r *rand.Rand) int { return 50 + r.IntN(250) })
+	time.AfterFunc(time.Duration(latency)*time.Millisecond, func() { load.respond(e, gateway, l) })
 }
 
 // respond gives a gateway the response to a request, with the engine's limit.
@@ -160,6 +221,8 @@
 
 // served returns the number of requests that were sent to engines, and that which their limits allow in the whole time.
 func (load *limitedLoad) served() (served int, allowed float64) {
+	load.mu.Lock()
+	defer load.mu.Unlock()
 	for _, e := range load.engines {
 		served += e.served
 		allowed += e.limit * limitedLoadTime.Seconds()
@@ -170,6 +233,8 @@
 // checkLimits checks that no engine got more than its limit allows.
 func (load *limitedLoad) checkLimits(t *testing.T) {
 	t.Helper()
+	load.mu.Lock()
+	defer load.mu.Unlock()
 	for id, e := range load.engines {
 		allowed := limitOvershoot*e.limit*limitWindow.Seconds() + limitSlack
 		qt.Check(t, float64(e.worstWindow()) <= allowed, qt.IsTrue, qt.Commentf("%s got %d requests in %s, its limit of %v allows %v", id, e.worstWindow(), limitWindow, e.limit, allowed))
@@ -183,17 +248,48 @@
 	for _, gateways := range []int{6, 18, 60} {
 		for name, demand := range map[string]float64{"below": 6, "above": 60} {
 			for _, loss := range []float64{0, 0.3, 1} {
-				t.Run(fmt.Sprintf("%d gateways, demand %s, %v of digests lost", gateways, name, loss), func(t *testing.T) {
-					railvirtualtime.Test(t, func(t *testing.T) {
-						load := newLimitedLoad(gateways, limits, 1)
-						load.digestLoss = loss
-						load.run(t, demand)
-						load.checkLimits(t)
-						served, taken := load.served()
-						t.Logf("%d of %d served, the limits allow %.0f", served, load.asked, taken)
+				for _, lends := range []bool{false, true} {
+					t.Run(fmt.Sprintf("%d gateways, demand %s, %v of datagrams lost, lending %v", gateways, name, loss, lends), func(t *testing.T) {
+						railvirtualtime.Test(t, func(t *testing.T) {
+							load := newLimitedLoad(gateways, limits, 1)
+							load.loss, load.lends = loss, lends
+							load.run(t, demand)
+							load.checkLimits(t)
+							served, taken := load.served()
+							t.Logf("%d of %d served, the limits allow %.0f", served, load.asked, taken)
+							if loss == 0 {
+								qt.Check(t, float64(served) >= 0.8*min(taken, float64(load.asked)) || !lends, qt.IsTrue)
+							}
+						})
 					})
-				})
+				}
 			}
 		}
 	}
 }
+
+// Guards against gateways that send too much while their lists differ: some have joined that the others don't know yet, or have stopped but
+// are still listed.
+func TestGatewaysKeepToLimitsWhileOthersJoinAndStop(t *testing.T) {
+	const (
+		old, all, stopped = 6, 12, 3
+		changeAt          = 8 * time.Second
+		listDelay         = 2 * time.Second
+	)
+	for name, c := range map[string]struct{ from, to int }{"some join": {0, all}, "some stop": {stopped, old}, "both": {stopped, all}} {
+		t.Run(name, func(t *testing.T) {
+			railvirtualtime.Test(t, func(t *testing.T) {
+				load := newLimitedLoad(all, []float64{0.5, 1, 1.5, 3.2}, 1)
+				load.lends = true
+				load.list(old, 0, old)
+				load.setActive(0, old)
+				time.AfterFunc(changeAt, func() { load.setActive(c.from, c.to) })
+				time.AfterFunc(changeAt+listDelay, func() { load.list(c.to, 0, old) })
+				load.run(t, 40)
+				load.checkLimits(t)
+				served, taken := load.served()
+				t.Logf("%d of %d served, the limits allow %.0f", served, load.asked, taken)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/membership/railfleet/loans.go
@@ -0,0 +1,184 @@
+package railfleet
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/fulmarrail/fulmarrail/internal/limit/railquota"
+	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
+)
+
+const (
+	// loanTime is the time since it was asked for in which a loan may be used.
+	loanTime = 200 * time.Millisecond
+	// loanTimeout is the time after which an entry that has not answered counts as one that lends nothing.
+	loanTimeout = 50 * time.Millisecond
+	// maxLoanAsks is the number of entries that are asked one after the other. If none of them lends, no other is asked for minLoanBackoff, which
+	// doubles up to maxLoanBackoff until a loan is granted: all shares are in use.
+	maxLoanAsks    = 5
+	minLoanBackoff = 100 * time.Millisecond
+	maxLoanBackoff = 2 * time.Second
+)
+
+var (
+	loansAsked   = metrics.GetOrCreateCounter(`fulmarrail_quota_loans_total{step="asked"}`)
+	loansGranted = metrics.GetOrCreateCounter(`fulmarrail_quota_loans_total{step="granted"}`)
+	loansLent    = metrics.GetOrCreateCounter(`fulmarrail_quota_loans_total{step="lent"}`)
+)
+
+// borrower asks other entries for parts of their shares. Only one of them is asked at a time.
+type borrower struct {
+	// id and instance are those of the question that is not answered yet, and askedAt its time, or zero if there is none.
+	id       uint64
+	instance uint32
+	askedAt  time.Time
+	// asks is the number of entries that were asked in vain one after the other, and backoff the time until blockedUntil after which others
+	// are asked.
+	asks         int
+	backoff      time.Duration
+	blockedUntil time.Time
+}
+
+// pending reports whether an entry that was asked for a loan at an instance may still answer.
+func (b *borrower) pending(instance uint32, now time.Time) bool {
+	return !b.askedAt.IsZero() && b.instance == instance && now.Sub(b.askedAt) < loanTimeout
+}
+
+// ready reports whether an entry may be asked now. A question without an answer counts as one that was asked in vain.
+func (b *borrower) ready(now time.Time) bool {
+	if !b.askedAt.IsZero() {
+		if now.Sub(b.askedAt) < loanTimeout {
+			return false
+		}
+		b.refused(now)
+	}
+	return !now.Before(b.blockedUntil)
+}
+
+// refused records that the entry that was asked lends nothing.
+func (b *borrower) refused(now time.Time) {
+	b.askedAt = time.Time{}
+	b.asks++
+	if b.asks < maxLoanAsks {
+		return
+	}
+	b.backoff = min(max(2*b.backoff, minLoanBackoff), maxLoanBackoff)
+	b.asks, b.blockedUntil = 0, now.Add(b.backoff)
+}
+
+// granted records a loan.
+func (b *borrower) granted() {
+	b.askedAt, b.asks, b.backoff = time.Time{}, 0, 0
+}
+
+// hasLoan reports whether a loan may be used now.
+func (s *reportSlot) hasLoan(now time.Time) bool {
+	for len(s.loans) > 0 && !now.Before(s.loans[0]) {
+		s.loans = s.loans[1:]
+	}
+	return len(s.loans) > 0
+}
+
+// takeLoan uses a loan. It reports whether there was one.
+func (s *reportSlot) takeLoan(now time.Time) bool {
+	if !s.hasLoan(now) {
+		return false
+	}
+	s.loans = s.loans[1:]
+	return true
+}
+
+// open reports whether this entry's share allows a request now.
+func (s *reportSlot) open(q railquota.Quota, now time.Time) bool {
+	return q.Requests > 0 && !s.sends.OpensAt(q, now).After(now)
+}
+
+// borrow asks another entry for a part of its share, for a request that no endpoint takes from this entry now.
+func (f *Fleet) borrow(req Requirements, now time.Time) {
+	if f.Ask == nil || !f.borrower.ready(now) {
+		return
+	}
+	e := f.pickBorrowable(req, now)
+	if e == nil {
+		return
+	}
+	perSecond, _ := e.report.Load().Limit(now)
+	holders := f.Holders(e.ID, railquota.ForRate(perSecond).Requests)
+	if len(holders) == 0 {
+		return
+	}
+	f.borrower.id, f.borrower.instance, f.borrower.askedAt = rand.Uint64(), e.instanceHash, now
+	loansAsked.Inc()
+	f.Ask(holders[rand.IntN(len(holders))], &railproto.QuotaLoan{Instance: e.instanceHash, Id: f.borrower.id})
+}
+
+// pickBorrowable returns one of the endpoints that would take a request if this entry had a greater share of their limits, or nil.
+func (f *Fleet) pickBorrowable(req Requirements, now time.Time) *endpoint {
+	var picked *endpoint
+	n := 0
+	for _, e := range f.endpoints {
+		if !e.eligible(req) || req.Tried[e.ID] || now.Before(e.backoffUntil) || e.report.Load().Paused(now) {
+			continue
+		}
+		quota, limited := f.limitQuota(e, now)
+		if !limited || e.report.open(quota, now) || e.report.hasLoan(now) {
+			continue
+		}
+		n++
+		if rand.IntN(n) == 0 {
+			picked = e
+		}
+	}
+	return picked
+}
+
+// HandleLoan answers another entry that asks for a loan, or applies the answer to this one. It returns the answer, or nil if there is none to
+// send.
+func (f *Fleet) HandleLoan(loan *railproto.QuotaLoan) *railproto.QuotaLoan {
+	if !loan.GetAnswer() {
+		return &railproto.QuotaLoan{Instance: loan.GetInstance(), Id: loan.GetId(), Answer: true, Granted: f.lend(loan.GetInstance())}
+	}
+	if f.applyLoan(loan) {
+		f.OnChange()
+	}
+	return nil
+}
+
+// lend gives up one request of this entry's share for the time in which the other one may send it. It reports false if the share has no room.
+func (f *Fleet) lend(instance uint32) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, now := f.instances[instance], time.Now()
+	if e == nil {
+		return false
+	}
+	quota, limited := f.limitQuota(e, now)
+	if !limited || !e.report.open(quota, now) {
+		return false
+	}
+	e.report.sends.Record(quota, now, now.Add(loanTime))
+	loansLent.Inc()
+	return true
+}
+
+// applyLoan applies the answer to the question that this entry has asked. It reports whether it was that.
+func (f *Fleet) applyLoan(loan *railproto.QuotaLoan) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b, now := &f.borrower, time.Now()
+	if b.askedAt.IsZero() || b.id != loan.GetId() || b.instance != loan.GetInstance() {
+		return false
+	}
+	if !loan.GetGranted() {
+		b.refused(now)
+		return true
+	}
+	if e := f.instances[loan.GetInstance()]; e != nil {
+		e.report.loans = append(e.report.loans, b.askedAt.Add(loanTime))
+	}
+	b.granted()
+	loansGranted.Inc()
+	return true
+}
--- a/internal/membership/railfleet/opening.go
+++ b/internal/membership/railfleet/opening.go
@@ -40,12 +40,14 @@
 		return o
 	}
 	switch {
+	case e.report.hasLoan(now):
 	case o.quota.Requests <= 0:
 		o.at = time.Time{}
 	case !o.at.IsZero():
 		o.at = latest(o.at, e.report.sends.OpensAt(o.quota, now))
 	}
 	o.asked = o.asked || !o.open(now)
+	o.uncertain = o.uncertain || !o.open(now) && f.borrower.pending(e.instanceHash, now)
 	return o
 }
 
--- a/internal/membership/railfleet/peerlimits.go
+++ b/internal/membership/railfleet/peerlimits.go
@@ -7,8 +7,12 @@
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
 
-// limitEndRepeats is the time for which digests repeat that a limit has ended, since they may be lost.
-const limitEndRepeats = 10 * time.Second
+const (
+	// limitEndRepeats is the time for which digests repeat that a limit has ended, since they may be lost.
+	limitEndRepeats = 10 * time.Second
+	// maxLimitsPerDigest bounds the size of a digest, which has to fit into a datagram. The order is random, so that later digests hold others.
+	maxLimitsPerDigest = 200
+)
 
 // AllLimits returns the limits that other entries should know of from this one: those of which it has the latest response. The others
 // repeat theirs, so that each limit is sent by about one entry, and by more while digests are lost.
@@ -18,8 +22,8 @@
 	now := time.Now()
 	var list []*railproto.EndpointLimit
 	for _, e := range f.endpoints {
-		e.report.limitUnreported = false
-		if e.report.repeatsLimit(now) {
+		if len(list) < maxLimitsPerDigest && e.report.repeatsLimit(now) {
+			e.report.limitUnreported = false
 			list = append(list, e.limitToProto(now))
 		}
 	}
@@ -34,7 +38,7 @@
 	now := time.Now()
 	var list []*railproto.EndpointLimit
 	for _, e := range f.endpoints {
-		if e.report.limitUnreported {
+		if len(list) < maxLimitsPerDigest && e.report.limitUnreported {
 			e.report.limitUnreported = false
 			list = append(list, e.limitToProto(now))
 		}
--- a/internal/membership/railfleet/selfreports.go
+++ b/internal/membership/railfleet/selfreports.go
@@ -31,6 +31,8 @@
 	// ended it. limitUnreported is set until the other entries are told of a change. They are guarded by the fleet's mutex.
 	heardLimitAt, limitEndSeen time.Time
 	limitUnreported            bool
+	// loans holds the times until which this entry may send one request each of other entries' shares. It is guarded by the fleet's mutex.
+	loans []time.Time
 	// unlistedSince is the time at which the instance left the list, or zero if it is listed.
 	unlistedSince time.Time
 }
