Spread a limit evenly from its beginning

What callers saw: while engines named limits, served requests swung with a period of 4 s, e.g. 598, 1203, 551 and 1155 in 2 s each on the large site at small size: all gateways began their windows when the limit did, used their shares in the first half of each window, and had none in the second. The requests that were in flight when the limit began counted in it too, and all left the window at the same time.

A gateway counts its share as used evenly in the window before a limit begins, shifted by a random part of the time between two requests, so that it has one place after the other from the start and gateways differ. What it had sent before counts no more; the rule gives a stable window for that. A share over 64 requests in a window is left unused, since it hardly binds.

TestFilledQuotaIsSentEvenly is new.

--- a/internal/limit/railsends/history.go
+++ b/internal/limit/railsends/history.go
@@ -7,6 +7,9 @@
 	"github.com/fulmarrail/fulmarrail/internal/limit/railquota"
 )
 
+// maxFilled is the greatest quota that Fill uses up. A greater one hardly binds, and its requests come in no bursts that matter.
+const maxFilled = 64
+
 // History holds the times of the latest requests that were sent to an endpoint. The zero value is empty. It is not safe for concurrent use.
 type History struct {
 	sends []time.Time
@@ -19,6 +22,20 @@
 	slices.SortFunc(h.sends, time.Time.Compare) // The last one may be that of a request that was sent before the limit was known.
 }
 
+// Fill replaces what is recorded by requests that use up the quota, spread evenly over its window before now. phase, from 0 to below 1, is the part
+// of the time between two of them that has passed since the last. A quota over maxFilled is left unused.
+func (h *History) Fill(q railquota.Quota, now time.Time, phase float64) {
+	h.sends = nil
+	if q.Requests <= 0 || q.Requests > maxFilled {
+		return
+	}
+	between := q.Window / time.Duration(q.Requests)
+	last := now.Add(-time.Duration(phase * float64(between)))
+	for n := range q.Requests {
+		h.sends = append(h.sends, last.Add(-time.Duration(q.Requests-1-n)*between))
+	}
+}
+
 func (h *History) drop(before time.Time) {
 	kept := slices.IndexFunc(h.sends, func(at time.Time) bool { return at.After(before) })
 	if kept < 0 {
--- a/internal/limit/railsends/history_test.go
+++ b/internal/limit/railsends/history_test.go
@@ -55,3 +55,18 @@
 	qt.Check(t, h.Count(q, now.Add(time.Second)), qt.Equals, 1)
 	qt.Check(t, h.Count(q, now.Add(4*time.Second)), qt.Equals, 0)
 }
+
+// Guards against a quota that is sent in the first half of each window, and by many senders at the same time.
+func TestFilledQuotaIsSentEvenly(t *testing.T) {
+	q := railquota.Quota{Requests: 4, Window: 4 * time.Second}
+	var h railsends.History
+	start := time.Now()
+	h.Fill(q, start, 0.75)
+	for n := range 12 {
+		at := start.Add(250*time.Millisecond + time.Duration(n)*time.Second)
+		qt.Assert(t, h.OpensAt(q, start), qt.Equals, at)
+		h.Record(q, at, at)
+	}
+	h.Fill(railquota.Quota{Requests: 1 << 20, Window: time.Second}, start, 0)
+	qt.Check(t, h.OpensAt(q, start), qt.Equals, start, qt.Commentf("a quota that hardly binds"))
+}
--- a/internal/membership/railfleet/lease.go
+++ b/internal/membership/railfleet/lease.go
@@ -36,8 +36,8 @@
 	endpoint    *endpoint
 	requestLoad railenginelatency.Load
 	grantedAt   time.Time
-	// started, done and counted are guarded by the fleet's mutex. counted is set once the request counts within the endpoint's limit.
-	started, done, counted bool
+	// started and done are guarded by the fleet's mutex.
+	started, done bool
 }
 
 func (f *Fleet) newLease(e *endpoint, req Requirements, predicted time.Duration, now time.Time) *Lease {
@@ -51,7 +51,7 @@
 	f.logResumption(e, now)
 	e.ownLoad = e.ownLoad.Add(l.requestLoad)
 	e.recentSends.Add(now)
-	l.countSend(now)
+	f.countSend(e, now)
 	f.markChanged(e)
 	f.signalIncrease()
 	return l
--- a/internal/membership/railfleet/limits.go
+++ b/internal/membership/railfleet/limits.go
@@ -1,6 +1,7 @@
 package railfleet
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -16,8 +17,9 @@
 
 const (
 	limitUnchanged limitChange = iota
-	// limitBegun means that an endpoint has named a limit, or another one.
 	limitBegun
+	// limitChanged means that an endpoint has named another limit.
+	limitChanged
 	limitEnded
 )
 
@@ -25,6 +27,10 @@
 	// sourceResponse and sourceEntry are the sources of a report: a response of the endpoint, or another entry.
 	sourceResponse = "response"
 	sourceEntry    = "entry"
+
+	// maxPhase is the longest part of the time between two requests that has passed when a limit begins. The rest keeps an endpoint in need from
+	// requests at once.
+	maxPhase = 0.8
 )
 
 // limitChange is how a report changes the limit of an endpoint.
@@ -38,13 +44,22 @@
 	})
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	l.countSend(now)
 	l.endpoint.report.heardLimitAt = now
+	if change == limitBegun {
+		f.beginLimit(l.endpoint, now)
+	}
 	if change != limitUnchanged {
 		f.markLimitChanged(l.endpoint)
 	}
 }
 
+// beginLimit counts this entry's share of a limit that has just begun as used evenly in the window before, so that the endpoint gets it evenly
+// from the start. Otherwise, the windows of all entries would begin at the same time, with all their shares at once.
+func (f *Fleet) beginLimit(e *endpoint, now time.Time) {
+	quota, _ := f.limitQuota(e, now)
+	e.report.sends.Fill(quota, now, maxPhase*rand.Float64())
+}
+
 // RecordNoLimit records that the endpoint has named no limit in a response.
 func (l *Lease) RecordNoLimit() {
 	if l.endpoint.report.Load().LimitNamedAt().IsZero() {
@@ -71,18 +86,13 @@
 	return true
 }
 
-// countSend counts the request within the endpoint's limit, once there is one: in this entry's share, or as a loan from another's.
-func (l *Lease) countSend(now time.Time) {
-	quota, limited := l.fleet.limitQuota(l.endpoint, now)
-	if !limited || l.counted {
-		return
-	}
-	l.counted = true
-	slot := l.endpoint.report
-	if l.grantedAt.Equal(now) && !slot.open(quota, now) && slot.takeLoan(now) {
+// countSend counts a request that is sent now within the endpoint's limit, if there is one: in this entry's share, or as a loan from another's.
+func (f *Fleet) countSend(e *endpoint, now time.Time) {
+	quota, limited := f.limitQuota(e, now)
+	if !limited || !e.report.open(quota, now) && e.report.takeLoan(now) {
 		return
 	}
-	slot.sends.Record(quota, now, l.grantedAt)
+	e.report.sends.Record(quota, now, now)
 }
 
 // changeLimit changes what an endpoint's report says of its limit, and logs it if that begins, changes or ends the limit.
@@ -94,6 +104,9 @@
 	case is && (!was || before != after):
 		limitReports.Inc()
 		f.Log.Info("endpoint limits requests", "endpoint", e.ID, "source", source, "row", railversion.String(e.RowVersion), "perSecond", after, "before", before)
+		if was {
+			return limitChanged
+		}
 		return limitBegun
 	case was && !is:
 		limitEndReports.Inc()
--- a/internal/membership/railfleet/loans_test.go
+++ b/internal/membership/railfleet/loans_test.go
@@ -43,6 +43,7 @@
 	l.RecordLimit(limit)
 	l.Done(railfleet.Answered)
 	p.lender.MergeDigest(&railproto.LoadDigest{Limits: p.borrower.ChangedLimits()})
+	time.Sleep(4 * time.Second) // The lender's share counts as used when the limit begins.
 	return p
 }
 
--- a/internal/membership/railfleet/peerlimits.go
+++ b/internal/membership/railfleet/peerlimits.go
@@ -94,11 +94,15 @@
 
 func (f *Fleet) mergeLimit(e *endpoint, l *railproto.EndpointLimit, now time.Time) limitChange {
 	age := func(millis uint32) time.Time { return now.Add(-time.Duration(millis) * time.Millisecond) }
-	return f.changeLimit(e, sourceEntry, now, func(r *railselfreport.SelfReport) *railselfreport.SelfReport {
+	change := f.changeLimit(e, sourceEntry, now, func(r *railselfreport.SelfReport) *railselfreport.SelfReport {
 		if l.GetEnded() {
 			return r.WithLimitEnd(age(l.GetEndedAgeMillis()))
 		}
 		namedAt := age(l.GetNamedAgeMillis())
 		return r.WithLimit(namedAt, namedAt, l.GetPerSecond())
 	})
+	if change == limitBegun {
+		f.beginLimit(e, now)
+	}
+	return change
 }
--- a/internal/routing/railadmitter/limit_test.go
+++ b/internal/routing/railadmitter/limit_test.go
@@ -133,7 +133,12 @@
 		t.Run(name, func(t *testing.T) {
 			railvirtualtime.Test(t, func(t *testing.T) {
 				a, requirements := newLimitedAdmitter(t, 1)
+				time.Sleep(4 * time.Second) // The share counts as used when the limit begins.
 				a.Fleet.Share = func(string, int) int { return c.share }
+				if c.share > 0 {
+					_, err := a.Acquire(t.Context(), requirements, 1, customer, time.Now())
+					qt.Assert(t, err, qt.IsNil)
+				}
 				_, err := a.Acquire(t.Context(), requirements, 1, customer, time.Now().Add(limitedWait))
 				var rejection *railadmitter.RejectionError
 				qt.Assert(t, errors.As(err, &rejection), qt.IsTrue)
