Look at few endpoints to see that limits bind nothing

Each retry of waiting requests counted what all endpoints take by their limits, though one open endpoint without a limit settles it, and each request without an endpoint looked for one whose limit it could borrow from, though none had named any. The forecast ends at the first open endpoint without a limit now, as FirstPauseEnd did, and borrowing begins with the first limit.

--- a/internal/membership/railfleet/benchmark_test.go
+++ b/internal/membership/railfleet/benchmark_test.go
@@ -1,9 +1,12 @@
 package railfleet_test
 
 import (
+	"slices"
 	"strconv"
 	"testing"
+	"time"
 
+	"github.com/fulmarrail/fulmarrail/internal/config/railbackend"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railfleet"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/routing/railhash"
@@ -32,3 +35,24 @@
 		l.Done(railfleet.Answered)
 	}
 }
+
+// BenchmarkChooseAmongLimitedEndpoints measures the choice among 1,700 endpoints that have all named limits, at one of 340 entries.
+func BenchmarkChooseAmongLimitedEndpoints(b *testing.B) {
+	const endpoints, gateways = 1700, 340
+	load := newLimitedLoad(gateways, slices.Repeat([]float64{3.2}, endpoints), 1)
+	f := load.gateways[0]
+	req := railfleet.Requirements{
+		Backend: railbackend.Backend{Name: "engines"}, RegionAllowed: func(string) bool { return true }, ZoneOut: func(string) bool { return false },
+	}
+	for range endpoints {
+		l, ok := f.Reserve(req)
+		if !ok {
+			break
+		}
+		l.RecordLimit(3.2)
+		l.Done(railfleet.Answered)
+	}
+	for b.Loop() {
+		_, _ = f.Forecast(req, time.Now().Add(time.Second), 0, 1)
+	}
+}
--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -70,6 +70,8 @@
 	peerLoads     map[uint32]railenginelatency.Load
 	sequence      uint64
 	borrower      borrower
+	// limitNamed is set once an endpoint has named a limit.
+	limitNamed bool
 	once          sync.Once
 	loadIncreased chan struct{}
 }
--- a/internal/membership/railfleet/forecast.go
+++ b/internal/membership/railfleet/forecast.go
@@ -18,7 +18,8 @@
 }
 
 // Forecast counts up to atMost requests that endpoints take by the given time, regardless of their load, if each is sent up to delay after an endpoint
-// opens for it. It returns false if no endpoint could serve the request, or if that may change at any time.
+// opens for it. It returns false if there is no bound: an endpoint without a limit opens in time, no endpoint could serve the request at all, or
+// that may change at any time.
 func (f *Fleet) Forecast(req Requirements, by time.Time, delay time.Duration, atMost int) (Forecast, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -39,7 +40,7 @@
 			// It gets the request no more, but may get it from the caller again.
 			known = known || o.asked
 			forecast = forecast.withOpening(o, o.asked)
-		case o.uncertain:
+		case o.uncertain || !o.limited && grants > 0:
 			return Forecast{}, false
 		default:
 			known = true
--- a/internal/membership/railfleet/limits.go
+++ b/internal/membership/railfleet/limits.go
@@ -56,6 +56,7 @@
 // beginLimit counts this entry's share of a limit that has just begun as used evenly in the window before, so that the endpoint gets it evenly
 // from the start. Otherwise, the windows of all entries would begin at the same time, with all their shares at once.
 func (f *Fleet) beginLimit(e *endpoint, now time.Time) {
+	f.limitNamed = true
 	quota, _ := f.limitQuota(e, now)
 	e.report.sends.Fill(quota, now, maxPhase*rand.Float64())
 }
--- a/internal/membership/railfleet/loans.go
+++ b/internal/membership/railfleet/loans.go
@@ -97,7 +97,7 @@
 
 // borrow asks another entry for a part of its share, for a request that no endpoint takes from this entry now.
 func (f *Fleet) borrow(req Requirements, now time.Time) {
-	if f.Ask == nil || !f.borrower.ready(now) {
+	if f.Ask == nil || !f.limitNamed || !f.borrower.ready(now) {
 		return
 	}
 	e := f.pickBorrowable(req, now)
