Describe limits that engines name, and show them in traces of refusals

The trace of a refused request shows the limits that held at its gateway, like pauses; the line that reports one says this gateway's share and window. TestTraceOfRefusedRequestShowsWhatEndpointsHaveSaidOfThemselves failed for the limit before.

--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -67,11 +67,11 @@
 	reports map[string]*reportSlot
 	peers   map[string]*peer
 	// peerLoads holds the sum of the other entries' loads by endpoint hash.
-	peerLoads     map[uint32]railenginelatency.Load
-	sequence      uint64
-	borrower      borrower
+	peerLoads map[uint32]railenginelatency.Load
+	sequence  uint64
+	borrower  borrower
 	// limitNamed is set once an endpoint has named a limit.
-	limitNamed bool
+	limitNamed    bool
 	once          sync.Once
 	loadIncreased chan struct{}
 }
--- a/internal/membership/railfleet/limits.go
+++ b/internal/membership/railfleet/limits.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/fulmarrail/fulmarrail/internal/limit/railquota"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railselfreport"
 	"github.com/fulmarrail/fulmarrail/internal/store/railversion"
 )
@@ -104,7 +105,9 @@
 	switch {
 	case is && (!was || before != after):
 		limitReports.Inc()
-		f.Log.Info("endpoint limits requests", "endpoint", e.ID, "source", source, "row", railversion.String(e.RowVersion), "perSecond", after, "before", before)
+		quota := railquota.ForRate(after)
+		f.Log.Info("endpoint limits requests", "endpoint", e.ID, "source", source, "row", railversion.String(e.RowVersion), "perSecond", after, "before", before,
+			"share", f.Share(e.ID, quota.Requests), "window", quota.Window)
 		if was {
 			return limitChanged
 		}
--- a/internal/membership/railfleet/loans_test.go
+++ b/internal/membership/railfleet/loans_test.go
@@ -95,7 +95,7 @@
 		qt.Assert(t, p.lender.HandleLoan(p.asked[0]).GetGranted(), qt.IsTrue)
 		time.Sleep(loanTime + 4*time.Second - 1)
 		qt.Check(t, p.reserve(p.lender), qt.IsFalse)
-		time.Sleep(1)
+		time.Sleep(time.Nanosecond)
 		qt.Check(t, p.reserve(p.lender), qt.IsTrue)
 	})
 }
--- a/internal/node/railgateway/handle.go
+++ b/internal/node/railgateway/handle.go
@@ -240,8 +240,10 @@
 	if !errors.As(err, &rejectionErr) {
 		return nil
 	}
-	return []any{"serving", rejectionErr.Eligible, "waiting", rejectionErr.Ahead, "expectedWait", rejectionErr.ExpectedWait, "pauseRemaining", rejectionErr.PauseRemaining,
-		"limited", rejectionErr.Limited, "grants", rejectionErr.Grants}
+	return []any{
+		"serving", rejectionErr.Eligible, "waiting", rejectionErr.Ahead, "expectedWait", rejectionErr.ExpectedWait, "pauseRemaining", rejectionErr.PauseRemaining,
+		"limited", rejectionErr.Limited, "grants", rejectionErr.Grants,
+	}
 }
 
 // quarantineTime returns the time for which parts of a rejected request's prompt are quarantined, or 0.
--- a/internal/report/railtrace/outcome.go
+++ b/internal/report/railtrace/outcome.go
@@ -15,6 +15,7 @@
 	// subjectLeaving and subjectPause are the subjects of what endpoints have said of themselves.
 	subjectLeaving = "leaving"
 	subjectPause   = "pause"
+	subjectLimit   = "limit"
 )
 
 // stateSubjects maps each message that reports a state to the subject of that state. The state lasts until the next message about
@@ -32,6 +33,8 @@
 	"fleet: endpoint is back after it had left": subjectLeaving,
 	"fleet: endpoint asks for no requests":      subjectPause,
 	"fleet: endpoint gets requests again":       subjectPause,
+	"fleet: endpoint limits requests":           subjectLimit,
+	"fleet: endpoint limits requests no more":   subjectLimit,
 	"admission: endpoint leaves":                subjectLeaving,
 	"admission: endpoint asks for no requests":  subjectPause,
 }
@@ -44,7 +47,7 @@
 // isSelfReport reports whether a message says what an endpoint has said of itself.
 func isSelfReport(message string) bool {
 	subject := stateSubjects[message]
-	return subject == subjectLeaving || subject == subjectPause
+	return subject == subjectLeaving || subject == subjectPause || subject == subjectLimit
 }
 
 func stateKeyOf(line raillogline.Line) stateKey {
--- a/internal/report/railtrace/trace_test.go
+++ b/internal/report/railtrace/trace_test.go
@@ -64,6 +64,7 @@
 {"time":"2026-10-08T07:45:03Z","level":"INFO","msg":"fleet: endpoint gets requests again","role":"gateway","name":"gw-1","endpoint":"e-2","source":"response","age":1000000000}
 {"time":"2026-10-08T07:45:50Z","level":"INFO","msg":"fleet: endpoint asks for no requests","role":"gateway","name":"gw-1","endpoint":"e-2","source":"response","age":0,"for":60000000000}
 {"time":"2026-10-08T07:45:50Z","level":"INFO","msg":"fleet: endpoint asks for no requests","role":"gateway","name":"gw-2","endpoint":"e-2","source":"response","age":0,"for":60000000000}
+{"time":"2026-10-08T07:45:51Z","level":"INFO","msg":"fleet: endpoint limits requests","role":"gateway","name":"gw-1","endpoint":"e-3","source":"entry","perSecond":0.5,"share":0,"window":4000000000}
 {"time":"2026-10-08T07:46:05.9Z","level":"INFO","msg":"front: request refused","role":"gateway","name":"gw-1","request":"aa11","status":503,"reason":"all endpoints ask for no requests for now"}
 `
 	trace := railtrace.New("aa11")
@@ -73,5 +74,5 @@
 	for _, line := range trace.RelatedLines {
 		shown = append(shown, line.Process+" "+line.Message+" "+line.Get("endpoint"))
 	}
-	qt.Check(t, shown, qt.DeepEquals, []string{"gw-1 fleet: endpoint leaves e-1", "gw-1 fleet: endpoint asks for no requests e-2"})
+	qt.Check(t, shown, qt.DeepEquals, []string{"gw-1 fleet: endpoint leaves e-1", "gw-1 fleet: endpoint asks for no requests e-2", "gw-1 fleet: endpoint limits requests e-3"})
 }
