--- a/internal/membership/railfleet/limits_load_test.go
+++ b/internal/membership/railfleet/limits_load_test.go
@@ -293,3 +293,23 @@
 		})
 	}
 }
+
+// Guards against an endpoint with next to no limit that gets a request from each gateway, and against one that never gets any again, so that nobody
+// learns of the end of its limit.
+func TestEndpointThatTakesNothingGetsALookFromOneGateway(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		load := newLimitedLoad(60, []float64{0, 0.05, 0.1}, 1)
+		load.lends = true
+		load.run(t, 40)
+		load.checkLimits(t)
+		for id, e := range load.engines {
+			looks := 0
+			for _, at := range e.arrivals {
+				if at.Sub(e.firstNamed) > limitGrace {
+					looks++
+				}
+			}
+			qt.Check(t, looks >= 1 && looks <= 2, qt.IsTrue, qt.Commentf("%s got %d requests in the %s after it had named its limit", id, looks, limitedLoadTime-limitGrace))
+		}
+	})
+}
