--- a/internal/membership/railfleet/opening.go
+++ b/internal/membership/railfleet/opening.go
@@ -34,7 +34,7 @@
 	said := e.report.Load()
 	o := opening{at: latest(now, e.backoffUntil, said.PausedUntil()), asked: said.Paused(now), uncertain: e.misdirected && now.Before(e.backoffUntil)}
 	if f.coldQuota(e, backend) <= 0 {
-		o.at, o.uncertain = time.Time{}, true // The list of entries is not known yet.
+		o.at, o.uncertain = time.Time{}, true // The share changes with the list of entries, which may not be known yet.
 	}
 	if o.quota, o.limited = f.limitQuota(e, now); !o.limited {
 		return o
