--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/routing/railhash"
 	"github.com/fulmarrail/fulmarrail/internal/store/railstoreclock"
 	"github.com/fulmarrail/fulmarrail/internal/store/railversion"
+	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
 
 const (
@@ -34,8 +35,6 @@
 	startMargin = 100 * time.Millisecond
 	// drainOverrun is the time for which responses may continue past the announced time of a weights change.
 	drainOverrun = time.Second
-	// coldShare is the fraction of an endpoint's cold limit that all entries together use.
-	coldShare = 0.9
 )
 
 // Fleet is the set of endpoints with their load. It is safe for concurrent use; its exported fields must be set before its first
@@ -49,6 +48,10 @@
 	Share func(endpoint string, total int) int
 	// RequireProofs keeps requests for engines from weights that SetProven has not named.
 	RequireProofs bool
+	// Holders returns the names of the other entries that have a share of a total, and Ask sends one of them a question for a loan, which may
+	// be lost. Without Ask, this entry keeps to its own share.
+	Holders func(endpoint string, total int) []string
+	Ask     func(entry string, loan *railproto.QuotaLoan)
 	// OnChange is called after each change that may free capacity for a queued request.
 	OnChange func()
 	// OnRestart is called with the ID of an endpoint that has started again, or whose address another one has taken over. It may be nil.
@@ -66,12 +69,17 @@
 	endpoints map[string]*endpoint
 	// proven holds the version of the proven weights by the address of the engine.
 	proven map[string]int64
+	// instances holds the endpoints by the hashes of their instances.
+	instances map[uint32]*endpoint
 	// reports holds the latest instance's report by the ID of the endpoint.
 	reports map[string]*reportSlot
 	peers   map[string]*peer
 	// peerLoads holds the sum of the other entries' loads by endpoint hash.
-	peerLoads     map[uint32]railenginelatency.Load
-	sequence      uint64
+	peerLoads map[uint32]railenginelatency.Load
+	sequence  uint64
+	borrower  borrower
+	// limitNamed is set once an endpoint has named a limit.
+	limitNamed    bool
 	once          sync.Once
 	loadIncreased chan struct{}
 }
@@ -120,6 +128,7 @@
 		f.reports = map[string]*reportSlot{}
 	}
 	endpoints := make(map[string]*endpoint, len(list))
+	instances := make(map[uint32]*endpoint, len(list))
 	addresses := make(map[string]bool, len(list))
 	for _, i := range list {
 		e := f.endpoints[i.ID]
@@ -132,7 +141,7 @@
 		}
 		e.update(i)
 		e.report = f.listedReport(i)
-		endpoints[i.ID] = e
+		endpoints[i.ID], instances[e.instanceHash] = e, e
 		addresses[i.Address] = true
 	}
 	f.expireReports(endpoints, time.Now())
@@ -145,7 +154,7 @@
 			restarted = append(restarted, id)
 		}
 	}
-	f.endpoints = endpoints
+	f.endpoints, f.instances = endpoints, instances
 	return restarted
 }
 
@@ -211,6 +220,7 @@
 		}
 	}
 	if best == nil {
+		f.borrow(req, now)
 		return nil, false
 	}
 	return f.newLease(best, req, earliest, now), true
@@ -264,20 +274,12 @@
 	return n
 }
 
-// usable reports whether an endpoint may get the request, regardless of its load.
-func (f *Fleet) usable(e *endpoint, req Requirements, now time.Time) bool {
-	if !e.eligible(req) || req.Tried[e.ID] || now.Before(e.backoffUntil) || e.report.Load().Paused(now) {
-		return false
-	}
-	return f.withinColdLimit(e, req.Backend, 0)
-}
-
 // predictStart predicts the time until the response starts, including the network penalty. It returns false if that is too late, if
 // the endpoint has no capacity for the request, if the prompt would delay the endpoint's other responses too long, or if the response
 // would continue past a planned change of the weights. Without a timing model, each request in flight adds one millisecond, so that
 // the least loaded endpoint is preferred.
 func (f *Fleet) predictStart(e *endpoint, req Requirements, now time.Time) (time.Duration, bool) {
-	if !f.withinColdLimit(e, req.Backend, e.recentSends.Count(now)) {
+	if e.recentSends.Count(now) >= f.coldQuota(e, req.Backend) {
 		return 0, false
 	}
 	load := e.ownLoad.Add(f.peersLoad(e.hash))
@@ -318,13 +320,3 @@
 	}
 	return 0
 }
-
-// withinColdLimit reports whether this entry may send one more request to an endpoint after having sent the given number in the
-// last second. The cold limit applies to warm endpoints too, since an endpoint may turn cold at any time.
-func (f *Fleet) withinColdLimit(e *endpoint, backend railbackend.Backend, sent int) bool {
-	if backend.ColdPerSecond <= 0 {
-		return true
-	}
-	limit := coldShare * (backend.ColdPerSecond*f.ColdOvershoot + f.ColdSlack)
-	return sent < f.Share(e.ID, int(limit))
-}
--- a/internal/membership/railfleet/lease.go
+++ b/internal/membership/railfleet/lease.go
@@ -56,12 +56,9 @@
 	f.logResumption(e, now)
 	e.ownLoad = e.ownLoad.Add(l.requestLoad)
 	e.recentSends.Add(now)
+	f.countSend(e, now)
 	f.markChanged(e)
-	f.once.Do(f.init)
-	select {
-	case f.loadIncreased <- struct{}{}:
-	default:
-	}
+	f.signalIncrease()
 	return l
 }
 
