Record what a response says in the report that its lease was granted with

A response's self-report was recorded through the endpoint's pointer to its report, which the next list of endpoints sets again under the fleet's mutex, while the response is recorded without it: a data race, seen in the race detector in TestSilenceEndsNoResponseThatOnlyItsEndpointCanGive once each response looked at the report for a limit. Server-Leaving and Retry-After had it before, but few responses name them. The lease keeps the report now, which belongs to the instance that answers; its row is that of the lease.

TestResponsesMayBeRecordedWhileListIsReplaced failed under the race detector for leaving and pause with the pointer of the endpoint.

--- a/internal/membership/railfleet/lease.go
+++ b/internal/membership/railfleet/lease.go
@@ -32,8 +32,10 @@
 	// Load is the load at the endpoint from all entries when the lease was granted, without this request.
 	Load railenginelatency.Load
 
-	fleet       *Fleet
-	endpoint    *endpoint
+	fleet    *Fleet
+	endpoint *endpoint
+	// report is the instance's report. endpoint's other fields are guarded by the fleet's mutex.
+	report      *reportSlot
 	requestLoad railenginelatency.Load
 	grantedAt   time.Time
 	// started and done are guarded by the fleet's mutex.
@@ -41,7 +43,7 @@
 }
 
 func (f *Fleet) newLease(e *endpoint, req Requirements, predicted time.Duration, now time.Time) *Lease {
-	l := &Lease{Instance: e.Instance, PredictedDelay: predicted, fleet: f, endpoint: e, requestLoad: railenginelatency.Load{Running: 1}, grantedAt: now, Load: e.ownLoad.Add(f.peersLoad(e.hash))}
+	l := &Lease{Instance: e.Instance, PredictedDelay: predicted, fleet: f, endpoint: e, report: e.report, requestLoad: railenginelatency.Load{Running: 1}, grantedAt: now, Load: e.ownLoad.Add(f.peersLoad(e.hash))}
 	if engine := req.Backend.Engine; engine != nil {
 		if e.WeightsVersion < req.DueVersion {
 			l.StartBy = req.DueAt.Add(-startMargin - engine.Timing.MaxPassTime(engine.Slots))
--- a/internal/membership/railfleet/limits.go
+++ b/internal/membership/railfleet/limits.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/fulmarrail/fulmarrail/internal/limit/railquota"
+	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railselfreport"
 	"github.com/fulmarrail/fulmarrail/internal/store/railversion"
 )
@@ -40,12 +41,12 @@
 // RecordLimit records that the endpoint has named in a response the number of requests per second that it takes from all entries together.
 func (l *Lease) RecordLimit(perSecond float64) {
 	f, now := l.fleet, time.Now()
-	change := f.changeLimit(l.endpoint, sourceResponse, now, func(r *railselfreport.SelfReport) *railselfreport.SelfReport {
+	change := f.changeLimit(l.report, l.Instance, sourceResponse, now, func(r *railselfreport.SelfReport) *railselfreport.SelfReport {
 		return r.WithLimit(l.grantedAt, now, perSecond)
 	})
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	l.endpoint.report.heardLimitAt = now
+	l.report.heardLimitAt = now
 	if change == limitBegun {
 		f.beginLimit(l.endpoint, now)
 	}
@@ -64,7 +65,7 @@
 
 // RecordNoLimit records that the endpoint has named no limit in a response.
 func (l *Lease) RecordNoLimit() {
-	if l.endpoint.report.Load().LimitNamedAt().IsZero() {
+	if l.report.Load().LimitNamedAt().IsZero() {
 		return // Nothing to end, as for nearly all responses.
 	}
 	if l.endLimit() {
@@ -75,7 +76,7 @@
 // endLimit ends the endpoint's limit. It reports whether there was one.
 func (l *Lease) endLimit() bool {
 	f, now := l.fleet, time.Now()
-	change := f.changeLimit(l.endpoint, sourceResponse, now, func(r *railselfreport.SelfReport) *railselfreport.SelfReport {
+	change := f.changeLimit(l.report, l.Instance, sourceResponse, now, func(r *railselfreport.SelfReport) *railselfreport.SelfReport {
 		return r.WithLimitEnd(l.grantedAt)
 	})
 	if change != limitEnded {
@@ -83,7 +84,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	l.endpoint.report.limitEndSeen = now
+	l.report.limitEndSeen = now
 	f.markLimitChanged(l.endpoint)
 	return true
 }
@@ -97,24 +98,24 @@
 	e.report.sends.Record(quota, now, now)
 }
 
-// changeLimit changes what an endpoint's report says of its limit, and logs it if that begins, changes or ends the limit.
-func (f *Fleet) changeLimit(e *endpoint, source string, now time.Time, change func(*railselfreport.SelfReport) *railselfreport.SelfReport) limitChange {
-	previous := e.report.update(change)
+// changeLimit changes what an instance's report says of its limit, and logs it if that begins, changes or ends the limit.
+func (f *Fleet) changeLimit(s *reportSlot, i railinstance.Instance, source string, now time.Time, change func(*railselfreport.SelfReport) *railselfreport.SelfReport) limitChange {
+	previous := s.update(change)
 	before, was := previous.Limit(now)
 	after, is := change(previous).Limit(now)
 	switch {
 	case is && (!was || before != after):
 		limitReports.Inc()
 		quota := railquota.ForRate(after)
-		f.Log.Info("endpoint limits requests", "endpoint", e.ID, "source", source, "row", railversion.String(e.RowVersion), "perSecond", after, "before", before,
-			"share", f.Share(e.ID, quota.Requests), "window", quota.Window)
+		f.Log.Info("endpoint limits requests", "endpoint", i.ID, "source", source, "row", railversion.String(i.RowVersion), "perSecond", after, "before", before,
+			"share", f.Share(i.ID, quota.Requests), "window", quota.Window)
 		if was {
 			return limitChanged
 		}
 		return limitBegun
 	case was && !is:
 		limitEndReports.Inc()
-		f.Log.Info("endpoint limits requests no more", "endpoint", e.ID, "source", source, "row", railversion.String(e.RowVersion), "perSecond", before, "age", now.Sub(previous.LimitNamedAt()))
+		f.Log.Info("endpoint limits requests no more", "endpoint", i.ID, "source", source, "row", railversion.String(i.RowVersion), "perSecond", before, "age", now.Sub(previous.LimitNamedAt()))
 		return limitEnded
 	}
 	return limitUnchanged
--- a/internal/membership/railfleet/peerlimits.go
+++ b/internal/membership/railfleet/peerlimits.go
@@ -94,7 +94,7 @@
 
 func (f *Fleet) mergeLimit(e *endpoint, l *railproto.EndpointLimit, now time.Time) limitChange {
 	age := func(millis uint32) time.Time { return now.Add(-time.Duration(millis) * time.Millisecond) }
-	change := f.changeLimit(e, sourceEntry, now, func(r *railselfreport.SelfReport) *railselfreport.SelfReport {
+	change := f.changeLimit(e.report, e.Instance, sourceEntry, now, func(r *railselfreport.SelfReport) *railselfreport.SelfReport {
 		if l.GetEnded() {
 			return r.WithLimitEnd(age(l.GetEndedAgeMillis()))
 		}
--- a/internal/membership/railfleet/selfreports.go
+++ b/internal/membership/railfleet/selfreports.go
@@ -136,7 +136,7 @@
 // RecordLeaving records that the endpoint has said in a response that it is leaving. From then on, it gets no requests.
 func (l *Lease) RecordLeaving() {
 	f, now, storeTime := l.fleet, time.Now(), l.fleet.storeTime()
-	previous := l.endpoint.report.update(func(r *railselfreport.SelfReport) *railselfreport.SelfReport { return r.WithLeaving(now, storeTime) })
+	previous := l.report.update(func(r *railselfreport.SelfReport) *railselfreport.SelfReport { return r.WithLeaving(now, storeTime) })
 	if previous.Leaving() {
 		return
 	}
@@ -148,7 +148,7 @@
 // RecordPause records that the endpoint has asked in a response for no requests for some time.
 func (l *Lease) RecordPause(d time.Duration) {
 	f, now := l.fleet, time.Now()
-	previous := l.endpoint.report.update(func(r *railselfreport.SelfReport) *railselfreport.SelfReport { return r.WithPause(now, d) })
+	previous := l.report.update(func(r *railselfreport.SelfReport) *railselfreport.SelfReport { return r.WithPause(now, d) })
 	if previous.Paused(now) {
 		return
 	}
--- a/internal/membership/railfleet/selfreports_test.go
+++ b/internal/membership/railfleet/selfreports_test.go
@@ -1,6 +1,7 @@
 package railfleet_test
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -198,3 +199,27 @@
 	}
 	return 0
 }
+
+// Guards against a response that is recorded while the list of endpoints is replaced. The race detector shows it.
+func TestResponsesMayBeRecordedWhileListIsReplaced(t *testing.T) {
+	for name, record := range map[string]func(*railfleet.Lease){
+		"leaving": (*railfleet.Lease).RecordLeaving, "pause": func(l *railfleet.Lease) { l.RecordPause(time.Second) },
+		"limit": func(l *railfleet.Lease) { l.RecordLimit(1) }, "no limit": (*railfleet.Lease).RecordNoLimit,
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, req := newFleet(1, engine("1"))
+			l, ok := f.Reserve(req)
+			qt.Assert(t, ok, qt.IsTrue)
+			var wg sync.WaitGroup
+			wg.Go(func() {
+				for range 100 {
+					f.SetInstances([]railinstance.Instance{engine("1")})
+				}
+			})
+			for range 100 {
+				record(l)
+			}
+			wg.Wait()
+		})
+	}
+}
