--- a/internal/membership/railfleet/benchmark_test.go
+++ b/internal/membership/railfleet/benchmark_test.go
@@ -39,7 +39,7 @@
 // BenchmarkChooseAmongLimitedEndpoints measures the choice among 1,700 endpoints that have all named limits, at one of 340 entries.
 func BenchmarkChooseAmongLimitedEndpoints(b *testing.B) {
 	const endpoints, gateways = 1700, 340
-	load := newLimitedLoad(gateways, slices.Repeat([]float64{3.2}, endpoints), 1)
+	load := newLimitedLoad(gateways, slices.Repeat([]float64{3.2}, endpoints))
 	f := load.gateways[0]
 	req := railfleet.Requirements{
 		Backend: railbackend.Backend{Name: "engines"}, RegionAllowed: func(string) bool { return true }, ZoneOut: func(string) bool { return false },
--- a/internal/membership/railfleet/limits_load_test.go
+++ b/internal/membership/railfleet/limits_load_test.go
@@ -34,6 +34,7 @@
 	knownAfter     = 500 * time.Millisecond
 
 	limitedLoadTime = 20 * time.Second
+	limitedSeed     = 1
 	datagramDelay   = 3 * time.Millisecond
 	// limitedWait is the time for which a request may wait for an engine.
 	limitedWait = 300 * time.Millisecond
@@ -74,8 +75,8 @@
 }
 
 // newLimitedLoad returns a deployment whose gateways all know each other.
-func newLimitedLoad(gateways int, limits []float64, seed uint64) *limitedLoad {
-	load := &limitedLoad{random: rand.New(rand.NewPCG(seed, 0)), engines: map[string]*limitedEngine{}}
+func newLimitedLoad(gateways int, limits []float64) *limitedLoad {
+	load := &limitedLoad{random: rand.New(rand.NewPCG(limitedSeed, 0)), engines: map[string]*limitedEngine{}}
 	var list []railinstance.Instance
 	for i, limit := range limits {
 		id := fmt.Sprint("engine-", i)
@@ -251,7 +252,7 @@
 				for _, lends := range []bool{false, true} {
 					t.Run(fmt.Sprintf("%d gateways, demand %s, %v of datagrams lost, lending %v", gateways, name, loss, lends), func(t *testing.T) {
 						railvirtualtime.Test(t, func(t *testing.T) {
-							load := newLimitedLoad(gateways, limits, 1)
+							load := newLimitedLoad(gateways, limits)
 							load.loss, load.lends = loss, lends
 							load.run(t, demand)
 							load.checkLimits(t)
@@ -279,7 +280,7 @@
 	for name, c := range map[string]struct{ from, to int }{"some join": {0, all}, "some stop": {stopped, old}, "both": {stopped, all}} {
 		t.Run(name, func(t *testing.T) {
 			railvirtualtime.Test(t, func(t *testing.T) {
-				load := newLimitedLoad(all, []float64{0.5, 1, 1.5, 3.2}, 1)
+				load := newLimitedLoad(all, []float64{0.5, 1, 1.5, 3.2})
 				load.lends = true
 				load.list(old, 0, old)
 				load.setActive(0, old)
@@ -298,7 +299,7 @@
 // learns of the end of its limit.
 func TestEndpointThatTakesNothingGetsALookFromOneGateway(t *testing.T) {
 	railvirtualtime.Test(t, func(t *testing.T) {
-		load := newLimitedLoad(60, []float64{0, 0.05, 0.1}, 1)
+		load := newLimitedLoad(60, []float64{0, 0.05, 0.1})
 		load.lends = true
 		load.run(t, 40)
 		load.checkLimits(t)
