--- a/internal/membership/railfleet/lease.go
+++ b/internal/membership/railfleet/lease.go
@@ -34,8 +34,10 @@
 	// NoticeAge is the age of the carrier's notice that decided on the endpoint's weights version, or 0 if the list did.
 	NoticeAge time.Duration
 
-	fleet       *Fleet
-	endpoint    *endpoint
+	fleet    *Fleet
+	endpoint *endpoint
+	// report is the instance's report. endpoint's other fields are guarded by the fleet's mutex.
+	report      *reportSlot
 	requestLoad railenginelatency.Load
 	grantedAt   time.Time
 	// started and done are guarded by the fleet's mutex.
@@ -43,7 +45,7 @@
 }
 
 func (f *Fleet) newLease(e *endpoint, req Requirements, predicted time.Duration, now time.Time) *Lease {
-	l := &Lease{Instance: e.Instance, PredictedDelay: predicted, fleet: f, endpoint: e, requestLoad: railenginelatency.Load{Running: 1}, grantedAt: now, Load: e.ownLoad.Add(f.peersLoad(e.hash))}
+	l := &Lease{Instance: e.Instance, PredictedDelay: predicted, fleet: f, endpoint: e, report: e.report, requestLoad: railenginelatency.Load{Running: 1}, grantedAt: now, Load: e.ownLoad.Add(f.peersLoad(e.hash))}
 	if e.noticed {
 		l.NoticeAge = now.Sub(e.noticedAt)
 	}
