Serve only weights that an agent knows to be intact

Callers of an own deployment got answers from corrupt weights: a chunk that had turned bad at the engine was loaded, and the engine went into service with what it had loaded.

Cause: the agent admitted requests with any complete weights. It compared their digest with the wanted one only to decide whether to load again, and believed what it had last read, up to the next read or far longer while it waited for the origin or for a slot. After it had been killed during such a load, the next agent took what it found for good.

An engine computes its digest from what it has loaded, so corrupt weights have a digest of no manifest. The agent now admits requests only if the digest is one that a revision has pinned, or whose manifest the origin has; the latter keeps an engine with the previous version in service when its agent starts anew during a rollout. And since a read is always older than the next answer, the agent checks the digest in the answer itself: an answer from unknown weights is stopped before its first part, and the engine gets no further requests until it was read again. Lost orders, late orders, killed agents and slow reads thus cost service only.

Answers that are no event stream state no digest; they still rest on the last read.

--- a/internal/admission/railadmission/controller.go
+++ b/internal/admission/railadmission/controller.go
@@ -103,7 +103,7 @@
 	return c.draining
 }
 
-// SetWeights records the digest of the complete weights in service and the engine's incarnation. A change of either resets the
+// SetWeights records the digest of the complete and intact weights in service, or an empty string if there are none, and the engine's incarnation. A change of either resets the
 // limiter because the endpoint starts cold.
 func (c *Controller) SetWeights(digest, engineIncarnation string) {
 	if c.recordWeights(digest, engineIncarnation) {
@@ -121,6 +121,14 @@
 	return changed
 }
 
+// WithdrawWeights stops admission until SetWeights is called again, since the endpoint may serve other weights than recorded.
+func (c *Controller) WithdrawWeights() {
+	c.mu.Lock()
+	incarnation := c.engineIncarnation
+	c.mu.Unlock()
+	c.SetWeights("", incarnation)
+}
+
 // Weights returns the digest of the complete weights in service, or an empty string.
 func (c *Controller) Weights() string {
 	c.mu.Lock()
--- a/internal/node/railagent/agent.go
+++ b/internal/node/railagent/agent.go
@@ -29,6 +29,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/request/railregistry"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railchunks"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railchunkserver"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/raildigestset"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railfetcher"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railratelimit"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railreconciler"
@@ -87,6 +88,7 @@
 	era             *railera.Tracker
 	revisions       *railrevisioncache.Cache
 	admission       *railadmission.Controller
+	intact          *raildigestset.Set
 	calls           *railregistry.Registry
 	executor        *railexecutor.Executor
 	configFollower  *railpublisher.Publisher
@@ -159,13 +161,14 @@
 			Incarnation: newIncarnation(), Service: a.Self.Service, Zone: a.Self.Zone, Config: a.revisions, Limiter: limiter,
 			Log: raillog.Named(a.Log, "admission"),
 		}
+		a.intact = &raildigestset.Set{}
 		a.calls = &railregistry.Registry{MaxCalls: maxRecordedCalls, MaxBytes: maxRecordedBytes}
 		claimer := &railclaim.Claimer{
 			Table: table, Era: a.era, Holder: a.Self.Name, Address: a.Self.Address, Incarnation: a.admission.Incarnation,
 			Log: raillog.Named(a.Log, "claim"),
 		}
 		a.executor = &railexecutor.Executor{
-			Admission: a.admission, Calls: a.calls, Endpoint: a.Endpoint, Claimer: claimer, AttachRemote: a.attachRemote,
+			Admission: a.admission, Calls: a.calls, Endpoint: a.Endpoint, Claimer: claimer, Intact: a.intact, AttachRemote: a.attachRemote,
 			Log: raillog.Named(a.Log, "executor"),
 		}
 		a.configFollower = &railpublisher.Publisher{Table: table, Era: a.era, Objects: a.Platform, Revisions: a.revisions, ReadOnly: true, Log: raillog.Named(a.Log, "config")}
@@ -189,7 +192,7 @@
 	}
 	a.reconciler = &railreconciler.Reconciler{
 		Service: a.Self.Service, Zone: a.Self.Zone, Name: a.Self.Name,
-		Revisions: a.revisions, Admission: a.admission, Endpoint: a.Endpoint, Store: a.store, Fetcher: a.fetcher, Timer: a.timer,
+		Revisions: a.revisions, Admission: a.admission, Intact: a.intact, Endpoint: a.Endpoint, Store: a.store, Fetcher: a.fetcher, Timer: a.timer,
 		Slots:    &railslots.Slots{Table: table, Era: a.era, Holder: a.Self.Name + "/" + a.admission.Incarnation, Lease: slotLeaseDuration},
 		Manifest: origin.Manifest, RefreshPeers: a.roster.Refresh, NoPeers: a.noPeers,
 		InFlight: func() int { return int(a.admission.Limiter.Load().GetRunning()) },
--- a/internal/request/railexecutor/executor.go
+++ b/internal/request/railexecutor/executor.go
@@ -18,6 +18,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/request/railclaim"
 	"github.com/fulmarrail/fulmarrail/internal/request/railregistry"
 	"github.com/fulmarrail/fulmarrail/internal/request/railverdict"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/raildigestset"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railmanifest"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
@@ -40,6 +41,8 @@
 	Calls     *railregistry.Registry
 	Endpoint  railendpoint.Endpoint
 	Claimer   *railclaim.Claimer
+	// Intact holds the digests of weights that are known to be intact.
+	Intact *raildigestset.Set
 	// AttachRemote follows a request at the agent with the given address.
 	AttachRemote func(ctx context.Context, address string, req *railproto.AttachRequest, send func(*railproto.Frame) error) error
 	Log          *slog.Logger
@@ -201,7 +204,7 @@
 	emit(&railproto.Frame{Kind: railproto.FrameKind_FRAME_KIND_ACCEPTED, Load: e.Admission.Limiter.Load()})
 	var endFrame *railproto.Frame
 	s.mayHaveRun = true
-	verdict, err := e.runContained(ctx, req, func(frame *railproto.Frame) {
+	verdict, err := e.runIntact(ctx, req, func(frame *railproto.Frame) {
 		timing.record(frame, time.Since(start))
 		if frame.GetKind() == railproto.FrameKind_FRAME_KIND_END {
 			endFrame = frame
@@ -238,6 +241,8 @@
 		reason = railproto.Reason_REASON_ENDPOINT_ENDED
 	case errors.Is(err, railendpoint.ErrMixedWeights):
 		reason = railproto.Reason_REASON_MIXED_WEIGHTS
+	case errors.Is(err, errUnknownWeights):
+		reason = railproto.Reason_REASON_NO_WEIGHTS
 	case errors.Is(err, context.Canceled):
 		reason = railproto.Reason_REASON_CANCELLED
 	case errors.Is(err, context.DeadlineExceeded):
--- /dev/null
+++ b/internal/rollout/raildigestset/doc.go
@@ -0,0 +1,2 @@
+// Package raildigestset holds which weights an agent knows to be intact.
+package raildigestset
--- a/internal/rollout/railreconciler/reconciler.go
+++ b/internal/rollout/railreconciler/reconciler.go
@@ -14,6 +14,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
 	"github.com/fulmarrail/fulmarrail/internal/endpoint/railendpoint"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railchunks"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/raildigestset"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railfetcher"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railmanifest"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railslots"
@@ -25,6 +26,7 @@
 	refreshInterval   = 5 * time.Second
 	drainPollInterval = 20 * time.Millisecond
 	releaseTimeout    = 2 * time.Second
+	proofTimeout      = 2 * time.Second
 	// loadLeaseMargin is the time for which the slot's lease must still be valid when a load is ordered.
 	loadLeaseMargin = time.Second
 	// sharedSlotGroup can't collide with a zone's name, since those have no slash.
@@ -39,11 +41,13 @@
 
 	Revisions *railrevisioncache.Cache
 	Admission *railadmission.Controller
-	Endpoint  railendpoint.Endpoint
-	Store     *railchunks.Store
-	Fetcher   *railfetcher.Fetcher
-	Slots     *railslots.Slots
-	Timer     *railtimer.Service
+	// Intact gets the digests of weights that are known to be intact.
+	Intact   *raildigestset.Set
+	Endpoint railendpoint.Endpoint
+	Store    *railchunks.Store
+	Fetcher  *railfetcher.Fetcher
+	Slots    *railslots.Slots
+	Timer    *railtimer.Service
 	// Manifest returns the encoded manifest with the given digest.
 	Manifest func(ctx context.Context, digest string) ([]byte, error)
 	// RefreshPeers updates the list of peers that exchange chunks. It is called before each fetch, every refreshInterval during
@@ -63,6 +67,8 @@
 	keptDigest string
 	// lastErr is the text of the error that was logged last.
 	lastErr string
+	// unknownDigest is the digest of weights that were logged last as not known to be intact.
+	unknownDigest string
 }
 
 // Run calls Reconcile periodically and after each change of the configuration, until ctx is done.
@@ -91,6 +97,9 @@
 		r.setPhase("idle")
 		return nil
 	}
+	if wantDigest != "" {
+		r.Intact.Add(wantDigest)
+	}
 	loadedDigest, err := r.observe(ctx)
 	if err != nil || wantDigest == "" {
 		return err
@@ -125,8 +134,8 @@
 	return phase, held, len(manifest.Chunks)
 }
 
-// observe reads the digest of the weights that the engine serves and passes it to Admission. If the read fails, it tells
-// Admission that the engine serves no weights.
+// observe reads the digest of the weights that the engine serves and passes it to Admission. If the read fails, or the weights are not known
+// to be intact, it tells Admission that the engine serves no weights.
 func (r *Reconciler) observe(ctx context.Context) (string, error) {
 	loadedDigest, incarnation, err := r.Endpoint.LoadedWeights(ctx)
 	if err != nil {
@@ -134,10 +143,37 @@
 		r.setPhase("engine down")
 		return "", errors.Wrap(err, "read the engine's state")
 	}
+	if loadedDigest != "" && !r.provenIntact(ctx, loadedDigest) {
+		r.Admission.SetWeights("", incarnation)
+		return loadedDigest, nil
+	}
 	r.Admission.SetWeights(loadedDigest, incarnation)
 	return loadedDigest, nil
 }
 
+// provenIntact reports whether a digest is that of a manifest: one that the configuration has pinned, or that the origin has. The engine
+// computes its weights' digest from what it has loaded, so that no manifest has that of corrupt weights.
+func (r *Reconciler) provenIntact(ctx context.Context, digest string) bool {
+	if r.Intact.Has(digest) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
+	defer cancel()
+	content, err := r.Manifest(ctx, digest)
+	if err == nil {
+		_, err = railmanifest.Decode(content, digest)
+	}
+	if err == nil {
+		r.Intact.Add(digest)
+		return true
+	}
+	if r.unknownDigest != digest {
+		r.unknownDigest = digest
+		r.Log.Warn("engine serves weights that are not known to be intact; it gets no requests", "digest", digest, "err", err)
+	}
+	return false
+}
+
 // wantedWeights returns the service and its manifest's digest in the current revision, and whether the service has an engine.
 func (r *Reconciler) wantedWeights() (railservice.Service, string, bool) {
 	revision, ok := r.Revisions.Current()
--- a/internal/standin/railengine/engine.go
+++ b/internal/standin/railengine/engine.go
@@ -162,8 +162,9 @@
 	}
 	e.digest = ""
 	e.loading = true
+	loadTime := e.LoadTime
 	e.mu.Unlock()
-	railtimer.Sleep(ctx, e.LoadTime)
+	railtimer.Sleep(ctx, loadTime)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.loading = false
@@ -225,6 +226,13 @@
 	e.servedSinceCold = 0
 }
 
+// SetLoadTime changes the time that later loads of weights take.
+func (e *Engine) SetLoadTime(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.LoadTime = d
+}
+
 // Digest returns the digest of the weights in service.
 func (e *Engine) Digest() string {
 	e.mu.Lock()
