Fetch corrupt chunks at an engine again

In an own deployment, an engine that held a corrupt chunk loaded it over and over: it never came into service, and since it took the slot of its zone each time, no other engine of the zone got the new version either.

Cause: the agent takes the engine's list of chunks for what it holds. The list names digests and says nothing of contents, so a chunk that turned bad after it had been put was never fetched again.

An engine with weights that are not known to be intact has loaded corrupt chunks or may have. The agent now reads the chunks of the wanted version back from such an engine before the next load, and fetches again those that don't match their digests. A healthy engine's chunks aren't read.

TestCorruptChunkAtEngineIsFetchedAgain failed before: after a minute no engine of the zone had the new version.

--- a/internal/lab/railcluster/weights_test.go
+++ b/internal/lab/railcluster/weights_test.go
@@ -68,6 +68,20 @@
 	}
 }
 
+// Guards against an engine that loads the same corrupt chunk for ever, and keeps the others from their slot meanwhile.
+func TestCorruptChunkAtEngineIsFetchedAgain(t *testing.T) {
+	runChat(t, 1, 0, func(ctx context.Context, c *qt.C, chat *chatCluster) {
+		chat.corruptChunk(ctx, c, chat.engines[corruptingEngine], "v2")
+		chat.WriteFile("20.ini", "[service chat]\nversion = v2\n")
+		ctx, cancel := context.WithTimeout(ctx, time.Minute)
+		defer cancel()
+		for name, engine := range chat.engines {
+			inService := func() bool { return engine.Digest() == chat.manifests["v2"].Digest() }
+			c.Check(chat.WaitUntil(ctx, "v2 is in service", inService), qt.IsNil, qt.Commentf(name))
+		}
+	})
+}
+
 // Guards against an engine that is out of service since its agent has started anew while its zone's engines still serve the previous version.
 func TestAgentTakesOverEngineWithPreviousVersion(t *testing.T) {
 	runChat(t, 1, 0, func(ctx context.Context, c *qt.C, chat *chatCluster) {
--- a/internal/rollout/railchunks/store.go
+++ b/internal/rollout/railchunks/store.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fulmarrail/fulmarrail/internal/rollout/railmanifest"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
 
@@ -70,6 +71,25 @@
 	return ok
 }
 
+// Verify reads the held chunks of a manifest back from the backend, and takes those that do not match their digests for not held until the next
+// Refresh. It returns their number, or the backend's error.
+func (s *Store) Verify(ctx context.Context, m railmanifest.Manifest) (corrupt int, err error) {
+	for i, digest := range m.Chunks {
+		if !s.Has(digest) {
+			continue
+		}
+		data, err := s.Backend.Chunk(ctx, digest)
+		if err != nil {
+			return corrupt, errors.Wrap(err, "read a chunk back from the backend")
+		}
+		if !m.Verify(i, data) {
+			corrupt++
+			s.forget(digest)
+		}
+	}
+	return corrupt, nil
+}
+
 // Put stores a verified chunk in the backend and returns the backend's error.
 func (s *Store) Put(ctx context.Context, digest string, data []byte) error {
 	if err := s.Backend.PutChunk(ctx, digest, data); err != nil {
@@ -168,6 +188,12 @@
 	return arrived
 }
 
+func (s *Store) forget(digest string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.heldSince, digest)
+}
+
 // notifyArrival wakes those that wait for a chunk. The caller holds the lock.
 func (s *Store) notifyArrival(digest string) {
 	if arrived := s.arrivals[digest]; arrived != nil {
--- a/internal/rollout/railreconciler/reconciler.go
+++ b/internal/rollout/railreconciler/reconciler.go
@@ -112,6 +112,9 @@
 	if err != nil {
 		return err
 	}
+	if err := r.refreshStore(ctx, manifest, loadedDigest); err != nil {
+		return err
+	}
 	if err := r.fetch(ctx, manifest, wantDigest); err != nil {
 		return err
 	}
@@ -206,13 +209,26 @@
 	return manifest, nil
 }
 
-// fetch fetches the manifest's chunks until all are in the store, or returns errSuperseded once another manifest is wanted. It
-// keeps observing the engine meanwhile.
-func (r *Reconciler) fetch(ctx context.Context, manifest railmanifest.Manifest, wantDigest string) error {
+// refreshStore reads which chunks the engine holds. If the engine has loaded weights that are not known to be intact, the chunks that it holds may
+// be corrupt, and are read back.
+func (r *Reconciler) refreshStore(ctx context.Context, manifest railmanifest.Manifest, loadedDigest string) error {
 	r.setPhase("fetching")
 	if err := r.Store.Refresh(ctx); err != nil {
 		return err
 	}
+	if loadedDigest == "" || r.Intact.Has(loadedDigest) {
+		return nil
+	}
+	corrupt, err := r.Store.Verify(ctx, manifest)
+	if corrupt > 0 {
+		r.Log.Warn("the engine holds corrupt chunks; they are fetched again", "chunks", corrupt)
+	}
+	return err
+}
+
+// fetch fetches the manifest's chunks until all are in the store, or returns errSuperseded once another manifest is wanted. It
+// keeps observing the engine meanwhile.
+func (r *Reconciler) fetch(ctx context.Context, manifest railmanifest.Manifest, wantDigest string) error {
 	r.RefreshPeers(ctx)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
