--- /dev/null
+++ b/internal/request/railrequestrate/doc.go
@@ -0,0 +1,2 @@
+// Package railrequestrate parses the header in which an endpoint names how many requests it takes.
+package railrequestrate
