Read Server-Limit from the answers of endpoints beside agents

An endpoint names in its answers the requests a second that it takes. In own deployments nothing read the header. The upstream client now reports it from the header of each response: answers, refusals, failures, resumed streams and responses to the agent's own control requests, with the time at which the request was sent and the incarnation if the response states it. The least of several valid values holds; malformed ones are logged with the other headers that are ignored, and say nothing of the limit. A control request without a response used to report an empty header, which would have ended a limit.

--- a/internal/endpoint/railendpoint/endpoint.go
+++ b/internal/endpoint/railendpoint/endpoint.go
@@ -9,8 +9,12 @@
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
 
-// LeavingHeader is the header of an endpoint's responses in which it says, with the value 1, that it is leaving.
-const LeavingHeader = "Fulmarrail-Leaving"
+const (
+	// LeavingHeader is the header of an endpoint's responses in which it says, with the value 1, that it is leaving.
+	LeavingHeader = "Fulmarrail-Leaving"
+	// LimitHeader is the header of an endpoint's responses in which it names the number of requests per second that it takes.
+	LimitHeader = "Server-Limit"
+)
 
 // Endpoint is a model engine or a plain service. A plain service has no weights.
 type Endpoint interface {
--- a/internal/endpoint/railupstream/client.go
+++ b/internal/endpoint/railupstream/client.go
@@ -40,11 +40,22 @@
 	// OnReport is called with what the endpoint says of itself in each response, and with the incarnation of the engine, or an empty string
 	// if the response does not state it. It may be nil.
 	OnReport func(incarnation string, said railheader.SelfReport)
+	// OnLimit is called with what each response says of the number of requests that the endpoint takes, unless all that it names is malformed. It
+	// may be nil.
+	OnLimit func(railendpoint.LimitReport)
 
 	// incarnation is the engine's incarnation in its last reply to LoadedWeights.
 	incarnation atomic.Value
 }
 
+// controlReply is the response to a control request.
+type controlReply struct {
+	sentAt time.Time
+	header fasthttp.ResponseHeader
+	// content is the body of a response with status 200.
+	content []byte
+}
+
 // Run forwards a request to the endpoint and emits the frames of its answer. On error, the verdict tells whether the request may
 // have run. It returns a railendpoint.EndedError if the endpoint's process has ended meanwhile.
 func (c *Client) Run(ctx context.Context, req *railproto.ExecuteRequest, emit func(*railproto.Frame)) (railverdict.Verdict, error) {
@@ -69,19 +80,19 @@
 	}
 	stop := context.AfterFunc(ctx, func() { c.cancelRequest(req.GetRequestId()) })
 	defer stop()
+	sentAt := time.Now()
 	exchange, verdict, err := railexchange.Start(ctx, c.Address, hreq)
 	if err != nil {
 		return verdict, errors.Wrap(err, "call the endpoint")
 	}
 	defer exchange.Close()
-	c.report(&exchange.Header, "")
+	c.report(&exchange.Header, railendpoint.LimitReport{SentAt: sentAt})
 	return c.handleResponse(ctx, req, incarnation, exchange, emit)
 }
 
 // LoadedWeights returns the digest of the weights in service and the engine's incarnation.
 func (c *Client) LoadedWeights(ctx context.Context) (digest, incarnation string, err error) {
-	var header fasthttp.ResponseHeader
-	body, err := c.exchangeControl(ctx, fasthttp.MethodGet, "/state", nil, 0, &header)
+	reply, err := c.exchangeControl(ctx, fasthttp.MethodGet, "/state", nil, 0)
 	if err != nil {
 		return "", "", err
 	}
@@ -89,11 +100,11 @@
 		Digest      string `json:"digest"`
 		Incarnation string `json:"incarnation"`
 	}
-	if err := json.Unmarshal(body, &state); err != nil {
+	if err := json.Unmarshal(reply.content, &state); err != nil {
 		return "", "", errors.Wrap(err, "decode the engine's state")
 	}
 	c.incarnation.Store(state.Incarnation)
-	c.report(&header, state.Incarnation)
+	c.report(&reply.header, railendpoint.LimitReport{Incarnation: state.Incarnation, SentAt: reply.sentAt, Control: true})
 	return state.Digest, state.Incarnation, nil
 }
 
@@ -200,35 +211,40 @@
 
 // sendControl sends a control request and returns the body of the response.
 func (c *Client) sendControl(ctx context.Context, method, path string, body []byte, fence int64) ([]byte, error) {
-	var header fasthttp.ResponseHeader
-	content, err := c.exchangeControl(ctx, method, path, body, fence, &header)
-	c.report(&header, "")
-	return content, err
+	reply, err := c.exchangeControl(ctx, method, path, body, fence)
+	if reply == nil {
+		return nil, err
+	}
+	c.report(&reply.header, railendpoint.LimitReport{SentAt: reply.sentAt, Control: true})
+	return reply.content, err
 }
 
-// exchangeControl sends a control request and returns the body of the response. It copies the response's header to header.
-func (c *Client) exchangeControl(ctx context.Context, method, path string, body []byte, fence int64, header *fasthttp.ResponseHeader) ([]byte, error) {
+// exchangeControl sends a control request. It returns nil and an error if there is no response, and both if the response is broken or does not
+// have status 200.
+func (c *Client) exchangeControl(ctx context.Context, method, path string, body []byte, fence int64) (*controlReply, error) {
 	ctx, cancel := withTimeout(ctx)
 	defer cancel()
 	req := c.newRequest(method, path, body)
 	req.Header.Set(fenceHeader, strconv.FormatInt(fence, 10))
+	reply := &controlReply{sentAt: time.Now()}
 	exchange, _, err := railexchange.Start(ctx, c.Address, req)
 	if err != nil {
 		return nil, errors.Wrapf(err, "%s %s", method, path)
 	}
 	defer exchange.Close()
-	exchange.Header.CopyTo(header)
+	exchange.Header.CopyTo(&reply.header)
 	content, err := exchange.ReadAll(maxResponseBytes, nil)
 	if err != nil {
-		return nil, errors.Wrapf(err, "%s %s", method, path)
+		return reply, errors.Wrapf(err, "%s %s", method, path)
 	}
-	switch status := header.StatusCode(); status {
+	switch status := reply.header.StatusCode(); status {
 	case fasthttp.StatusOK:
-		return content, nil
+		reply.content = content
+		return reply, nil
 	case fasthttp.StatusPreconditionFailed:
-		return nil, errors.Wrapf(railendpoint.ErrStaleFence, "%s %s", method, path)
+		return reply, errors.Wrapf(railendpoint.ErrStaleFence, "%s %s", method, path)
 	default:
-		return nil, errors.Newf("%s %s: status %d: %s", method, path, status, content)
+		return reply, errors.Newf("%s %s: status %d: %s", method, path, status, content)
 	}
 }
 
--- a/internal/endpoint/railupstream/stream.go
+++ b/internal/endpoint/railupstream/stream.go
@@ -128,12 +128,13 @@
 	nextEvent := strconv.FormatUint(s.count, 10)
 	req := c.newRequest(fasthttp.MethodGet, "/streams/"+requestID, nil)
 	req.Header.Set(lastEventHeader, nextEvent)
+	sentAt := time.Now()
 	exchange, _, err := railexchange.Start(ctx, c.Address, req)
 	if err != nil {
 		return railendpoint.ErrTruncated
 	}
 	defer exchange.Close()
-	c.report(&exchange.Header, "")
+	c.report(&exchange.Header, railendpoint.LimitReport{SentAt: sentAt})
 	if exchange.Header.StatusCode() != fasthttp.StatusOK || string(exchange.Header.Peek(firstEventHeader)) != nextEvent {
 		return errUnknownStream
 	}
--- /dev/null
+++ b/internal/limit/railspacer/doc.go
@@ -0,0 +1,2 @@
+// Package railspacer spaces requests so that an endpoint gets no more per second than it takes.
+package railspacer
