Keep to the limits that endpoints beside agents name

Endpoints of an own deployment that were in need and named in their answers how many requests a second they take (Server-Limit) got as many as before, and callers whose requests they then turned away or answered late bore that.

The agent is the single point of admission, so it keeps to the limit alone: it spaces requests so that no 4 s have more than the limit allows, from all entries together, and counts resumed streams. What can't be admitted within the time that it may wait is rejected at once as not run. The limit ends with an answer that names none, with the engine's restart or after ten minutes of silence. Load reports tell entries the next opening: they choose other endpoints, come back 50 ms before it, and reject at once, with Retry-After from the first opening, what no endpoint takes in time.

Not covered: requests whose key is claimed first are spaced when they are admitted, not when they reach the endpoint after the claim.

--- a/internal/admission/railadmission/controller.go
+++ b/internal/admission/railadmission/controller.go
@@ -9,6 +9,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/core/raillogsampler"
 	"github.com/fulmarrail/fulmarrail/internal/limit/raillimiter"
 	"github.com/fulmarrail/fulmarrail/internal/limit/railqueue"
+	"github.com/fulmarrail/fulmarrail/internal/limit/railspacer"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railselfreport"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
@@ -34,12 +35,18 @@
 	suspended         bool
 	// engineReport is what the engine has said of itself.
 	engineReport railselfreport.SelfReport
+	// controlNamesLimit reports whether the engine has named a limit in a response to a control request.
+	controlNamesLimit bool
+	// spacer spaces requests while the engine has a limit.
+	spacer railspacer.Spacer
 
 	samplerOnce      sync.Once
 	malformedSampler raillogsampler.Sampler
 
 	queueMu sync.Mutex
 	queue   railqueue.Queue[*waiter]
+	// openingTimer processes the queue at the engine's next opening. It is nil until the first time.
+	openingTimer *time.Timer
 }
 
 // Check returns the reason why the request can't be admitted regardless of load, or REASON_UNSPECIFIED if it can.
@@ -81,6 +88,10 @@
 		c.Limiter.ReleaseUnsampled()
 		return 0, reason
 	}
+	if !c.takeOpening() {
+		c.Limiter.ReleaseUnsampled()
+		return 0, railproto.Reason_REASON_LIMIT
+	}
 	return inFlight, admitted
 }
 
--- a/internal/admission/railadmission/enginereport.go
+++ b/internal/admission/railadmission/enginereport.go
@@ -107,6 +107,7 @@
 	i := railinstance.Instance{ID: incarnation}
 	if incarnation != "" && !c.engineReport.IsAbout(i) {
 		c.engineReport = *railselfreport.New(i)
+		c.controlNamesLimit = false
 	}
 }
 
--- a/internal/admission/railadmission/queue.go
+++ b/internal/admission/railadmission/queue.go
@@ -29,7 +29,7 @@
 	reason   railproto.Reason
 }
 
-// Admit admits a request like TryAdmit, but queues it for up to maxQueueWait if the limit is reached. The requests of all
+// Admit admits a request like TryAdmit, but queues it for up to maxQueueWait if the limit is reached and the endpoint may take it by then. The requests of all
 // entry processes share one queue, ordered by priority and then by customer share, so that an entry gains no advantage from being
 // the first to learn of free capacity.
 func (c *Controller) Admit(ctx context.Context, req *railproto.ExecuteRequest) (inFlight int, reason railproto.Reason) {
@@ -62,6 +62,9 @@
 			return nil, admissionResult{inFlight: inFlight, reason: reason}
 		}
 	}
+	if !c.opensInTime(req) {
+		return nil, admissionResult{reason: railproto.Reason_REASON_LIMIT}
+	}
 	w := &waiter{request: req, result: make(chan admissionResult, 1)}
 	c.queue.Capacity = maxQueueLength
 	if evicted, full := c.queue.Push(w, int(req.GetPriority()), req.GetCustomer(), c.customerWeight(req.GetCustomer())); full {
@@ -93,6 +96,7 @@
 		}
 		res := c.decide(w)
 		if res.reason == railproto.Reason_REASON_LIMIT {
+			c.wakeAtOpening()
 			return
 		}
 		c.queue.Pop()
--- a/internal/command/railagentcmd/agent.go
+++ b/internal/command/railagentcmd/agent.go
@@ -41,7 +41,7 @@
 			Self: process.Self, SharedKey: []byte(opts.Settings.SharedKey), InternalListener: process.InternalListener, Platform: process.Platform,
 			Endpoint: client, Dialer: process.Dialer, Log: process.Log,
 		}
-		client.OnReport = agent.RecordReport
+		client.OnReport, client.OnLimit, client.OnResume = agent.RecordReport, agent.RecordLimit, agent.RecordResume
 		return agent.Run(ctx, opts.Settings.DrainTimeout)
 	})
 }
--- a/internal/endpoint/railupstream/client.go
+++ b/internal/endpoint/railupstream/client.go
@@ -43,6 +43,8 @@
 	// OnLimit is called with what each response says of the number of requests that the endpoint takes, unless all that it names is malformed. It
 	// may be nil.
 	OnLimit func(railendpoint.LimitReport)
+	// OnResume is called before each request that resumes a stream. It may be nil.
+	OnResume func()
 
 	// incarnation is the engine's incarnation in its last reply to LoadedWeights.
 	incarnation atomic.Value
--- a/internal/endpoint/railupstream/stream.go
+++ b/internal/endpoint/railupstream/stream.go
@@ -128,6 +128,9 @@
 	nextEvent := strconv.FormatUint(s.count, 10)
 	req := c.newRequest(fasthttp.MethodGet, "/streams/"+requestID, nil)
 	req.Header.Set(lastEventHeader, nextEvent)
+	if c.OnResume != nil {
+		c.OnResume()
+	}
 	sentAt := time.Now()
 	exchange, _, err := railexchange.Start(ctx, c.Address, req)
 	if err != nil {
--- a/internal/lab/railcluster/cluster.go
+++ b/internal/lab/railcluster/cluster.go
@@ -159,6 +159,11 @@
 	c.agent(name).agent.RecordReport("", said)
 }
 
+// RecordLimit lets an agent's endpoint name in a response how many requests it takes, or name no limit.
+func (c *Cluster) RecordLimit(name string, said railendpoint.LimitReport) {
+	c.agent(name).agent.RecordLimit(said)
+}
+
 // KillAgent stops an agent without a drain and closes its connections. It sends no more messages and starts no more
 // requests.
 func (c *Cluster) KillAgent(name string) {
--- a/internal/lab/raildeployment/deployment.go
+++ b/internal/lab/raildeployment/deployment.go
@@ -220,7 +220,7 @@
 		Self: self, SharedKey: d.SharedKey, InternalListener: internalListener, Platform: d.newStore(), Endpoint: client,
 		Dialer: d.newDialer(), Log: d.Log.With("process", name),
 	}
-	client.OnReport = agent.RecordReport
+	client.OnReport, client.OnLimit, client.OnResume = agent.RecordReport, agent.RecordLimit, agent.RecordResume
 	d.Platform.SetMember(self)
 	d.startProcess(ctx, name, agent.Run, agent.Revision)
 	return nil
--- a/internal/lab/raildeployment/deployment_test.go
+++ b/internal/lab/raildeployment/deployment_test.go
@@ -35,17 +35,15 @@
 maxBody = 8388608
 `
 
-func TestDeploymentServesChatAndOrders(t *testing.T) {
-	c := qt.New(t)
-	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-	defer cancel()
+// startDeployment starts a deployment whose engines serve the weights with the returned digest.
+func startDeployment(ctx context.Context, c *qt.C) (d *raildeployment.Deployment, digest string) {
 	level := slog.LevelWarn
 	if os.Getenv("VERBOSE") != "" {
 		level = slog.LevelDebug
 	}
 	platform := &railplatform.Platform{}
 	m := platform.AddWeights("v1", []byte(strings.Repeat("weights", 100_000)), 64<<10)
-	d := &raildeployment.Deployment{
+	d = &raildeployment.Deployment{
 		Zones: []string{"a", "b"}, EntriesPerZone: 1, EnginesPerZone: 2, OrderServicesPerZone: 1, ConfigDir: c.TempDir(), SharedKey: []byte("0123456789abcdef"),
 		Platform: platform, Log: slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})),
 		NewEngine: func(name string) *railengine.Engine {
@@ -56,15 +54,23 @@
 	}
 	c.Assert(d.WriteFile("10.ini", configFile), qt.IsNil)
 	c.Assert(d.Start(ctx), qt.IsNil)
-	defer d.Stop()
+	c.Cleanup(d.Stop)
 	c.Assert(d.WaitReady(ctx), qt.IsNil)
 	c.Assert(d.WaitServing(ctx, m.Digest(), 4), qt.IsNil)
 	time.Sleep(1500 * time.Millisecond)
+	return d, m.Digest()
+}
+
+func TestDeploymentServesChatAndOrders(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	d, digest := startDeployment(ctx, c)
 	for name, address := range d.CallerAddresses() {
 		status, body, _ := post(c, address, "/assistant/v1/chat", `{"maxTokens": 5}`, "")
 		c.Check(status, qt.Equals, 200, qt.Commentf("%s: %s", name, body))
 		c.Check(body, qt.Contains, "event: end")
-		c.Check(body, qt.Contains, m.Digest())
+		c.Check(body, qt.Contains, digest)
 		status, body, verdict := post(c, address, "/orders/print", `{"order": 1}`, "key-1")
 		c.Check(status, qt.Equals, 200, qt.Commentf("%s: %s", name, body))
 		c.Check(verdict, qt.Equals, "ran")
--- a/internal/membership/railwatcher/heartbeat.go
+++ b/internal/membership/railwatcher/heartbeat.go
@@ -53,6 +53,7 @@
 	t.heartbeatInFlight = again
 	if err == nil {
 		t.applyReply(reply, took, m.Leaving)
+		w.applySpacing(t, reply.GetLoad())
 	}
 	return again
 }
--- a/internal/membership/railwatcher/watcher.go
+++ b/internal/membership/railwatcher/watcher.go
@@ -47,7 +47,10 @@
 	// suspected is set after a failed or rejected request until the next heartbeat reply.
 	suspected bool
 	// pausedUntil is the time until which the endpoint has asked for no requests, or zero.
-	pausedUntil       time.Time
+	pausedUntil time.Time
+	spacing     spacing
+	// openingTimer calls OnUpdate when the endpoint opens again. It is nil until the first time.
+	openingTimer      *time.Timer
 	heartbeatInFlight bool
 	// offeredRevision is the revision carried by the heartbeat in flight. resend is set when a newer revision has to be sent
 	// once that heartbeat completes.
@@ -171,6 +174,9 @@
 		if t.member.Service != service || !t.serving || t.leaving || now.Sub(t.lastSeen) > suspectAfter || revision.ZoneOut(t.member.Zone) {
 			continue
 		}
+		if t.spacing.closed(now) || t.spacing.awaits(t.awaitingDecision, t.roundTrip) {
+			continue
+		}
 		c := railcandidate.Candidate{
 			Member: t.member, Incarnation: t.incarnation,
 			Running: t.running + t.sentSinceReport, Limit: t.limit, AwaitingDecision: t.awaitingDecision, RoundTrip: t.roundTrip,
@@ -204,6 +210,7 @@
 	w.mu.Lock()
 	if t := w.targets[name]; t != nil && t.incarnation == incarnation && load != nil {
 		t.updateLoad(load)
+		w.applySpacing(t, load)
 	}
 	w.mu.Unlock()
 	w.OnUpdate()
@@ -218,8 +225,8 @@
 	}
 }
 
-// FirstPauseEnd returns the time at which the first of a service's endpoints ends its pause. It returns false unless all endpoints that could
-// serve otherwise have asked for no requests.
+// FirstPauseEnd returns the time from which on the first of a service's endpoints takes requests. It returns false unless all endpoints that could
+// serve otherwise have asked for no requests until then, or have got as many as they take.
 func (w *Watcher) FirstPauseEnd(service string) (time.Time, bool) {
 	revision, _ := w.Revisions.Current()
 	now := time.Now()
@@ -227,12 +234,14 @@
 	defer w.mu.Unlock()
 	var first time.Time
 	for _, t := range w.targets {
-		switch paused := now.Before(t.pausedUntil); {
+		takesFrom := t.takesFrom()
+		switch {
 		case t.member.Service != service || t.leaving || now.Sub(t.lastSeen) > suspectAfter || revision.ZoneOut(t.member.Zone):
-		case t.serving, t.suspected && !paused:
+		case !t.serving && !t.suspected && !now.Before(t.pausedUntil): // Something else keeps it from serving.
+		case !now.Before(takesFrom):
 			return time.Time{}, false
-		case paused && (first.IsZero() || t.pausedUntil.Before(first)):
-			first = t.pausedUntil
+		case first.IsZero() || takesFrom.Before(first):
+			first = takesFrom
 		}
 	}
 	return first, !first.IsZero()
--- a/internal/node/railagent/agent.go
+++ b/internal/node/railagent/agent.go
@@ -150,6 +150,18 @@
 	a.admission.RecordReport(incarnation, said)
 }
 
+// RecordLimit records what a response of the endpoint says of the number of requests that it takes.
+func (a *Agent) RecordLimit(said railendpoint.LimitReport) {
+	a.init()
+	a.admission.RecordLimit(said)
+}
+
+// RecordResume records a request to the endpoint that resumes a stream.
+func (a *Agent) RecordResume() {
+	a.init()
+	a.admission.RecordResume()
+}
+
 func (a *Agent) init() {
 	a.once.Do(func() {
 		a.timer = &railtimer.Service{Jitter: true}
--- a/internal/node/railagent/service.go
+++ b/internal/node/railagent/service.go
@@ -24,7 +24,7 @@
 	era, eraAge := a.era.Latest()
 	return &railproto.HeartbeatReply{
 		Incarnation: a.admission.Incarnation, Revision: a.revisions.Number(), ConfirmedAgeMillis: a.revisions.Age().Milliseconds(),
-		Leaving: a.stopping.Load(), Serving: a.admission.Serving(), Load: a.admission.Limiter.Load(),
+		Leaving: a.stopping.Load(), Serving: a.admission.Serving(), Load: a.admission.Load(),
 		PauseMillis: a.admission.PauseRemaining().Milliseconds(), StoreEra: era, StoreEraAgeMillis: eraAge.Milliseconds(),
 	}, nil
 }
--- a/internal/request/railexecutor/executor.go
+++ b/internal/request/railexecutor/executor.go
@@ -201,7 +201,7 @@
 	}
 	start := time.Now()
 	var timing responseTiming
-	emit(&railproto.Frame{Kind: railproto.FrameKind_FRAME_KIND_ACCEPTED, Load: e.Admission.Limiter.Load()})
+	emit(&railproto.Frame{Kind: railproto.FrameKind_FRAME_KIND_ACCEPTED, Load: e.Admission.Load()})
 	var endFrame *railproto.Frame
 	s.mayHaveRun = true
 	verdict, err := e.runIntact(ctx, req, func(frame *railproto.Frame) {
@@ -228,7 +228,7 @@
 	if err != nil {
 		return verdict, err
 	}
-	endFrame.Load = e.Admission.Limiter.Load()
+	endFrame.Load = e.Admission.Load()
 	emit(endFrame)
 	return verdict, nil
 }
@@ -277,7 +277,7 @@
 
 func (e *Executor) newFinalFrame(requestID string, kind railproto.FrameKind, reason railproto.Reason) *railproto.Frame {
 	return &railproto.Frame{
-		RequestId: requestID, Kind: kind, Reason: reason, Load: e.Admission.Limiter.Load(), Revision: e.Admission.Config.Number(),
+		RequestId: requestID, Kind: kind, Reason: reason, Load: e.Admission.Load(), Revision: e.Admission.Config.Number(),
 	}
 }
 
--- a/internal/routing/raildispatcher/dispatcher.go
+++ b/internal/routing/raildispatcher/dispatcher.go
@@ -35,7 +35,7 @@
 	errChoiceFailed = errors.New("the choice of an endpoint has failed")
 )
 
-// PausedError means that all endpoints have asked for no requests until it is too late for the request.
+// PausedError means that all endpoints have asked for no requests, or take no further ones, until it is too late for the request.
 type PausedError struct {
 	// Remaining is the time until the first endpoint takes requests again.
 	Remaining time.Duration
@@ -43,7 +43,7 @@
 
 // Error describes the rejection.
 func (e *PausedError) Error() string {
-	return "all endpoints ask for no requests for now"
+	return "no endpoint takes further requests in time"
 }
 
 type waiter struct {
@@ -67,8 +67,8 @@
 	RecordSent func(name string)
 	// RecordUnsent reverts RecordSent for a request that isn't sent after all.
 	RecordUnsent func(name string)
-	// FirstPauseEnd returns the time at which the first endpoint takes requests again, or false unless all endpoints have asked for none. It
-	// may be nil.
+	// FirstPauseEnd returns the time at which the first endpoint takes requests again, or false unless all endpoints have asked for none, or have
+	// got as many as they take. It may be nil.
 	FirstPauseEnd func() (time.Time, bool)
 	// Unservable returns the reason why no endpoint will ever serve the service's requests, or nil. It may be nil itself.
 	Unservable func() error
--- a/internal/standin/railengine/control.go
+++ b/internal/standin/railengine/control.go
@@ -12,6 +12,7 @@
 const (
 	maxCacheEvents = 1000
 	maxLoadSamples = 1000
+	maxStarts      = 10_000
 )
 
 var roles = []string{"both", "prefill", "decode"}
@@ -86,6 +87,13 @@
 	return nil
 }
 
+func (e *Engine) recordStart() {
+	e.requestStarts = append(e.requestStarts, time.Now())
+	if len(e.requestStarts) > maxStarts {
+		e.requestStarts = e.requestStarts[1:]
+	}
+}
+
 func (e *Engine) recordLoad() {
 	e.loadSamples = append(e.loadSamples, loadSample{at: time.Now(), running: len(e.running)})
 	if len(e.loadSamples) > maxLoadSamples {
--- a/internal/standin/railengine/engine.go
+++ b/internal/standin/railengine/engine.go
@@ -59,26 +59,26 @@
 	// Incarnation identifies the first start of the engine.
 	Incarnation string
 
-	mu               sync.Mutex
-	chunks           map[string][]byte
-	digest           string
-	loading          bool
-	fence            int64
-	running          map[string]runningRequest
-	cache            prefixCache
-	loadSamples      []loadSample
-	adapters         []string
-	role             string
-	servedSinceCold  int
-	downUntil        time.Time
-	overloads        int
-	crashes          int
-	served           int
-	overLimit        int
-	lastRequestStart time.Time
-	streams          map[string]*railcall.Call
-	streamsToBreak   int
-	selfReport       selfReport
+	mu              sync.Mutex
+	chunks          map[string][]byte
+	digest          string
+	loading         bool
+	fence           int64
+	running         map[string]runningRequest
+	cache           prefixCache
+	loadSamples     []loadSample
+	adapters        []string
+	role            string
+	servedSinceCold int
+	downUntil       time.Time
+	overloads       int
+	crashes         int
+	served          int
+	overLimit       int
+	requestStarts   []time.Time
+	streams         map[string]*railcall.Call
+	streamsToBreak  int
+	selfReport      selfReport
 }
 
 // runningRequest is a request in progress.
@@ -265,7 +265,17 @@
 func (e *Engine) LastRequestStart() time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.lastRequestStart
+	if len(e.requestStarts) == 0 {
+		return time.Time{}
+	}
+	return e.requestStarts[len(e.requestStarts)-1]
+}
+
+// RequestStarts returns the start times of the most recent requests, in order.
+func (e *Engine) RequestStarts() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.requestStarts)
 }
 
 // admit adds a request to the batch. It returns an error if the engine is not serving, or if this request makes it crash.
@@ -280,7 +290,7 @@
 	}
 	e.running[id] = r
 	e.recordLoad()
-	e.lastRequestStart = time.Now()
+	e.recordStart()
 	if len(e.running) > e.capacity() {
 		e.overLimit++
 	}
--- a/internal/standin/railengine/http.go
+++ b/internal/standin/railengine/http.go
@@ -23,7 +23,7 @@
 	path := string(ctx.Path())
 	resource, rest, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
 	body := append([]byte(nil), ctx.PostBody()...)
-	defer e.writeLeaving(ctx)
+	defer e.writeSelfReport(ctx)
 	switch {
 	case resource == "state":
 		e.writeState(ctx)
@@ -65,6 +65,8 @@
 		e.BreakStreams(n)
 	case "leaving":
 		e.SetLeaving()
+	case "limit":
+		e.SetLimit(value)
 	case "pause":
 		d, err := time.ParseDuration(value)
 		if err != nil {
--- a/internal/standin/railengine/selfreport.go
+++ b/internal/standin/railengine/selfreport.go
@@ -13,6 +13,8 @@
 type selfReport struct {
 	leaving     bool
 	pausedUntil time.Time
+	// limit is the value of the header that names how many requests the engine takes, or empty.
+	limit string
 }
 
 // SetLeaving makes the engine say in all its responses that it is leaving. It still serves requests.
@@ -22,6 +24,14 @@
 	e.selfReport.leaving = true
 }
 
+// SetLimit makes the engine name in all its responses how many requests per second it takes, or no more if the value is empty. It still serves
+// all requests.
+func (e *Engine) SetLimit(value string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.selfReport.limit = value
+}
+
 // Pause makes the engine turn requests away for some time, and say for how long in each such response.
 func (e *Engine) Pause(d time.Duration) {
 	e.mu.Lock()
@@ -42,11 +52,14 @@
 	return true
 }
 
-// writeLeaving sets the header in which a leaving engine says so.
-func (e *Engine) writeLeaving(ctx *fasthttp.RequestCtx) {
+// writeSelfReport sets the headers in which the engine says that it is leaving, and how many requests it takes.
+func (e *Engine) writeSelfReport(ctx *fasthttp.RequestCtx) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.selfReport.leaving {
 		ctx.Response.Header.Set(railendpoint.LeavingHeader, "1")
 	}
+	if e.selfReport.limit != "" {
+		ctx.Response.Header.Set(railendpoint.LimitHeader, e.selfReport.limit)
+	}
 }
