Space requests again after the claim on their key

An endpoint that names a limit got more requests than it takes after a moment in which the store was away: 13 in 3.0 s at a limit of three a second, where 12 in 4 s are allowed.

Cause: requests were spaced when they were admitted. Those with a key then wait for its claim, and while the store is away many wait; they all reached the endpoint when it was back.

Admitted requests now take the next send time as they go to the endpoint, too, which is at once unless they were delayed; one whose time would come after its deadline is rejected as not run, and its key is released.

TestClaimedRequestsAreSpacedWhenTheyReachTheEndpoint failed before.

--- a/internal/admission/railadmission/controller.go
+++ b/internal/admission/railadmission/controller.go
@@ -37,8 +37,9 @@
 	engineReport railselfreport.SelfReport
 	// controlNamesLimit reports whether the engine has named a limit in a response to a control request.
 	controlNamesLimit bool
-	// spacer spaces requests while the engine has a limit.
-	spacer railspacer.Spacer
+	// admissions and sends space requests while the engine has a limit: when they are admitted, and when they are sent to it. Between these, some
+	// wait for the claim on their key.
+	admissions, sends railspacer.Spacer
 
 	samplerOnce      sync.Once
 	malformedSampler raillogsampler.Sampler
--- a/internal/admission/railadmission/limit.go
+++ b/internal/admission/railadmission/limit.go
@@ -1,10 +1,12 @@
 package railadmission
 
 import (
+	"context"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
 	"github.com/fulmarrail/fulmarrail/internal/endpoint/railendpoint"
 	"github.com/fulmarrail/fulmarrail/internal/limit/railspacer"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
@@ -52,7 +54,8 @@
 	}
 	after = c.rateLimit(now)
 	if after.limited && !before.limited {
-		c.spacer.RecordSent(now, after.perSecond)
+		c.admissions.RecordSent(now, after.perSecond)
+		c.sends.RecordSent(now, after.perSecond)
 	}
 	return before, after
 }
@@ -63,10 +66,36 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	if limit := c.rateLimit(now); limit.limited {
-		c.spacer.RecordSent(now, limit.perSecond)
+		c.admissions.RecordSent(now, limit.perSecond)
+		c.sends.RecordSent(now, limit.perSecond)
 	}
 }
 
+// AwaitSend waits until an admitted request may be sent to the endpoint, which is at once unless it was delayed since its admission. It reports
+// false if that would be after the deadline of ctx, or ctx is done.
+func (c *Controller) AwaitSend(ctx context.Context) bool {
+	wait, ok := c.reserveSend(ctx)
+	return ok && railtimer.Sleep(ctx, wait)
+}
+
+// reserveSend takes the next time at which the endpoint takes a request, and returns the time until then, or false if that is after the deadline
+// of ctx.
+func (c *Controller) reserveSend(ctx context.Context) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	limit := c.rateLimit(now)
+	if !limit.limited {
+		return 0, true
+	}
+	wait := max(c.sends.Opening(limit.perSecond).Sub(now), 0)
+	if deadline, ok := ctx.Deadline(); ok && now.Add(wait).After(deadline) {
+		return 0, false
+	}
+	c.sends.RecordSent(now, limit.perSecond)
+	return wait, true
+}
+
 // Load returns the endpoint's load, and how long entries have to wait before it may get a further request.
 func (c *Controller) Load() *railproto.Load {
 	load := c.Limiter.Load()
@@ -98,7 +127,7 @@
 		return false
 	}
 	if limit := c.rateLimit(now); limit.limited {
-		c.spacer.RecordSent(now, limit.perSecond)
+		c.admissions.RecordSent(now, limit.perSecond)
 	}
 	return true
 }
@@ -118,7 +147,7 @@
 	if !limit.limited {
 		return 0
 	}
-	return max(c.spacer.Opening(limit.perSecond).Sub(now), 0)
+	return max(c.admissions.Opening(limit.perSecond).Sub(now), 0)
 }
 
 // rateLimit returns the limit that holds now. The caller must hold mu.
--- a/internal/lab/railcluster/limit_test.go
+++ b/internal/lab/railcluster/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/lab/railcluster"
 	"github.com/fulmarrail/fulmarrail/internal/request/railverdict"
 	"github.com/fulmarrail/fulmarrail/internal/routing/raildispatcher"
+	"github.com/fulmarrail/fulmarrail/internal/standin/railplatform"
 )
 
 const (
@@ -144,3 +146,37 @@
 		c.Check(verdict, qt.Equals, railverdict.Ran)
 	})
 }
+
+// Guards against requests that wait for the claim on their key and all reach the endpoint at the same time.
+func TestClaimedRequestsAreSpacedWhenTheyReachTheEndpoint(t *testing.T) {
+	o := &ordersCluster{seed: 1}
+	o.run(t, &railplatform.Platform{Seed: 1}, func(ctx context.Context, c *qt.C) {
+		const perWindow = 12 // The limit is three per second.
+		var mu sync.Mutex
+		starts := map[string][]time.Time{}
+		for name, service := range o.orderServices {
+			service.OnCommit = func(string, string) {
+				mu.Lock()
+				defer mu.Unlock()
+				starts[name] = append(starts[name], time.Now())
+			}
+			o.RecordLimit(name, railendpoint.LimitReport{SentAt: time.Now(), PerSecond: 3, Limited: true})
+		}
+		var wg sync.WaitGroup
+		for n := range 300 {
+			wg.Go(func() {
+				req := railcluster.NewRequest("orders", "castle", fmt.Sprint("key-", n), "order", false, 10*time.Second)
+				_, _, _ = railcluster.Submit(ctx, o.routers["entry-"+zones[n%len(zones)]], req)
+			})
+			time.Sleep(100 * time.Millisecond)
+			o.Platform.SetStoreDown(n%100 >= 40 && n%100 < 80)
+		}
+		wg.Wait()
+		c.Check(starts, qt.HasLen, len(zones))
+		for name, at := range starts {
+			for i := perWindow; i < len(at); i++ {
+				c.Check(at[i].Sub(at[i-perWindow]) >= limitWindow, qt.IsTrue, qt.Commentf("%s got %d in %s", name, perWindow+1, at[i].Sub(at[i-perWindow])))
+			}
+		}
+	})
+}
--- a/internal/request/railexecutor/executor.go
+++ b/internal/request/railexecutor/executor.go
@@ -32,7 +32,8 @@
 	admitted = railproto.Reason_REASON_UNSPECIFIED
 )
 
-// errEndpointRefuses means that the endpoint has said, while the request waited for the claim on its key, that it wants no requests.
+// errEndpointRefuses means that the endpoint has said, while the request waited for the claim on its key, that it wants no requests, or takes no
+// further one before the request's deadline.
 var errEndpointRefuses = errors.New("the endpoint asks for no requests")
 
 // Executor runs requests at one endpoint. Its exported fields must be set before first use. It is safe for concurrent use.
@@ -195,7 +196,7 @@
 
 // runAtEndpoint runs the request at the endpoint, emits the frames of its response and releases its admission.
 func (e *Executor) runAtEndpoint(ctx context.Context, call *railcall.Call, req *railproto.ExecuteRequest, s *slot, emit func(*railproto.Frame)) (railverdict.Verdict, error) {
-	if e.Admission.EngineRefuses() {
+	if !e.Admission.AwaitSend(ctx) || e.Admission.EngineRefuses() {
 		s.releaseUnsampled()
 		return railverdict.NotRun, errEndpointRefuses
 	}
