Reject a requeued request that has too little time left

Callers of an own deployment whose request an endpoint had rejected for lack of capacity could get 504 "may have run" in place of 503 "not run".

Cause: such a request resumes its place in the queue and was sent to the next endpoint that has capacity without a look at its deadline, which then cut off the response. Requests that wait in the queue are rejected once even the fastest recent response would come too late; the same holds for requeued ones now.

TestRequeuedRequestWithTooLittleTimeIsRejected failed before.

--- a/internal/routing/raildispatcher/dispatcher.go
+++ b/internal/routing/raildispatcher/dispatcher.go
@@ -105,6 +105,10 @@
 	if err := d.unservable(); err != nil {
 		return railcandidate.Candidate{}, false, err
 	}
+	now := time.Now()
+	if requeue && d.endsTooLate(now, req, now) {
+		return railcandidate.Candidate{}, false, ErrDeadline
+	}
 	if d.queue.Len() == 0 || requeue {
 		if c, ok := d.choose(req); ok {
 			return c, false, nil
@@ -113,7 +117,6 @@
 	if !requeue && d.missesDeadline(req) {
 		return railcandidate.Candidate{}, false, ErrDeadline
 	}
-	now := time.Now()
 	if end, ok := d.pauseEnd(); ok && d.endsTooLate(end, req, now) {
 		return railcandidate.Candidate{}, false, &PausedError{Remaining: end.Sub(now)}
 	}
@@ -224,9 +227,9 @@
 	return d.FirstPauseEnd()
 }
 
-// endsTooLate reports whether even the fastest response after a pause would miss the request's deadline.
-func (d *Dispatcher) endsTooLate(pauseEnd time.Time, req railrequest.Request, now time.Time) bool {
-	return !pauseEnd.Add(d.fastestOf(req.Priority).shortest(now)).Before(req.Deadline)
+// endsTooLate reports whether even the fastest response to a request that is sent at the given time would miss the request's deadline.
+func (d *Dispatcher) endsTooLate(sentAt time.Time, req railrequest.Request, now time.Time) bool {
+	return !sentAt.Add(d.fastestOf(req.Priority).shortest(now)).Before(req.Deadline)
 }
 
 // rejectPaused rejects the waiting requests that a pause of all endpoints outlasts.
--- a/internal/routing/raildispatcher/dispatcher_test.go
+++ b/internal/routing/raildispatcher/dispatcher_test.go
@@ -226,6 +226,21 @@
 	})
 }
 
+// Guards against a request that an endpoint has rejected for lack of capacity, and that is sent to the next one so late that its deadline cuts off
+// the response.
+func TestRequeuedRequestWithTooLittleTimeIsRejected(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		d := newDispatcher(&endpoint{})
+		d.RecordCompletion(0, time.Second)
+		req := railrequest.Request{Customer: "castle", Weight: 1, Deadline: time.Now().Add(900 * time.Millisecond)}
+		_, err := d.Acquire(t.Context(), req, 10, true)
+		qt.Check(t, err, qt.ErrorIs, raildispatcher.ErrDeadline)
+		req.Deadline = time.Now().Add(1100 * time.Millisecond)
+		_, err = d.Acquire(t.Context(), req, 10, true)
+		qt.Check(t, err, qt.IsNil)
+	})
+}
+
 // Guards against requests that wait until their deadline for a service that a new configuration has dropped.
 func TestWaitingRequestsOfADroppedServiceAreRejectedAtOnce(t *testing.T) {
 	railvirtualtime.Test(t, func(t *testing.T) {
