Don't take a body for whole while it is unknown whether it was cut

Callers of an own deployment could get the first part of an answer as the whole one, with the verdict that it ran.

Cause: a body without a length ends with its connection, so the agent looks whether the engine has ended. If the request's deadline came before the engine had said so, or its caller left, that counted as "has not ended", and the body as complete.

Such a response now counts as cut off; the request may have run.

TestBodyWithoutLengthIsNotCompleteIfTheDeadlineComesFirst failed before: an engine that doesn't tell its state until the deadline.

--- a/internal/endpoint/railupstream/client.go
+++ b/internal/endpoint/railupstream/client.go
@@ -193,8 +193,8 @@
 		return railverdict.Ran, nil
 	}
 	body, err := exchange.ReadAll(maxResponseBytes, nil)
-	if err == nil && exchange.EndsWithConnection() && c.hasEnded(ctx, incarnation) {
-		err = errEndedWithEngine
+	if err == nil && exchange.EndsWithConnection() {
+		err = c.checkNotCut(ctx, incarnation)
 	}
 	if err != nil {
 		return railverdict.MayHaveRun, errors.Wrap(errors.CombineErrors(railendpoint.ErrTruncated, err), "read the answer")
@@ -204,6 +204,15 @@
 	return railverdict.Ran, nil
 }
 
+// checkNotCut returns an error if a body that ended with its connection may have been cut off there: the engine has ended, or ctx was done before
+// that was known.
+func (c *Client) checkNotCut(ctx context.Context, incarnation string) error {
+	if c.hasEnded(ctx, incarnation) {
+		return errEndedWithEngine
+	}
+	return errors.Wrap(ctx.Err(), "look whether the engine has ended")
+}
+
 func (c *Client) cancelRequest(requestID string) {
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
--- a/internal/endpoint/railupstream/cut_test.go
+++ b/internal/endpoint/railupstream/cut_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
@@ -108,3 +112,50 @@
 		})
 	}
 }
+
+// Guards against a part of a body that counts as the whole, since the deadline came while the agent looked whether the engine had ended.
+func TestBodyWithoutLengthIsNotCompleteIfTheDeadlineComesFirst(t *testing.T) {
+	for name, test := range map[string]struct {
+		hangs   bool
+		verdict railverdict.Verdict
+	}{
+		"the engine does not say whether it has ended": {true, railverdict.MayHaveRun},
+		"the engine goes on":                           {false, railverdict.Ran},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client, hang := startStatefulEngine(t)
+			_, _, err := client.LoadedWeights(t.Context())
+			qt.Assert(t, err, qt.IsNil)
+			hang.Store(test.hangs)
+			ctx, cancel := context.WithTimeout(t.Context(), 700*time.Millisecond)
+			defer cancel()
+			complete := false
+			verdict, err := client.Run(ctx, &railproto.ExecuteRequest{RequestId: "r", Path: "/", Idempotent: true}, func(f *railproto.Frame) {
+				complete = complete || f.GetKind() == railproto.FrameKind_FRAME_KIND_END
+			})
+			qt.Check(t, verdict, qt.Equals, test.verdict, qt.Commentf("%v", err))
+			qt.Check(t, complete, qt.Equals, !test.hangs)
+		})
+	}
+}
+
+// startStatefulEngine starts an engine whose responses have no length. It does not respond to requests for its state while hang is set.
+func startStatefulEngine(t *testing.T) (client *railupstream.Client, hang *atomic.Bool) {
+	t.Helper()
+	hang = &atomic.Bool{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/state" && hang.Load() {
+			<-r.Context().Done()
+			return
+		}
+		conn, buffered, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\n\r\n" + `{"incarnation": "first"}`)
+		_ = buffered.Flush()
+		_ = conn.Close()
+	}))
+	t.Cleanup(server.Close)
+	return &railupstream.Client{Address: server.Listener.Addr().String()}, hang
+}
