Tell waiting requests at once that an agent admits no more

Requests of an own deployment that waited at an agent when it began to drain, to switch weights, or when its engine ended, lost up to 100 ms, and then got "at its limit" as the reason, after which an entry may send them to the same agent again.

Cause: the queue was looked at only when a running request ended, so a change of the agent's own state reached the waiting ones at the end of their wait. Each such change processes the queue now.

--- a/internal/admission/railadmission/controller.go
+++ b/internal/admission/railadmission/controller.go
@@ -104,8 +104,9 @@
 // StartDraining rejects all further requests. It can't be undone.
 func (c *Controller) StartDraining() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.draining = true
+	c.mu.Unlock()
+	c.processQueue()
 }
 
 // Draining reports whether StartDraining was called.
@@ -115,11 +116,12 @@
 	return c.draining
 }
 
-// SetWeights records the digest of the complete and intact weights in service, or an empty string if there are none, and the engine's incarnation. A change of either resets the
-// limiter because the endpoint starts cold.
+// SetWeights records the digest of the complete and intact weights in service, or an empty string if there are none, and the engine's
+// incarnation. A change of either resets the limiter because the endpoint starts cold.
 func (c *Controller) SetWeights(digest, engineIncarnation string) {
 	if c.recordWeights(digest, engineIncarnation) {
 		c.Limiter.Reset()
+		c.processQueue()
 	}
 }
 
@@ -151,8 +153,9 @@
 // SetSuspended suspends or resumes admission while weights are switched.
 func (c *Controller) SetSuspended(suspended bool) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.suspended = suspended
+	c.mu.Unlock()
+	c.processQueue()
 }
 
 // Configure applies the service's limits from the current configuration revision.
