Check the weights of answers that are no stream, too

An answer of an own deployment's engine that is no event stream doesn't say from which weights it comes. Such an answer still rested on what the agent had last read: up to half a second old, or older while the agent waits for a slot or for the origin. An engine that had loaded corrupt weights meanwhile answered its callers.

The agent now asks the engine which weights it serves once the whole answer is there, before it passes it on: an engine can't load others in so short a time. If they are not known to be intact, the answer is dropped and the engine gets no requests until its state was read again; if the engine doesn't say, the request may have run. It costs one request to the endpoint beside the agent for each such answer. Plain services and errors aren't asked about.

--- a/internal/command/railagentcmd/agent.go
+++ b/internal/command/railagentcmd/agent.go
@@ -42,6 +42,7 @@
 			Endpoint: client, Dialer: process.Dialer, Log: process.Log,
 		}
 		client.OnReport, client.OnLimit, client.OnResume = agent.RecordReport, agent.RecordLimit, agent.RecordResume
+		client.Intact = agent.Intact
 		return agent.Run(ctx, opts.Settings.DrainTimeout)
 	})
 }
--- a/internal/endpoint/railendpoint/endpoint.go
+++ b/internal/endpoint/railendpoint/endpoint.go
@@ -39,6 +39,8 @@
 var (
 	// ErrMixedWeights means that the weights changed while the answer was generated.
 	ErrMixedWeights = errors.New("the weights changed during the answer")
+	// ErrUnknownWeights means that the answer comes from weights that are not known to be intact.
+	ErrUnknownWeights = errors.New("the answer comes from weights that are not known to be intact")
 	// ErrTruncated means that an answer ended before its final event.
 	ErrTruncated = errors.New("the answer ended before its last event")
 	// ErrStaleFence means that the engine has seen a newer fencing token.
--- a/internal/endpoint/railupstream/client.go
+++ b/internal/endpoint/railupstream/client.go
@@ -46,6 +46,9 @@
 	// OnResume is called before each request that resumes a stream. It may be nil.
 	OnResume func()
 
+	// Intact reports whether weights with a digest are known to be intact. It is asked for responses that don't state their weights. It may be nil.
+	Intact func(digest string) bool
+
 	// incarnation is the engine's incarnation in its last reply to LoadedWeights.
 	incarnation atomic.Value
 }
@@ -199,11 +202,34 @@
 	if err != nil {
 		return railverdict.MayHaveRun, errors.Wrap(errors.CombineErrors(railendpoint.ErrTruncated, err), "read the answer")
 	}
+	if incarnation != "" && status == fasthttp.StatusOK {
+		if err := c.checkWeights(ctx); err != nil {
+			return railverdict.MayHaveRun, err
+		}
+	}
 	emit(&railproto.Frame{Kind: railproto.FrameKind_FRAME_KIND_DATA, Data: body})
 	emit(&railproto.Frame{Kind: railproto.FrameKind_FRAME_KIND_END, Count: 1, Status: int32(status), ContentType: contentType})
 	return railverdict.Ran, nil
 }
 
+// checkWeights returns an error unless the weights from which the engine has just answered are known to be intact. Only the events of a stream state
+// them, so it asks the engine, which can't have loaded others in so short a time.
+func (c *Client) checkWeights(ctx context.Context) error {
+	if c.Intact == nil {
+		return nil
+	}
+	digest, _, err := c.LoadedWeights(ctx)
+	switch {
+	case err != nil:
+		return errors.Wrap(err, "read which weights have answered")
+	case digest == "":
+		return railendpoint.ErrMixedWeights
+	case !c.Intact(digest):
+		return errors.Wrapf(railendpoint.ErrUnknownWeights, "weights %s", digest)
+	}
+	return nil
+}
+
 // checkNotCut returns an error if a body that ended with its connection may have been cut off there: the engine has ended, or ctx was done before
 // that was known.
 func (c *Client) checkNotCut(ctx context.Context, incarnation string) error {
--- a/internal/lab/raildeployment/deployment.go
+++ b/internal/lab/raildeployment/deployment.go
@@ -221,6 +221,7 @@
 		Dialer: d.newDialer(), Log: d.Log.With("process", name),
 	}
 	client.OnReport, client.OnLimit, client.OnResume = agent.RecordReport, agent.RecordLimit, agent.RecordResume
+	client.Intact = agent.Intact
 	d.Platform.SetMember(self)
 	d.startProcess(ctx, name, agent.Run, agent.Revision)
 	return nil
--- a/internal/node/railagent/agent.go
+++ b/internal/node/railagent/agent.go
@@ -150,6 +150,12 @@
 	a.admission.RecordReport(incarnation, said)
 }
 
+// Intact reports whether weights with a digest are known to be intact.
+func (a *Agent) Intact(digest string) bool {
+	a.init()
+	return a.intact.Has(digest)
+}
+
 // RecordLimit records what a response of the endpoint says of the number of requests that it takes.
 func (a *Agent) RecordLimit(said railendpoint.LimitReport) {
 	a.init()
--- a/internal/request/railexecutor/executor.go
+++ b/internal/request/railexecutor/executor.go
@@ -242,7 +242,7 @@
 		reason = railproto.Reason_REASON_ENDPOINT_ENDED
 	case errors.Is(err, railendpoint.ErrMixedWeights):
 		reason = railproto.Reason_REASON_MIXED_WEIGHTS
-	case errors.Is(err, errUnknownWeights):
+	case errors.Is(err, railendpoint.ErrUnknownWeights):
 		reason = railproto.Reason_REASON_NO_WEIGHTS
 	case errors.Is(err, context.Canceled):
 		reason = railproto.Reason_REASON_CANCELLED
--- a/internal/request/railexecutor/intact.go
+++ b/internal/request/railexecutor/intact.go
@@ -6,16 +6,12 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
+	"github.com/fulmarrail/fulmarrail/internal/endpoint/railendpoint"
 	"github.com/fulmarrail/fulmarrail/internal/request/railverdict"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
 
-var (
-	// errUnknownWeights means that the endpoint has answered from weights that are not known to be intact.
-	errUnknownWeights = errors.New("the answer comes from weights that are not known to be intact")
-
-	unknownWeightsAnswers = metrics.GetOrCreateCounter("fulmarrail_agent_unknown_weights_answers_total")
-)
+var unknownWeightsAnswers = metrics.GetOrCreateCounter("fulmarrail_agent_unknown_weights_answers_total")
 
 // runIntact passes a request to the endpoint, and stops the response before its first frame from weights that are not known to be intact. The
 // endpoint may have loaded them since the agent last read which weights it serves, so it gets no further requests until the agent reads that again.
@@ -32,10 +28,12 @@
 			emit(f)
 		}
 	})
-	if unknownDigest == "" {
-		return verdict, err
+	if unknownDigest != "" {
+		verdict, err = railverdict.MayHaveRun, errors.Wrapf(railendpoint.ErrUnknownWeights, "weights %s", unknownDigest)
+	}
+	if errors.Is(err, railendpoint.ErrUnknownWeights) {
+		unknownWeightsAnswers.Inc()
+		e.Admission.WithdrawWeights()
 	}
-	unknownWeightsAnswers.Inc()
-	e.Admission.WithdrawWeights()
-	return railverdict.MayHaveRun, errors.Wrapf(errUnknownWeights, "weights %s", unknownDigest)
+	return verdict, err
 }
