Reject waiting requests of customers that a revision drops

A request of an own deployment that waited at an entry was still served after the operators had taken its customer out of the configuration, while new ones got 403 at once; until then it kept its place before those of other customers.

Cause: a change of the configuration was applied to the waiting requests of a dropped service only. Each new revision is now applied to all that wait, once, since a look at all of them at each change of load would be too much.

TestWaitingRequestOfADroppedCustomerIsRejected failed before: the request ran. Two tests changed: Unservable has an argument, and the clusters' configuration names the customer "tower", which TestRequestsThatEndEnginesAreQuarantined used without; a caller of it would have got 403, since only the front checked that.

--- a/internal/lab/railcluster/chat_test.go
+++ b/internal/lab/railcluster/chat_test.go
@@ -29,6 +29,7 @@
 [zone b]
 region = b
 [customer castle]
+[customer tower]
 [service chat]
 kind = engine
 version = v1
--- a/internal/lab/railcluster/limit_test.go
+++ b/internal/lab/railcluster/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -147,6 +148,32 @@
 	})
 }
 
+// Guards against requests that wait in an entry's queue, and run, for a customer whom a new configuration has dropped.
+func TestWaitingRequestOfADroppedCustomerIsRejected(t *testing.T) {
+	runChat(t, 1, 0, func(ctx context.Context, c *qt.C, chat *chatCluster) {
+		for name := range chat.engines {
+			chat.limitEngine(name, 0.04)
+		}
+		time.Sleep(limitKnown)
+		submit := func(customer string) <-chan railverdict.Verdict {
+			verdicts := make(chan railverdict.Verdict, 1)
+			go func() {
+				req := railcluster.NewRequest("chat", customer, "", `{"maxTokens": 12}`, true, time.Minute)
+				verdict, _, _ := railcluster.Submit(ctx, chat.routers[0], req)
+				verdicts <- verdict
+			}()
+			return verdicts
+		}
+		dropped, kept := submit("castle"), submit("tower")
+		time.Sleep(time.Second)
+		chat.WriteFile("10.ini", strings.Replace(chatConfig, "[customer castle]\n", "", 1))
+		start := time.Now()
+		c.Check(<-dropped, qt.Equals, railverdict.NotRun)
+		c.Check(time.Since(start) < 3*time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(start)))
+		c.Check(<-kept, qt.Equals, railverdict.Ran)
+	})
+}
+
 // Guards against requests that wait for the claim on their key and all reach the endpoint at the same time.
 func TestClaimedRequestsAreSpacedWhenTheyReachTheEndpoint(t *testing.T) {
 	o := &ordersCluster{seed: 1}
--- a/internal/node/railrouter/router.go
+++ b/internal/node/railrouter/router.go
@@ -242,17 +242,24 @@
 		RecordUnsent: r.watcher.RecordDecision,
 
 		FirstPauseEnd: func() (time.Time, bool) { return r.watcher.FirstPauseEnd(service) },
-		Unservable:    func() error { return r.checkService(service) },
+		Unservable:    func(customer string) error { return r.checkConfigured(service, customer) },
+		Revision:      r.revisions.Number,
 		Log:           raillog.Named(r.Log, "dispatcher"),
 	})
 	return d.(*raildispatcher.Dispatcher)
 }
 
-// checkService returns an error if the current revision has no such service, as after one that drops it.
-func (r *Router) checkService(name string) error {
+// checkConfigured returns an error if the current revision has no such service or customer, as after one that drops it.
+func (r *Router) checkConfigured(service, customer string) error {
 	revision, ok := r.revisions.Current()
-	if _, known := revision.Spec().Service(name); ok && !known {
-		return errors.Newf("there is no service %q any more", name)
+	if !ok {
+		return nil
+	}
+	if _, known := revision.Spec().Service(service); !known {
+		return errors.Newf("there is no service %q any more", service)
+	}
+	if _, known := revision.Spec().Customer(customer); !known {
+		return errors.Newf("there is no customer %q any more", customer)
 	}
 	return nil
 }
--- a/internal/routing/raildispatcher/dispatcher.go
+++ b/internal/routing/raildispatcher/dispatcher.go
@@ -70,16 +70,20 @@
 	// FirstPauseEnd returns the time at which the first endpoint takes requests again, or false unless all endpoints have asked for none, or have
 	// got as many as they take. It may be nil.
 	FirstPauseEnd func() (time.Time, bool)
-	// Unservable returns the reason why no endpoint will ever serve the service's requests, or nil. It may be nil itself.
-	Unservable func() error
+	// Unservable returns the reason why no endpoint will ever serve a customer's requests to the service, or nil. It may be nil itself.
+	Unservable func(customer string) error
+	// Revision returns a number that is another one once Unservable may return another reason. If it is nil, that may be at any time.
+	Revision func() uint64
 	// Log gets a line for a panic in the choice of an endpoint. Without it, that goes to the default log.
 	Log *slog.Logger
 
-	mu             sync.Mutex
-	queue          railqueue.Queue[*waiter]
-	completed      int
-	windowStart    time.Time
-	completionRate float64
+	mu    sync.Mutex
+	queue railqueue.Queue[*waiter]
+	// checkedRevision is the revision by which Unservable has been asked about all that wait.
+	checkedRevision uint64
+	completed       int
+	windowStart     time.Time
+	completionRate  float64
 	// fastest holds the shortest response times by priority. They differ because endpoints respect priorities.
 	fastest map[int]*windowedMinimum
 }
@@ -102,7 +106,7 @@
 	defer d.mu.Unlock()
 	req := w.request
 	d.queue.Capacity = queueCapacity
-	if err := d.unservable(); err != nil {
+	if err := d.unservable(req); err != nil {
 		return railcandidate.Candidate{}, false, err
 	}
 	now := time.Now()
@@ -138,9 +142,7 @@
 	defer d.mu.Unlock()
 	defer func() { _ = railpanic.Recovered(recover(), d.Log, unitWake) }()
 	now := time.Now()
-	if err := d.unservable(); err != nil {
-		d.rejectWaiting(err, func(*waiter) bool { return true })
-	}
+	d.rejectUnservable()
 	d.rejectPaused(now)
 	for {
 		w, ok := d.queue.Peek()
@@ -238,25 +240,43 @@
 	if !ok {
 		return
 	}
-	d.rejectWaiting(&PausedError{Remaining: end.Sub(now)}, func(w *waiter) bool { return d.endsTooLate(end, w.request, now) })
+	paused := &PausedError{Remaining: end.Sub(now)}
+	d.rejectWaiting(func(req railrequest.Request) error {
+		if d.endsTooLate(end, req, now) {
+			return paused
+		}
+		return nil
+	})
+}
+
+// rejectUnservable rejects the waiting requests that no endpoint will ever serve, if that may have changed since the last call.
+func (d *Dispatcher) rejectUnservable() {
+	if d.Revision != nil {
+		revision := d.Revision()
+		if revision == d.checkedRevision {
+			return
+		}
+		d.checkedRevision = revision
+	}
+	d.rejectWaiting(d.unservable)
 }
 
-// rejectWaiting rejects the waiting requests that match.
-func (d *Dispatcher) rejectWaiting(err error, match func(*waiter) bool) {
+// rejectWaiting rejects the waiting requests for which reason returns an error.
+func (d *Dispatcher) rejectWaiting(reason func(railrequest.Request) error) {
 	d.queue.RemoveFunc(func(w *waiter) bool {
-		if !match(w) {
-			return false
+		err := reason(w.request)
+		if err != nil {
+			w.result <- result{err: err}
 		}
-		w.result <- result{err: err}
-		return true
+		return err != nil
 	})
 }
 
-func (d *Dispatcher) unservable() error {
+func (d *Dispatcher) unservable(req railrequest.Request) error {
 	if d.Unservable == nil {
 		return nil
 	}
-	return d.Unservable()
+	return d.Unservable(req.Customer)
 }
 
 // missesDeadline reports whether the request is expected to miss its deadline behind the requests that are served first.
--- a/internal/routing/raildispatcher/dispatcher_test.go
+++ b/internal/routing/raildispatcher/dispatcher_test.go
@@ -248,7 +248,7 @@
 		var dropped atomic.Bool
 		errDropped := errors.New("dropped")
 		d := newDispatcher(&endpoint{running: 1})
-		d.Unservable = func() error {
+		d.Unservable = func(string) error {
 			if dropped.Load() {
 				return errDropped
 			}
