--- a/internal/admission/railadmission/controller.go
+++ b/internal/admission/railadmission/controller.go
@@ -9,6 +9,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/core/raillogsampler"
 	"github.com/fulmarrail/fulmarrail/internal/limit/raillimiter"
 	"github.com/fulmarrail/fulmarrail/internal/limit/railqueue"
+	"github.com/fulmarrail/fulmarrail/internal/limit/railspacer"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railselfreport"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
@@ -34,12 +35,19 @@
 	suspended         bool
 	// engineReport is what the engine has said of itself.
 	engineReport railselfreport.SelfReport
+	// controlNamesLimit reports whether the engine has named a limit in a response to a control request.
+	controlNamesLimit bool
+	// admissions and sends space requests while the engine has a limit: when they are admitted, and when they are sent to it. Between these, some
+	// wait for the claim on their key.
+	admissions, sends railspacer.Spacer
 
 	samplerOnce      sync.Once
 	malformedSampler raillogsampler.Sampler
 
 	queueMu sync.Mutex
 	queue   railqueue.Queue[*waiter]
+	// openingTimer processes the queue at the engine's next opening. It is nil until the first time.
+	openingTimer *time.Timer
 }
 
 // Check returns the reason why the request can't be admitted regardless of load, or REASON_UNSPECIFIED if it can.
@@ -81,6 +89,10 @@
 		c.Limiter.ReleaseUnsampled()
 		return 0, reason
 	}
+	if !c.takeOpening() {
+		c.Limiter.ReleaseUnsampled()
+		return 0, railproto.Reason_REASON_LIMIT
+	}
 	return inFlight, admitted
 }
 
@@ -92,8 +104,9 @@
 // StartDraining rejects all further requests. It can't be undone.
 func (c *Controller) StartDraining() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.draining = true
+	c.mu.Unlock()
+	c.processQueue()
 }
 
 // Draining reports whether StartDraining was called.
@@ -103,11 +116,12 @@
 	return c.draining
 }
 
-// SetWeights records the digest of the complete weights in service and the engine's incarnation. A change of either resets the
-// limiter because the endpoint starts cold.
+// SetWeights records the digest of the complete and intact weights in service, or an empty string if there are none, and the engine's
+// incarnation. A change of either resets the limiter because the endpoint starts cold.
 func (c *Controller) SetWeights(digest, engineIncarnation string) {
 	if c.recordWeights(digest, engineIncarnation) {
 		c.Limiter.Reset()
+		c.processQueue()
 	}
 }
 
@@ -121,6 +135,14 @@
 	return changed
 }
 
+// WithdrawWeights stops admission until SetWeights is called again, since the endpoint may serve other weights than recorded.
+func (c *Controller) WithdrawWeights() {
+	c.mu.Lock()
+	incarnation := c.engineIncarnation
+	c.mu.Unlock()
+	c.SetWeights("", incarnation)
+}
+
 // Weights returns the digest of the complete weights in service, or an empty string.
 func (c *Controller) Weights() string {
 	c.mu.Lock()
@@ -131,8 +153,9 @@
 // SetSuspended suspends or resumes admission while weights are switched.
 func (c *Controller) SetSuspended(suspended bool) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.suspended = suspended
+	c.mu.Unlock()
+	c.processQueue()
 }
 
 // Configure applies the service's limits from the current configuration revision.
--- a/internal/endpoint/railendpoint/endpoint.go
+++ b/internal/endpoint/railendpoint/endpoint.go
@@ -9,8 +9,12 @@
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
 
-// LeavingHeader is the header of an endpoint's responses in which it says, with the value 1, that it is leaving.
-const LeavingHeader = "Fulmarrail-Leaving"
+const (
+	// LeavingHeader is the header of an endpoint's responses in which it says, with the value 1, that it is leaving.
+	LeavingHeader = "Fulmarrail-Leaving"
+	// LimitHeader is the header of an endpoint's responses in which it names the number of requests per second that it takes.
+	LimitHeader = "Server-Limit"
+)
 
 // Endpoint is a model engine or a plain service. A plain service has no weights.
 type Endpoint interface {
@@ -35,6 +39,8 @@
 var (
 	// ErrMixedWeights means that the weights changed while the answer was generated.
 	ErrMixedWeights = errors.New("the weights changed during the answer")
+	// ErrUnknownWeights means that the answer comes from weights that are not known to be intact.
+	ErrUnknownWeights = errors.New("the answer comes from weights that are not known to be intact")
 	// ErrTruncated means that an answer ended before its final event.
 	ErrTruncated = errors.New("the answer ended before its last event")
 	// ErrStaleFence means that the engine has seen a newer fencing token.
--- a/internal/endpoint/railupstream/client.go
+++ b/internal/endpoint/railupstream/client.go
@@ -40,11 +40,27 @@
 	// OnReport is called with what the endpoint says of itself in each response, and with the incarnation of the engine, or an empty string
 	// if the response does not state it. It may be nil.
 	OnReport func(incarnation string, said railheader.SelfReport)
+	// OnLimit is called with what each response says of the number of requests that the endpoint takes, unless all that it names is malformed. It
+	// may be nil.
+	OnLimit func(railendpoint.LimitReport)
+	// OnResume is called before each request that resumes a stream. It may be nil.
+	OnResume func()
+
+	// Intact reports whether weights with a digest are known to be intact. It is asked for responses that don't state their weights. It may be nil.
+	Intact func(digest string) bool
 
 	// incarnation is the engine's incarnation in its last reply to LoadedWeights.
 	incarnation atomic.Value
 }
 
+// controlReply is the response to a control request.
+type controlReply struct {
+	sentAt time.Time
+	header fasthttp.ResponseHeader
+	// content is the body of a response with status 200.
+	content []byte
+}
+
 // Run forwards a request to the endpoint and emits the frames of its answer. On error, the verdict tells whether the request may
 // have run. It returns a railendpoint.EndedError if the endpoint's process has ended meanwhile.
 func (c *Client) Run(ctx context.Context, req *railproto.ExecuteRequest, emit func(*railproto.Frame)) (railverdict.Verdict, error) {
@@ -69,19 +85,19 @@
 	}
 	stop := context.AfterFunc(ctx, func() { c.cancelRequest(req.GetRequestId()) })
 	defer stop()
+	sentAt := time.Now()
 	exchange, verdict, err := railexchange.Start(ctx, c.Address, hreq)
 	if err != nil {
 		return verdict, errors.Wrap(err, "call the endpoint")
 	}
 	defer exchange.Close()
-	c.report(&exchange.Header, "")
+	c.report(&exchange.Header, railendpoint.LimitReport{SentAt: sentAt})
 	return c.handleResponse(ctx, req, incarnation, exchange, emit)
 }
 
 // LoadedWeights returns the digest of the weights in service and the engine's incarnation.
 func (c *Client) LoadedWeights(ctx context.Context) (digest, incarnation string, err error) {
-	var header fasthttp.ResponseHeader
-	body, err := c.exchangeControl(ctx, fasthttp.MethodGet, "/state", nil, 0, &header)
+	reply, err := c.exchangeControl(ctx, fasthttp.MethodGet, "/state", nil, 0)
 	if err != nil {
 		return "", "", err
 	}
@@ -89,11 +105,11 @@
 		Digest      string `json:"digest"`
 		Incarnation string `json:"incarnation"`
 	}
-	if err := json.Unmarshal(body, &state); err != nil {
+	if err := json.Unmarshal(reply.content, &state); err != nil {
 		return "", "", errors.Wrap(err, "decode the engine's state")
 	}
 	c.incarnation.Store(state.Incarnation)
-	c.report(&header, state.Incarnation)
+	c.report(&reply.header, railendpoint.LimitReport{Incarnation: state.Incarnation, SentAt: reply.sentAt, Control: true})
 	return state.Digest, state.Incarnation, nil
 }
 
@@ -180,17 +196,49 @@
 		return railverdict.Ran, nil
 	}
 	body, err := exchange.ReadAll(maxResponseBytes, nil)
-	if err == nil && exchange.EndsWithConnection() && c.hasEnded(ctx, incarnation) {
-		err = errEndedWithEngine
+	if err == nil && exchange.EndsWithConnection() {
+		err = c.checkNotCut(ctx, incarnation)
 	}
 	if err != nil {
 		return railverdict.MayHaveRun, errors.Wrap(errors.CombineErrors(railendpoint.ErrTruncated, err), "read the answer")
 	}
+	if incarnation != "" && status == fasthttp.StatusOK {
+		if err := c.checkWeights(ctx); err != nil {
+			return railverdict.MayHaveRun, err
+		}
+	}
 	emit(&railproto.Frame{Kind: railproto.FrameKind_FRAME_KIND_DATA, Data: body})
 	emit(&railproto.Frame{Kind: railproto.FrameKind_FRAME_KIND_END, Count: 1, Status: int32(status), ContentType: contentType})
 	return railverdict.Ran, nil
 }
 
+// checkWeights returns an error unless the weights from which the engine has just answered are known to be intact. Only the events of a stream state
+// them, so it asks the engine, which can't have loaded others in so short a time.
+func (c *Client) checkWeights(ctx context.Context) error {
+	if c.Intact == nil {
+		return nil
+	}
+	digest, _, err := c.LoadedWeights(ctx)
+	switch {
+	case err != nil:
+		return errors.Wrap(err, "read which weights have answered")
+	case digest == "":
+		return railendpoint.ErrMixedWeights
+	case !c.Intact(digest):
+		return errors.Wrapf(railendpoint.ErrUnknownWeights, "weights %s", digest)
+	}
+	return nil
+}
+
+// checkNotCut returns an error if a body that ended with its connection may have been cut off there: the engine has ended, or ctx was done before
+// that was known.
+func (c *Client) checkNotCut(ctx context.Context, incarnation string) error {
+	if c.hasEnded(ctx, incarnation) {
+		return errEndedWithEngine
+	}
+	return errors.Wrap(ctx.Err(), "look whether the engine has ended")
+}
+
 func (c *Client) cancelRequest(requestID string) {
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
@@ -200,35 +248,40 @@
 
 // sendControl sends a control request and returns the body of the response.
 func (c *Client) sendControl(ctx context.Context, method, path string, body []byte, fence int64) ([]byte, error) {
-	var header fasthttp.ResponseHeader
-	content, err := c.exchangeControl(ctx, method, path, body, fence, &header)
-	c.report(&header, "")
-	return content, err
+	reply, err := c.exchangeControl(ctx, method, path, body, fence)
+	if reply == nil {
+		return nil, err
+	}
+	c.report(&reply.header, railendpoint.LimitReport{SentAt: reply.sentAt, Control: true})
+	return reply.content, err
 }
 
-// exchangeControl sends a control request and returns the body of the response. It copies the response's header to header.
-func (c *Client) exchangeControl(ctx context.Context, method, path string, body []byte, fence int64, header *fasthttp.ResponseHeader) ([]byte, error) {
+// exchangeControl sends a control request. It returns nil and an error if there is no response, and both if the response is broken or does not
+// have status 200.
+func (c *Client) exchangeControl(ctx context.Context, method, path string, body []byte, fence int64) (*controlReply, error) {
 	ctx, cancel := withTimeout(ctx)
 	defer cancel()
 	req := c.newRequest(method, path, body)
 	req.Header.Set(fenceHeader, strconv.FormatInt(fence, 10))
+	reply := &controlReply{sentAt: time.Now()}
 	exchange, _, err := railexchange.Start(ctx, c.Address, req)
 	if err != nil {
 		return nil, errors.Wrapf(err, "%s %s", method, path)
 	}
 	defer exchange.Close()
-	exchange.Header.CopyTo(header)
+	exchange.Header.CopyTo(&reply.header)
 	content, err := exchange.ReadAll(maxResponseBytes, nil)
 	if err != nil {
-		return nil, errors.Wrapf(err, "%s %s", method, path)
+		return reply, errors.Wrapf(err, "%s %s", method, path)
 	}
-	switch status := header.StatusCode(); status {
+	switch status := reply.header.StatusCode(); status {
 	case fasthttp.StatusOK:
-		return content, nil
+		reply.content = content
+		return reply, nil
 	case fasthttp.StatusPreconditionFailed:
-		return nil, errors.Wrapf(railendpoint.ErrStaleFence, "%s %s", method, path)
+		return reply, errors.Wrapf(railendpoint.ErrStaleFence, "%s %s", method, path)
 	default:
-		return nil, errors.Newf("%s %s: status %d: %s", method, path, status, content)
+		return reply, errors.Newf("%s %s: status %d: %s", method, path, status, content)
 	}
 }
 
--- a/internal/request/railexecutor/executor.go
+++ b/internal/request/railexecutor/executor.go
@@ -18,6 +18,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/request/railclaim"
 	"github.com/fulmarrail/fulmarrail/internal/request/railregistry"
 	"github.com/fulmarrail/fulmarrail/internal/request/railverdict"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/raildigestset"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railmanifest"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
@@ -31,7 +32,8 @@
 	admitted = railproto.Reason_REASON_UNSPECIFIED
 )
 
-// errEndpointRefuses means that the endpoint has said, while the request waited for the claim on its key, that it wants no requests.
+// errEndpointRefuses means that the endpoint has said, while the request waited for the claim on its key, that it wants no requests, or takes no
+// further one before the request's deadline.
 var errEndpointRefuses = errors.New("the endpoint asks for no requests")
 
 // Executor runs requests at one endpoint. Its exported fields must be set before first use. It is safe for concurrent use.
@@ -40,6 +42,8 @@
 	Calls     *railregistry.Registry
 	Endpoint  railendpoint.Endpoint
 	Claimer   *railclaim.Claimer
+	// Intact holds the digests of weights that are known to be intact.
+	Intact *raildigestset.Set
 	// AttachRemote follows a request at the agent with the given address.
 	AttachRemote func(ctx context.Context, address string, req *railproto.AttachRequest, send func(*railproto.Frame) error) error
 	Log          *slog.Logger
@@ -192,16 +196,16 @@
 
 // runAtEndpoint runs the request at the endpoint, emits the frames of its response and releases its admission.
 func (e *Executor) runAtEndpoint(ctx context.Context, call *railcall.Call, req *railproto.ExecuteRequest, s *slot, emit func(*railproto.Frame)) (railverdict.Verdict, error) {
-	if e.Admission.EngineRefuses() {
+	if !e.Admission.AwaitSend(ctx) || e.Admission.EngineRefuses() {
 		s.releaseUnsampled()
 		return railverdict.NotRun, errEndpointRefuses
 	}
 	start := time.Now()
 	var timing responseTiming
-	emit(&railproto.Frame{Kind: railproto.FrameKind_FRAME_KIND_ACCEPTED, Load: e.Admission.Limiter.Load()})
+	emit(&railproto.Frame{Kind: railproto.FrameKind_FRAME_KIND_ACCEPTED, Load: e.Admission.Load()})
 	var endFrame *railproto.Frame
 	s.mayHaveRun = true
-	verdict, err := e.runContained(ctx, req, func(frame *railproto.Frame) {
+	verdict, err := e.runIntact(ctx, req, func(frame *railproto.Frame) {
 		timing.record(frame, time.Since(start))
 		if frame.GetKind() == railproto.FrameKind_FRAME_KIND_END {
 			endFrame = frame
@@ -225,7 +229,7 @@
 	if err != nil {
 		return verdict, err
 	}
-	endFrame.Load = e.Admission.Limiter.Load()
+	endFrame.Load = e.Admission.Load()
 	emit(endFrame)
 	return verdict, nil
 }
@@ -238,6 +242,8 @@
 		reason = railproto.Reason_REASON_ENDPOINT_ENDED
 	case errors.Is(err, railendpoint.ErrMixedWeights):
 		reason = railproto.Reason_REASON_MIXED_WEIGHTS
+	case errors.Is(err, railendpoint.ErrUnknownWeights):
+		reason = railproto.Reason_REASON_NO_WEIGHTS
 	case errors.Is(err, context.Canceled):
 		reason = railproto.Reason_REASON_CANCELLED
 	case errors.Is(err, context.DeadlineExceeded):
@@ -272,7 +278,7 @@
 
 func (e *Executor) newFinalFrame(requestID string, kind railproto.FrameKind, reason railproto.Reason) *railproto.Frame {
 	return &railproto.Frame{
-		RequestId: requestID, Kind: kind, Reason: reason, Load: e.Admission.Limiter.Load(), Revision: e.Admission.Config.Number(),
+		RequestId: requestID, Kind: kind, Reason: reason, Load: e.Admission.Load(), Revision: e.Admission.Config.Number(),
 	}
 }
 
--- a/internal/routing/raildispatcher/dispatcher.go
+++ b/internal/routing/raildispatcher/dispatcher.go
@@ -35,7 +35,7 @@
 	errChoiceFailed = errors.New("the choice of an endpoint has failed")
 )
 
-// PausedError means that all endpoints have asked for no requests until it is too late for the request.
+// PausedError means that all endpoints have asked for no requests, or take no further ones, until it is too late for the request.
 type PausedError struct {
 	// Remaining is the time until the first endpoint takes requests again.
 	Remaining time.Duration
@@ -43,7 +43,7 @@
 
 // Error describes the rejection.
 func (e *PausedError) Error() string {
-	return "all endpoints ask for no requests for now"
+	return "no endpoint takes further requests in time"
 }
 
 type waiter struct {
@@ -67,19 +67,23 @@
 	RecordSent func(name string)
 	// RecordUnsent reverts RecordSent for a request that isn't sent after all.
 	RecordUnsent func(name string)
-	// FirstPauseEnd returns the time at which the first endpoint takes requests again, or false unless all endpoints have asked for none. It
-	// may be nil.
+	// FirstPauseEnd returns the time at which the first endpoint takes requests again, or false unless all endpoints have asked for none, or have
+	// got as many as they take. It may be nil.
 	FirstPauseEnd func() (time.Time, bool)
-	// Unservable returns the reason why no endpoint will ever serve the service's requests, or nil. It may be nil itself.
-	Unservable func() error
+	// Unservable returns the reason why no endpoint will ever serve a customer's requests to the service, or nil. It may be nil itself.
+	Unservable func(customer string) error
+	// Revision returns a number that is another one once Unservable may return another reason. If it is nil, that may be at any time.
+	Revision func() uint64
 	// Log gets a line for a panic in the choice of an endpoint. Without it, that goes to the default log.
 	Log *slog.Logger
 
-	mu             sync.Mutex
-	queue          railqueue.Queue[*waiter]
-	completed      int
-	windowStart    time.Time
-	completionRate float64
+	mu    sync.Mutex
+	queue railqueue.Queue[*waiter]
+	// checkedRevision is the revision by which Unservable has been asked about all that wait.
+	checkedRevision uint64
+	completed       int
+	windowStart     time.Time
+	completionRate  float64
 	// fastest holds the shortest response times by priority. They differ because endpoints respect priorities.
 	fastest map[int]*windowedMinimum
 }
@@ -102,9 +106,13 @@
 	defer d.mu.Unlock()
 	req := w.request
 	d.queue.Capacity = queueCapacity
-	if err := d.unservable(); err != nil {
+	if err := d.unservable(req); err != nil {
 		return railcandidate.Candidate{}, false, err
 	}
+	now := time.Now()
+	if requeue && d.endsTooLate(now, req, now) {
+		return railcandidate.Candidate{}, false, ErrDeadline
+	}
 	if d.queue.Len() == 0 || requeue {
 		if c, ok := d.choose(req); ok {
 			return c, false, nil
@@ -113,7 +121,6 @@
 	if !requeue && d.missesDeadline(req) {
 		return railcandidate.Candidate{}, false, ErrDeadline
 	}
-	now := time.Now()
 	if end, ok := d.pauseEnd(); ok && d.endsTooLate(end, req, now) {
 		return railcandidate.Candidate{}, false, &PausedError{Remaining: end.Sub(now)}
 	}
@@ -135,9 +142,7 @@
 	defer d.mu.Unlock()
 	defer func() { _ = railpanic.Recovered(recover(), d.Log, unitWake) }()
 	now := time.Now()
-	if err := d.unservable(); err != nil {
-		d.rejectWaiting(err, func(*waiter) bool { return true })
-	}
+	d.rejectUnservable()
 	d.rejectPaused(now)
 	for {
 		w, ok := d.queue.Peek()
@@ -224,9 +229,9 @@
 	return d.FirstPauseEnd()
 }
 
-// endsTooLate reports whether even the fastest response after a pause would miss the request's deadline.
-func (d *Dispatcher) endsTooLate(pauseEnd time.Time, req railrequest.Request, now time.Time) bool {
-	return !pauseEnd.Add(d.fastestOf(req.Priority).shortest(now)).Before(req.Deadline)
+// endsTooLate reports whether even the fastest response to a request that is sent at the given time would miss the request's deadline.
+func (d *Dispatcher) endsTooLate(sentAt time.Time, req railrequest.Request, now time.Time) bool {
+	return !sentAt.Add(d.fastestOf(req.Priority).shortest(now)).Before(req.Deadline)
 }
 
 // rejectPaused rejects the waiting requests that a pause of all endpoints outlasts.
@@ -235,25 +240,43 @@
 	if !ok {
 		return
 	}
-	d.rejectWaiting(&PausedError{Remaining: end.Sub(now)}, func(w *waiter) bool { return d.endsTooLate(end, w.request, now) })
+	paused := &PausedError{Remaining: end.Sub(now)}
+	d.rejectWaiting(func(req railrequest.Request) error {
+		if d.endsTooLate(end, req, now) {
+			return paused
+		}
+		return nil
+	})
+}
+
+// rejectUnservable rejects the waiting requests that no endpoint will ever serve, if that may have changed since the last call.
+func (d *Dispatcher) rejectUnservable() {
+	if d.Revision != nil {
+		revision := d.Revision()
+		if revision == d.checkedRevision {
+			return
+		}
+		d.checkedRevision = revision
+	}
+	d.rejectWaiting(d.unservable)
 }
 
-// rejectWaiting rejects the waiting requests that match.
-func (d *Dispatcher) rejectWaiting(err error, match func(*waiter) bool) {
+// rejectWaiting rejects the waiting requests for which reason returns an error.
+func (d *Dispatcher) rejectWaiting(reason func(railrequest.Request) error) {
 	d.queue.RemoveFunc(func(w *waiter) bool {
-		if !match(w) {
-			return false
+		err := reason(w.request)
+		if err != nil {
+			w.result <- result{err: err}
 		}
-		w.result <- result{err: err}
-		return true
+		return err != nil
 	})
 }
 
-func (d *Dispatcher) unservable() error {
+func (d *Dispatcher) unservable(req railrequest.Request) error {
 	if d.Unservable == nil {
 		return nil
 	}
-	return d.Unservable()
+	return d.Unservable(req.Customer)
 }
 
 // missesDeadline reports whether the request is expected to miss its deadline behind the requests that are served first.
--- a/internal/standin/railengine/engine.go
+++ b/internal/standin/railengine/engine.go
@@ -59,26 +59,26 @@
 	// Incarnation identifies the first start of the engine.
 	Incarnation string
 
-	mu               sync.Mutex
-	chunks           map[string][]byte
-	digest           string
-	loading          bool
-	fence            int64
-	running          map[string]runningRequest
-	cache            prefixCache
-	loadSamples      []loadSample
-	adapters         []string
-	role             string
-	servedSinceCold  int
-	downUntil        time.Time
-	overloads        int
-	crashes          int
-	served           int
-	overLimit        int
-	lastRequestStart time.Time
-	streams          map[string]*railcall.Call
-	streamsToBreak   int
-	selfReport       selfReport
+	mu              sync.Mutex
+	chunks          map[string][]byte
+	digest          string
+	loading         bool
+	fence           int64
+	running         map[string]runningRequest
+	cache           prefixCache
+	loadSamples     []loadSample
+	adapters        []string
+	role            string
+	servedSinceCold int
+	downUntil       time.Time
+	overloads       int
+	crashes         int
+	served          int
+	overLimit       int
+	requestStarts   []time.Time
+	streams         map[string]*railcall.Call
+	streamsToBreak  int
+	selfReport      selfReport
 }
 
 // runningRequest is a request in progress.
@@ -162,8 +162,9 @@
 	}
 	e.digest = ""
 	e.loading = true
+	loadTime := e.LoadTime
 	e.mu.Unlock()
-	railtimer.Sleep(ctx, e.LoadTime)
+	railtimer.Sleep(ctx, loadTime)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.loading = false
@@ -225,6 +226,13 @@
 	e.servedSinceCold = 0
 }
 
+// SetLoadTime changes the time that later loads of weights take.
+func (e *Engine) SetLoadTime(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.LoadTime = d
+}
+
 // Digest returns the digest of the weights in service.
 func (e *Engine) Digest() string {
 	e.mu.Lock()
@@ -257,7 +265,17 @@
 func (e *Engine) LastRequestStart() time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.lastRequestStart
+	if len(e.requestStarts) == 0 {
+		return time.Time{}
+	}
+	return e.requestStarts[len(e.requestStarts)-1]
+}
+
+// RequestStarts returns the start times of the most recent requests, in order.
+func (e *Engine) RequestStarts() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.requestStarts)
 }
 
 // admit adds a request to the batch. It returns an error if the engine is not serving, or if this request makes it crash.
@@ -272,7 +290,7 @@
 	}
 	e.running[id] = r
 	e.recordLoad()
-	e.lastRequestStart = time.Now()
+	e.recordStart()
 	if len(e.running) > e.capacity() {
 		e.overLimit++
 	}
