--- a/internal/node/railconn/counts.go
+++ b/internal/node/railconn/counts.go
@@ -17,9 +17,3 @@
 		slog.Int("answered", states[connAnswered]), slog.Int("idle", states[connIdle]), slog.Int("ending", states[connEnding]), slog.Int("unread", unread),
 	)
 }
-
-func (c *Conn) currentState() connState {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.state
-}
--- a/internal/node/railconn/limits.go
+++ b/internal/node/railconn/limits.go
@@ -69,26 +69,6 @@
 	return c.Conn.SetReadDeadline(deadline)
 }
 
-// enter changes the connection's state, whose wait ends after a time, or never if that is 0. The caller must hold the lock.
-func (c *Conn) enter(state connState, wait time.Duration) error {
-	now := time.Now()
-	c.state, c.stateSince, c.waitUntil = state, now, time.Time{}
-	if wait > 0 {
-		c.waitUntil = now.Add(wait)
-	}
-	return c.limitRead()
-}
-
-// enterReceiving makes the limits that are now in force hold for the request whose first byte has arrived. The caller must hold the lock.
-func (c *Conn) enterReceiving() {
-	c.limits = c.currentLimits()
-	wait := time.Duration(0)
-	if c.limits.HeaderTimeout > 0 {
-		wait = c.limits.HeaderTimeout + arrivalSlack
-	}
-	_ = c.enter(connReceiving, wait) // On a closed connection, the next read fails anyway.
-}
-
 // earliest returns the earlier of two times; the zero time is none.
 func earliest(a, b time.Time) time.Time {
 	if b.IsZero() || a.Before(b) {
