Split the forwarder by job

forwarder.go held the attempt and the frames of a response beside the forwarding itself. attempt.go and frames.go hold them now. The tests of railforwarder and railcluster pass.

--- a/internal/retry/railforwarder/forwarder.go
+++ b/internal/retry/railforwarder/forwarder.go
@@ -8,7 +8,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
-	"github.com/valyala/fasthttp"
 
 	"github.com/fulmarrail/fulmarrail/internal/core/railtimer"
 	"github.com/fulmarrail/fulmarrail/internal/limit/railquarantine"
@@ -26,10 +25,6 @@
 	maxFailedAttempts = 64
 	// maxEndedEndpoints is the number of endpoints that may end while a request is running there before it is no longer retried.
 	maxEndedEndpoints = 2
-	// maxTurnWaitShare is the share of the time until the deadline for which a suspected request waits for others to finish.
-	maxTurnWaitShare = 0.5
-	// successfulStreamTime is the time after which a stream that has begun counts as successful, though it is not complete.
-	successfulStreamTime = 200 * time.Millisecond
 	// attachAttempts is the number of attempts to resume an interrupted response.
 	attachAttempts = 3
 	attachDelay    = 100 * time.Millisecond
@@ -71,24 +66,6 @@
 	Log        *slog.Logger
 }
 
-// attempt is the state of one attempt at one incarnation of an agent.
-type attempt struct {
-	candidate railcandidate.Candidate
-	// pass is the permission to run a request with these shared parts.
-	pass      *railquarantine.Pass
-	requestID string
-	startedAt time.Time
-	// begunAt is the time of the first frame of the response, or zero if there was none.
-	begunAt          time.Time
-	nextSequence     uint64
-	deliveredFrames  int
-	weightsDigest    string
-	finalFrame       *railproto.Frame
-	decisionRecorded bool
-	// sent is set before the request is sent.
-	sent bool
-}
-
 // Forward runs a request and passes the data frames and the end frame of the response to deliver. The verdict covers all attempts.
 // The returned frame is the final frame of the last attempt, or nil if there is none. It holds the reason if the verdict is not Ran.
 // The error matches ErrCallerDisconnected if deliver failed, or if ctx was canceled while an endpoint had the request.
@@ -136,67 +113,6 @@
 	return verdict, finalFrame, errors.New("every attempt was refused")
 }
 
-// admitAttempt waits until the request may run at an endpoint, and returns an attempt there. Its errors mean that the request was not run: its
-// shared parts are quarantined, or no endpoint or no turn among suspected requests was available in time.
-func (f *Forwarder) admitAttempt(ctx context.Context, req railrequest.Request, requeue bool) (*attempt, error) {
-	turnBy := time.Now().Add(time.Duration(maxTurnWaitShare * float64(time.Until(req.Deadline))))
-	for {
-		a, err := f.tryAdmit(ctx, req, requeue, turnBy)
-		if a != nil || err != nil {
-			return a, err
-		}
-		requeue = true
-	}
-}
-
-// tryAdmit is admitAttempt. It returns nil if the pass is not given any more once an endpoint has room.
-func (f *Forwarder) tryAdmit(ctx context.Context, req railrequest.Request, requeue bool, turnBy time.Time) (*attempt, error) {
-	pass, err := f.Quarantine.Enter(ctx, req.SharedParts, turnBy)
-	if err != nil {
-		return nil, err
-	}
-	begun := false
-	defer func() {
-		if !begun {
-			pass.Release()
-		}
-	}()
-	req.IsolationKey = pass.IsolationKey()
-	candidate, err := f.Acquire(ctx, req, requeue)
-	if err != nil {
-		return nil, err
-	}
-	defer func() {
-		if !begun {
-			f.RecordDecision(candidate.Member.Name)
-		}
-	}()
-	if begun = pass.Begin(); !begun {
-		return nil, nil
-	}
-	return &attempt{candidate: candidate, pass: pass, startedAt: time.Now()}, nil
-}
-
-// recordSuccess records that the endpoint has run the request without harm: its response is complete, or has gone on for a while after it had begun.
-// Failures don't tell whether it has run at all.
-func (a *attempt) recordSuccess(frame *railproto.Frame) {
-	if a.begunAt.IsZero() {
-		a.begunAt = time.Now()
-	}
-	complete := frame.GetKind() == railproto.FrameKind_FRAME_KIND_END && frame.GetStatus() < fasthttp.StatusMultipleChoices
-	if complete || time.Since(a.begunAt) > successfulStreamTime {
-		a.pass.Succeeded()
-	}
-}
-
-// settle records what the attempt says about the request's shared parts.
-func (a *attempt) settle() {
-	if endpointEnded(a.finalFrame) {
-		a.pass.EngineEnded(a.candidate.Member.Name + "/" + a.finalFrame.GetEndedIncarnation())
-	}
-	a.pass.Release()
-}
-
 // runAttempt makes one attempt and returns the verdict on this attempt only.
 func (f *Forwarder) runAttempt(ctx context.Context, req railrequest.Request, attemptNumber int, a *attempt, deliver func(string, *railproto.Frame) error) (railverdict.Verdict, error) {
 	name, incarnation := a.candidate.Member.Name, a.candidate.Incarnation
@@ -260,75 +176,6 @@
 	return err
 }
 
-// receive processes frames until the final one. A frame of another request or out of order interrupts the response.
-func (f *Forwarder) receive(a *attempt, recv func() (*railproto.Frame, error), deliver func(string, *railproto.Frame) error) error {
-	for {
-		frame, err := recv()
-		if err != nil {
-			return errors.Mark(errors.Wrap(err, "receive the answer"), errInterrupted)
-		}
-		if frame.GetRequestId() != a.requestID {
-			return errors.Mark(errors.Newf("a frame of request %q came for %q", frame.GetRequestId(), a.requestID), errInterrupted)
-		}
-		f.recordDecisionOnce(a)
-		if done, err := f.handleFrame(a, frame, deliver); done || err != nil {
-			return err
-		}
-	}
-}
-
-// handleFrame validates and delivers one frame. It reports whether the response is over.
-func (f *Forwarder) handleFrame(a *attempt, frame *railproto.Frame, deliver func(string, *railproto.Frame) error) (bool, error) {
-	switch frame.GetKind() {
-	case railproto.FrameKind_FRAME_KIND_REFUSED:
-		a.finalFrame = frame
-		return true, errors.Wrapf(errRejected, "%s %s", frame.GetReason(), frame.GetDetail())
-	case railproto.FrameKind_FRAME_KIND_ABORTED:
-		a.finalFrame = frame
-		return true, errors.Wrapf(errAborted, "%s %s", frame.GetReason(), frame.GetDetail())
-	case railproto.FrameKind_FRAME_KIND_ACCEPTED, railproto.FrameKind_FRAME_KIND_DATA, railproto.FrameKind_FRAME_KIND_END:
-	default:
-		return true, errors.Mark(errors.Newf("a frame of the unknown kind %d came", frame.GetKind()), errInterrupted)
-	}
-	if frame.GetSequence() != a.nextSequence {
-		return true, errors.Mark(errors.Newf("frame %d came in place of %d", frame.GetSequence(), a.nextSequence), errInterrupted)
-	}
-	a.nextSequence++
-	if frame.GetKind() == railproto.FrameKind_FRAME_KIND_ACCEPTED {
-		f.UpdateLoad(a.candidate.Member.Name, a.candidate.Incarnation, frame.GetLoad())
-		return false, nil
-	}
-	if a.weightsDigest == "" {
-		a.weightsDigest = frame.GetWeightsDigest()
-	}
-	if frame.GetWeightsDigest() != a.weightsDigest {
-		return true, errors.Wrap(errAborted, "the weights changed during the answer")
-	}
-	end := frame.GetKind() == railproto.FrameKind_FRAME_KIND_END
-	if end && frame.GetCount() != uint64(a.deliveredFrames) {
-		return true, errors.Wrapf(errAborted, "%d of %d parts of the answer came", a.deliveredFrames, frame.GetCount())
-	}
-	if !end {
-		a.deliveredFrames++
-	}
-	a.recordSuccess(frame)
-	if err := deliver(a.candidate.Member.Name, frame); err != nil {
-		return true, errors.Mark(err, ErrCallerDisconnected)
-	}
-	if end {
-		a.finalFrame = frame
-	}
-	return end, nil
-}
-
-// recordDecisionOnce records that the attempt no longer waits for admission, at most once per attempt.
-func (f *Forwarder) recordDecisionOnce(a *attempt) {
-	if !a.decisionRecorded {
-		a.decisionRecorded = true
-		f.RecordDecision(a.candidate.Member.Name)
-	}
-}
-
 // markSuspect excludes an endpoint from selection after an interruption, unless the request itself was canceled or expired.
 func (f *Forwarder) markSuspect(ctx context.Context, a *attempt) {
 	if ctx.Err() == nil {
@@ -356,11 +203,6 @@
 	}
 }
 
-// endpointEnded reports whether an attempt's endpoint ended while the request was running there.
-func endpointEnded(finalFrame *railproto.Frame) bool {
-	return finalFrame.GetReason() == railproto.Reason_REASON_ENDPOINT_ENDED
-}
-
 // isFinalRejection reports whether every endpoint would reject the request for the same reason.
 func isFinalRejection(finalFrame *railproto.Frame) bool {
 	switch finalFrame.GetReason() {
