--- a/internal/node/railentry/agent_end_test.go
+++ b/internal/node/railentry/agent_end_test.go
@@ -36,7 +36,7 @@
 func (d *drainDeployment) startKnownAgent(t *testing.T, service string) *agentProcess {
 	t.Helper()
 	name := service + "-2"
-	agent := d.startAgent(name, service, agentDrain)
+	agent := d.startAgent(t, name, service, agentDrain)
 	ctx, cancel := context.WithTimeout(t.Context(), readTimeout)
 	defer cancel()
 	for {
@@ -112,7 +112,7 @@
 				caller.send(t, "/"+service+"/x", "", "")
 				time.Sleep(pollInterval) // Most often, the request waits at the agent then, and otherwise at the entry.
 				end(agent)
-				close(d.startAgent(service+"-2", service, agentDrain).release) // It also gets the lookup that the first one was running.
+				close(d.startAgent(t, service+"-2", service, agentDrain).release) // It also gets the lookup that the first one was running.
 				qt.Check(t, running.receive(t).err, qt.IsNil)
 				got := caller.receive(t)
 				qt.Assert(t, got.err, qt.IsNil)
--- a/internal/node/railentry/drain_receive_test.go
+++ b/internal/node/railentry/drain_receive_test.go
@@ -21,6 +21,17 @@
 	}
 }
 
+// checkRefusedByDrain checks that the drain refuses the request on a connection and then ends.
+func (d *drainDeployment) checkRefusedByDrain(t *testing.T, caller *callerConn) {
+	t.Helper()
+	got := caller.receive(t)
+	qt.Assert(t, got.err, qt.IsNil)
+	qt.Check(t, got.status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Check(t, got.verdict, qt.Equals, "notRun")
+	qt.Check(t, got.closes, qt.IsTrue)
+	qt.Check(t, <-d.stopped, qt.IsNil)
+}
+
 // Guards against a request that is cut without an answer, since it arrives slowly while the entry stops.
 func TestRequestThatArrivesSlowlyDuringDrainIsAnswered(t *testing.T) {
 	for name, request := range halves() {
@@ -35,12 +46,7 @@
 			time.Sleep(6 * time.Second) // The HTTP server's shutdown ends connections that are older than 5 s before they have sent a head.
 			_, err = io.WriteString(caller, request[1])
 			qt.Assert(t, err, qt.IsNil)
-			got := caller.receive(t)
-			qt.Assert(t, got.err, qt.IsNil)
-			qt.Check(t, got.status, qt.Equals, http.StatusServiceUnavailable)
-			qt.Check(t, got.verdict, qt.Equals, "notRun")
-			qt.Check(t, got.closes, qt.IsTrue)
-			qt.Check(t, <-d.stopped, qt.IsNil)
+			d.checkRefusedByDrain(t, caller)
 		})
 	}
 }
@@ -56,12 +62,7 @@
 			qt.Assert(t, err, qt.IsNil)
 			time.Sleep(pollInterval)
 			d.stop()
-			got := caller.receive(t)
-			qt.Assert(t, got.err, qt.IsNil)
-			qt.Check(t, got.status, qt.Equals, http.StatusServiceUnavailable)
-			qt.Check(t, got.verdict, qt.Equals, "notRun")
-			qt.Check(t, got.closes, qt.IsTrue)
-			qt.Check(t, <-d.stopped, qt.IsNil)
+			d.checkRefusedByDrain(t, caller)
 		})
 	}
 }
@@ -105,12 +106,7 @@
 			time.Sleep(6 * time.Second) // The HTTP server's shutdown ends connections that are older than 5 s before they have sent a head.
 			_, err = io.WriteString(caller, request[1])
 			qt.Check(t, err, qt.IsNil)
-			got := caller.receive(t)
-			qt.Assert(t, got.err, qt.IsNil)
-			qt.Check(t, got.status, qt.Equals, http.StatusServiceUnavailable)
-			qt.Check(t, got.verdict, qt.Equals, "notRun")
-			qt.Check(t, got.closes, qt.IsTrue)
-			qt.Check(t, <-d.stopped, qt.IsNil)
+			d.checkRefusedByDrain(t, caller)
 		})
 	}
 }
@@ -127,12 +123,7 @@
 			time.Sleep(firstByteDelay)
 			_, err := io.WriteString(caller, request[0])
 			qt.Assert(t, err, qt.IsNil)
-			got := caller.receive(t)
-			qt.Assert(t, got.err, qt.IsNil)
-			qt.Check(t, got.status, qt.Equals, http.StatusServiceUnavailable)
-			qt.Check(t, got.verdict, qt.Equals, "notRun")
-			qt.Check(t, got.closes, qt.IsTrue)
-			qt.Check(t, <-d.stopped, qt.IsNil)
+			d.checkRefusedByDrain(t, caller)
 		})
 	}
 }
