Split a process of a deployment by job

process.go held the rows of entries, the configuration that is followed and the reload of the settings beside the process itself. Each has a file of its own: entries.go, config.go, reload.go. The declarations are moved as they were. The tests of railsiteprocess pass.

--- a/internal/command/railsiteprocess/process.go
+++ b/internal/command/railsiteprocess/process.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"net"
 	"os"
-	"os/signal"
-	"reflect"
 	"runtime/debug"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,7 +15,6 @@
 	"github.com/fulmarrail/fulmarrail/internal/command/railexit"
 	"github.com/fulmarrail/fulmarrail/internal/command/railfactory"
 	"github.com/fulmarrail/fulmarrail/internal/config/railactiveconfig"
-	"github.com/fulmarrail/fulmarrail/internal/config/railbackend"
 	"github.com/fulmarrail/fulmarrail/internal/config/railsite"
 	"github.com/fulmarrail/fulmarrail/internal/config/railstaleness"
 	"github.com/fulmarrail/fulmarrail/internal/core/railadmin"
@@ -27,9 +22,6 @@
 	"github.com/fulmarrail/fulmarrail/internal/core/raillog"
 	"github.com/fulmarrail/fulmarrail/internal/core/raillogsink"
 	"github.com/fulmarrail/fulmarrail/internal/core/railsignal"
-	"github.com/fulmarrail/fulmarrail/internal/membership/railaddress"
-	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
-	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/store/railreplica"
 	"github.com/fulmarrail/fulmarrail/internal/store/railstoreclock"
 	"github.com/fulmarrail/fulmarrail/internal/wire/raildialer"
@@ -37,9 +29,6 @@
 )
 
 const (
-	// TableEntries is the table that holds the internal address of each entry, by the entry's name.
-	TableEntries = "entries"
-
 	// originConnectTimeout is the timeout for connecting to the origin. It is shorter than TCP's own retransmission timeout, so that
 	// a lost connection attempt is retried sooner.
 	originConnectTimeout = 250 * time.Millisecond
@@ -144,27 +133,6 @@
 	p.Config = &railactiveconfig.Config{RolloutTime: p.Site.Bounds.RolloutTime, RecordsLoaded: p.wantedVersionsRead.Load, Now: p.Clock.Now, Log: raillog.Named(p.Log, "config")}
 }
 
-// reloadSettings reloads the settings on each SIGHUP. A changed log level takes effect immediately. Any other change requires a
-// restart, which the log line reports. It also runs during shutdown, since an unhandled SIGHUP would end the process.
-func (p *Process) reloadSettings(hangups <-chan os.Signal) {
-	for range hangups {
-		site, err := railsite.Load(p.settingsPath)
-		if err != nil {
-			p.Log.Error("failed to reload settings; keeping the previous ones", "err", err)
-			continue
-		}
-		p.logLevel.Set(site.Level())
-		p.Log.Info("settings read again", "needsRestart", !reflect.DeepEqual(site, p.Site))
-	}
-}
-
-// notifyHangups returns a channel that receives each SIGHUP until the process ends.
-func notifyHangups() <-chan os.Signal {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	return signals
-}
-
 // Dialer returns a dialer for the deployment's other processes.
 func (p *Process) Dialer() *raildialer.Dialer {
 	return &raildialer.Dialer{Key: []byte(p.Site.Process.SharedKey), Timeout: internalConnectTimeout}
@@ -185,137 +153,6 @@
 	}
 }
 
-// NewConfigFollower returns a follower that keeps the configuration up to date. onChange is called after each change and may be nil.
-func (p *Process) NewConfigFollower(onChange func()) *railreplica.Follower {
-	p.configFollower = p.NewFollower(platform.TableOperator, p.Limits.ConfigWait, 0, func(rows map[string]railreplica.Row) {
-		p.applyCatalog(rows)
-		if onChange != nil {
-			onChange()
-		}
-	})
-	p.configFollower.Timeout = p.Limits.ConfigTimeout
-	p.Config.MaxChangeAge = p.configFollower.MaxChangeAge
-	return p.configFollower
-}
-
-// ReadConfig reads and applies the configuration once. It returns an error if the store can't be read. A configuration that can't be
-// decoded is only logged.
-func (p *Process) ReadConfig(ctx context.Context) error {
-	page, err := p.Store.Table(ctx, platform.TableOperator)
-	if err != nil {
-		return err
-	}
-	p.applyCatalog(railreplica.ByKey(page.Rows))
-	return nil
-}
-
-// applyCatalog applies the configuration in the operators' rows. If they can't be decoded, it keeps the current configuration.
-func (p *Process) applyCatalog(rows map[string]railreplica.Row) {
-	catalog, faults, err := platform.Catalog(rows)
-	p.rowFaults[platform.TableOperator].Report(faults)
-	if err != nil {
-		raillog.Named(p.Log, "config").Error("failed to decode the configuration; keeping the previous one", "err", err)
-		return
-	}
-	if _, known := p.Config.Get(); !known && catalog.HasWantedVersions() && !p.wantedVersionsRead.Load() {
-		p.RestoreWantedVersions()
-	}
-	p.Config.Set(catalog)
-}
-
-// Instances returns the current endpoint instances of known services from the rows of the endpoint list, and reports rows that can't
-// be decoded.
-func (p *Process) Instances(rows map[string]railreplica.Row) []railinstance.Instance {
-	catalog, _ := p.Config.Get()
-	instances, faults := platform.Instances(rows, p.Site.ZoneRegions, p.Layers)
-	p.rowFaults[platform.TableInstances].Report(faults)
-	return railinstance.Latest(instances, func(service string) bool {
-		_, known := catalog.Backend(service)
-		return known
-	})
-}
-
-// Entries returns the entries from the rows of the table of entries, and reports rows that can't be decoded.
-func (p *Process) Entries(rows []railreplica.Row) []railmember.Member {
-	var members []railmember.Member
-	var faults []railreplica.Fault
-	for _, row := range rows {
-		entry, err := parseEntryRow(row.Value)
-		if err != nil {
-			faults = append(faults, railreplica.Fault{Table: TableEntries, Key: row.Key, Version: row.Version, Err: err})
-			continue
-		}
-		members = append(members, railmember.Member{
-			Name: row.Key, Role: railmember.RoleEntry, Address: entry.Address, Zone: entry.Zone, Region: p.Site.ZoneRegions[entry.Zone], Link: entry.Link,
-		})
-	}
-	p.rowFaults[TableEntries].Report(faults)
-	return members
-}
-
-// NewestConfig returns the newest configuration that the rows of the table of entries mention, or 0 if there is none.
-func NewestConfig(rows []railreplica.Row) int64 {
-	newest := int64(0)
-	for _, row := range rows {
-		if entry, err := parseEntryRow(row.Value); err == nil {
-			newest = max(newest, entry.Config)
-		}
-	}
-	return newest
-}
-
-// EntryRow returns the encoded row of this process in the table of entries.
-func (p *Process) EntryRow() ([]byte, error) {
-	catalog, _ := p.Config.Get()
-	row, err := json.Marshal(entryRow{
-		Address: p.Site.Process.InternalAddress, Zone: p.Site.Process.Zone, Link: p.Site.Process.LinkBytesPerSecond(), Config: catalog.Version,
-	})
-	return row, errors.Wrap(err, "encode the entry's row")
-}
-
-// entryRow is the value of a row in the table of entries.
-type entryRow struct {
-	Address string `json:"address"`
-	Zone    string `json:"zone"`
-	// Link is the rate of the entry's network link in bytes per second, or 0 if it is unknown.
-	Link int `json:"link"`
-	// Config is the version of the configuration that was in force when the entry wrote the row, or 0 for none.
-	Config int64 `json:"config"`
-}
-
-func parseEntryRow(value []byte) (entryRow, error) {
-	var e entryRow
-	if err := json.Unmarshal(value, &e); err != nil {
-		return e, err
-	}
-	if e.Link < 0 {
-		return e, errors.Newf("field link is %d", e.Link)
-	}
-	address, err := railaddress.Parse(e.Address)
-	e.Address = address
-	return e, errors.Wrap(err, "parse the field address")
-}
-
-// Layers returns the number of layers of the model that a service's engines serve, or 0 if it is unknown.
-func (p *Process) Layers(service string) int {
-	return p.engine(service).Layers
-}
-
-// PieceBytes returns the size in bytes of a piece of the weights that a service's engines load, or 0 if it is unknown.
-func (p *Process) PieceBytes(service string) int {
-	return p.engine(service).ChunkBytes
-}
-
-// engine returns the configuration of a service's engines, or the zero value if it is unknown.
-func (p *Process) engine(service string) railbackend.Engine {
-	catalog, _ := p.Config.Get()
-	b, ok := catalog.Backend(service)
-	if !ok || b.Engine == nil {
-		return railbackend.Engine{}
-	}
-	return *b.Engine
-}
-
 func (p *Process) serveAdmin(ctx context.Context) error {
 	if p.Site.Process.AdminAddress == "" {
 		return nil
