--- a/internal/command/railsiteprocess/wanted_versions_test.go
+++ b/internal/command/railsiteprocess/wanted_versions_test.go
@@ -18,6 +18,7 @@
 	testModel = "m"
 	// ageTolerance is the time that a test's calls may take.
 	ageTolerance = 10 * time.Second
+	pollTime     = 10 * time.Millisecond
 )
 
 // startTestStore serves a stand-in of the platform's store and returns its address.
@@ -109,6 +110,26 @@
 	}
 }
 
+// awaitReads waits until the store has been read a number of times.
+func awaitReads(standin *railplatform.Platform, count int64) {
+	for _, reads := standin.CallCounts(); reads < count; _, reads = standin.CallCounts() {
+		time.Sleep(pollTime)
+	}
+}
+
+// awaitRecord waits until the store holds a record of the version.
+func (p *Process) awaitRecord(t *testing.T) {
+	t.Helper()
+	for {
+		row, err := p.Store.Row(t.Context(), tableWantedVersions, testModel+"/2")
+		qt.Assert(t, err, qt.IsNil)
+		if row.Version > 0 {
+			return
+		}
+		time.Sleep(pollTime)
+	}
+}
+
 // Guards against a process that starts after the store was restored from a copy without the records, and guesses a time that others know.
 func TestRecordIsWrittenAgainAfterRestore(t *testing.T) {
 	const known = 20 * time.Minute
@@ -118,18 +139,9 @@
 	p.Config.RecordWantedVersion(testModel, 2, known, false)
 	_, readsBefore := standin.CallCounts()
 	go p.ShareWantedVersion(t.Context(), testModel, 2, known, false)
-	for reads := readsBefore; reads < readsBefore+2; _, reads = standin.CallCounts() { // The process reads the record once more after it has written it.
-		time.Sleep(10 * time.Millisecond)
-	}
+	awaitReads(standin, readsBefore+2) // The process reads the record once more after it has written it.
 	standin.Restore(time.Hour)
-	for {
-		row, err := p.Store.Row(t.Context(), tableWantedVersions, testModel+"/2")
-		qt.Assert(t, err, qt.IsNil)
-		if row.Version > 0 {
-			break
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
+	p.awaitRecord(t)
 	started := newTestProcess(t, store)
 	started.RestoreWantedVersions()
 	started.checkAge(t, known)
@@ -146,19 +158,10 @@
 	p.Config.RecordWantedVersion(testModel, 2, guess, true)
 	_, readsBefore := standin.CallCounts()
 	go p.ShareWantedVersion(t.Context(), testModel, 2, guess, true)
-	for reads := readsBefore; reads < readsBefore+2; _, reads = standin.CallCounts() {
-		time.Sleep(10 * time.Millisecond)
-	}
+	awaitReads(standin, readsBefore+2)
 	p.checkAge(t, known)
 	standin.Restore(time.Hour)
-	for {
-		row, err := p.Store.Row(t.Context(), tableWantedVersions, testModel+"/2")
-		qt.Assert(t, err, qt.IsNil)
-		if row.Version > 0 {
-			break
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
+	p.awaitRecord(t)
 	started := newTestProcess(t, store)
 	started.RestoreWantedVersions()
 	started.checkAge(t, known)
