--- a/internal/wire/raillistener/listener_test.go
+++ b/internal/wire/raillistener/listener_test.go
@@ -20,6 +20,8 @@
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
 
+const sharedKey = "0123456789abcdef"
+
 type stubNode struct{}
 
 func (stubNode) Heartbeat(context.Context, *railproto.HeartbeatRequest) (*railproto.HeartbeatReply, error) {
@@ -34,39 +36,67 @@
 	return &railproto.StatusReply{}, nil
 }
 
+// testNode is a node whose listener runs, and a peer that calls it.
+type testNode struct {
+	t      *testing.T
+	dialer *raildialer.Dialer
+	log    bytes.Buffer
+	cancel context.CancelFunc
+	// stopped receives the result of the listener's Run.
+	stopped chan error
+}
+
+// startNode starts a node that accepts peers from wrap's result, and a peer with a key.
+func startNode(t *testing.T, node railproto.DRPCNodeServer, wrap func(net.Listener) net.Listener, key string) *testNode {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	network := &railnetwork.Network{}
+	lis, err := network.Listen("node")
+	qt.Assert(t, err, qt.IsNil)
+	mux := drpcmux.New()
+	qt.Assert(t, railproto.DRPCRegisterNode(mux, node), qt.IsNil)
+	n := &testNode{t: t, cancel: cancel, stopped: make(chan error, 1)}
+	n.dialer = &raildialer.Dialer{Key: []byte(key), Timeout: time.Second, Dial: network.Dialer("peer")}
+	listener := &raillistener.Listener{Key: []byte(sharedKey), Handler: mux, Log: slog.New(slog.NewTextHandler(&n.log, nil))}
+	go func() { n.stopped <- listener.Run(ctx, wrap(lis)) }()
+	return n
+}
+
+// heartbeat calls the node, and returns the revision that it replies with.
+func (n *testNode) heartbeat() (uint64, error) {
+	ctx, cancel := context.WithTimeout(n.t.Context(), 10*time.Second)
+	defer cancel()
+	reply, err := n.dialer.Node(ctx, "node").Heartbeat(ctx, &railproto.HeartbeatRequest{})
+	return reply.GetRevision(), err
+}
+
+// stop stops the peer and the node.
+func (n *testNode) stop() {
+	n.t.Helper()
+	qt.Check(n.t, n.dialer.Close(), qt.IsNil)
+	n.cancel()
+	qt.Check(n.t, <-n.stopped, qt.IsNil)
+}
+
+// asIs returns a listener without any change.
+func asIs(lis net.Listener) net.Listener { return lis }
+
 func TestListenerRefusesPeersWithoutSharedKey(t *testing.T) {
 	for _, test := range []struct {
 		name, key  string
 		wantServed bool
 	}{
-		{"the deployment's key", "0123456789abcdef", true},
+		{"the deployment's key", sharedKey, true},
 		{"another key", "fedcba9876543210", false},
 		{"no key", "", false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			railvirtualtime.Test(t, func(t *testing.T) {
-				c := qt.New(t)
-				ctx, cancel := context.WithCancel(t.Context())
-				network := &railnetwork.Network{}
-				lis, err := network.Listen("node")
-				c.Assert(err, qt.IsNil)
-				mux := drpcmux.New()
-				c.Assert(railproto.DRPCRegisterNode(mux, stubNode{}), qt.IsNil)
-				var log bytes.Buffer
-				listener := &raillistener.Listener{
-					Key: []byte("0123456789abcdef"), Handler: mux, Log: slog.New(slog.NewTextHandler(&log, nil)),
-				}
-				runErr := make(chan error, 1)
-				go func() { runErr <- listener.Run(ctx, lis) }()
-				dialer := &raildialer.Dialer{Key: []byte(test.key), Timeout: time.Second, Dial: network.Dialer("peer")}
-				callCtx, cancelCall := context.WithTimeout(ctx, 10*time.Second)
-				defer cancelCall()
-				reply, err := dialer.Node(callCtx, "node").Heartbeat(callCtx, &railproto.HeartbeatRequest{})
-				c.Check(err == nil && reply.GetRevision() == 7, qt.Equals, test.wantServed)
-				c.Check(dialer.Close(), qt.IsNil)
-				cancel()
-				c.Check(<-runErr, qt.IsNil)
-				c.Check(log.String(), qt.Not(qt.Contains), "0123456789abcdef")
+				n := startNode(t, stubNode{}, asIs, test.key)
+				revision, err := n.heartbeat()
+				qt.Check(t, err == nil && revision == 7, qt.Equals, test.wantServed)
+				n.stop()
+				qt.Check(t, n.log.String(), qt.Not(qt.Contains), sharedKey)
 			})
 		})
 	}
@@ -89,25 +119,11 @@
 // Guards against a process that serves none of its peers that connect after a shortage of descriptors, until it is restarted.
 func TestListenerServesAfterShortageOfDescriptors(t *testing.T) {
 	railvirtualtime.Test(t, func(t *testing.T) {
-		const key = "0123456789abcdef"
-		ctx, cancel := context.WithCancel(t.Context())
-		network := &railnetwork.Network{}
-		lis, err := network.Listen("node")
-		qt.Assert(t, err, qt.IsNil)
-		mux := drpcmux.New()
-		qt.Assert(t, railproto.DRPCRegisterNode(mux, stubNode{}), qt.IsNil)
-		listener := &raillistener.Listener{Key: []byte(key), Handler: mux, Log: slog.New(slog.DiscardHandler)}
-		runErr := make(chan error, 1)
-		go func() { runErr <- listener.Run(ctx, &shortListener{Listener: lis}) }()
-		dialer := &raildialer.Dialer{Key: []byte(key), Timeout: time.Second, Dial: network.Dialer("peer")}
-		callCtx, cancelCall := context.WithTimeout(ctx, 10*time.Second)
-		defer cancelCall()
-		reply, err := dialer.Node(callCtx, "node").Heartbeat(callCtx, &railproto.HeartbeatRequest{})
+		n := startNode(t, stubNode{}, func(lis net.Listener) net.Listener { return &shortListener{Listener: lis} }, sharedKey)
+		revision, err := n.heartbeat()
 		qt.Check(t, err, qt.IsNil)
-		qt.Check(t, reply.GetRevision(), qt.Equals, uint64(7))
-		qt.Check(t, dialer.Close(), qt.IsNil)
-		cancel()
-		qt.Check(t, <-runErr, qt.IsNil)
+		qt.Check(t, revision, qt.Equals, uint64(7))
+		n.stop()
 	})
 }
 
@@ -127,24 +143,12 @@
 // Guards against a call that ends the process of its handler, and with it all other calls.
 func TestPanicInHandlerIsErrorOfItsCall(t *testing.T) {
 	railvirtualtime.Test(t, func(t *testing.T) {
-		const key = "0123456789abcdef"
-		ctx, cancel := context.WithCancel(t.Context())
-		network := &railnetwork.Network{}
-		lis, err := network.Listen("node")
-		qt.Assert(t, err, qt.IsNil)
-		mux := drpcmux.New()
-		qt.Assert(t, railproto.DRPCRegisterNode(mux, panickingNode{calls: &atomic.Int64{}}), qt.IsNil)
-		listener := &raillistener.Listener{Key: []byte(key), Handler: mux, Log: slog.New(slog.DiscardHandler)}
-		runErr := make(chan error, 1)
-		go func() { runErr <- listener.Run(ctx, lis) }()
-		dialer := &raildialer.Dialer{Key: []byte(key), Timeout: time.Second, Dial: network.Dialer("peer")}
-		_, err = dialer.Node(ctx, "node").Heartbeat(ctx, &railproto.HeartbeatRequest{})
+		n := startNode(t, panickingNode{calls: &atomic.Int64{}}, asIs, sharedKey)
+		_, err := n.heartbeat()
 		qt.Check(t, err, qt.ErrorMatches, ".*the process has failed on this call.*")
-		reply, err := dialer.Node(ctx, "node").Heartbeat(ctx, &railproto.HeartbeatRequest{})
+		revision, err := n.heartbeat()
 		qt.Check(t, err, qt.IsNil)
-		qt.Check(t, reply.GetRevision(), qt.Equals, uint64(7))
-		qt.Check(t, dialer.Close(), qt.IsNil)
-		cancel()
-		qt.Check(t, <-runErr, qt.IsNil)
+		qt.Check(t, revision, qt.Equals, uint64(7))
+		n.stop()
 	})
 }
