--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railfleet"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railinstance"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
+	"github.com/fulmarrail/fulmarrail/internal/membership/railproofs"
 	"github.com/fulmarrail/fulmarrail/internal/node/railgateway"
 	"github.com/fulmarrail/fulmarrail/internal/node/railpeersource"
 	"github.com/fulmarrail/fulmarrail/internal/node/railrelay"
@@ -72,6 +73,8 @@
 	instanceFollower *railreplica.Follower
 	fleet            *railfleet.Fleet
 	quarantine       *railquarantine.Quarantine
+	proofs           *railproofs.Proofs
+	socket           *raildatagram.Socket
 
 	configServer *railconfigserver.Server
 	entries      *railentries.Entries
@@ -123,7 +126,12 @@
 	}
 	g.frontend.Fleet = g.fleet
 	socket := &raildatagram.Socket{Conn: packetConn, Log: raillog.Named(p.Log, "datagrams")}
+	g.socket = socket
+	g.fleet.Holders, g.fleet.Ask = g.entries.Holders, func(entry string, loan *railproto.QuotaLoan) {
+		socket.Send(&railproto.Datagram{Content: &railproto.Datagram_Loan{Loan: loan}}, g.entryAddress(entry)...)
+	}
 	timer := &railtimer.Service{}
+	keeper := g.newKeeper(timer)
 	broadcaster := &railloadbroadcast.Broadcaster{
 		Name: site.Process.Name, Incarnation: rand.Uint32(), Source: g.fleet, Timer: timer, Send: func(digest *railproto.LoadDigest) {
 			socket.Send(&railproto.Datagram{Content: &railproto.Datagram_Digest{Digest: digest}}, g.peerAddresses()...)
@@ -138,9 +146,15 @@
 	g.startFollowers(workCtx)
 	go g.relay.Run(workCtx)
 	go timer.Run(workCtx)
+	go keeper.Run(workCtx)
 	go broadcaster.Run(workCtx)
 	go g.shareQuarantine(workCtx, socket, timer)
-	go socket.Receive(workCtx, g.handleDatagram)
+	go socket.Receive(workCtx, func(from net.Addr, datagram *railproto.Datagram) {
+		g.handleDatagram(from, datagram)
+		if loan := datagram.GetLoan(); loan != nil {
+			g.handleLoan(socket, from, loan)
+		}
+	})
 	go g.publishEntryRow(workCtx)
 	if err := g.serveInternal(workCtx, internalListener); err != nil {
 		return err
@@ -192,6 +206,7 @@
 	g.mu.Lock()
 	g.instances = instances
 	g.mu.Unlock()
+	g.proofs.SetInstances(instances)
 	g.fleet.SetInstances(instances)
 	g.configServer.NotifyChange()
 	g.relay.ConfigChanged()
@@ -268,6 +283,20 @@
 	return g.peerAddrs
 }
 
+// entryAddress returns the address of an entry in a list, which is empty if it is not known.
+func (g *gateway) entryAddress(name string) []*net.UDPAddr {
+	members, _ := g.entries.Members()
+	return raildatagram.Addresses(slices.DeleteFunc(slices.Clone(members), func(m railmember.Member) bool { return m.Name != name }))
+}
+
+// handleLoan answers another entry that asks for a part of an endpoint's limit, or applies the answer to this entry.
+func (g *gateway) handleLoan(socket *raildatagram.Socket, from net.Addr, loan *railproto.QuotaLoan) {
+	answer := g.fleet.HandleLoan(loan)
+	if to, ok := from.(*net.UDPAddr); ok && answer != nil {
+		socket.Send(&railproto.Datagram{Content: &railproto.Datagram_Loan{Loan: answer}}, to)
+	}
+}
+
 func (g *gateway) members() []railmember.Member {
 	members, _ := g.entries.Members()
 	return members
@@ -279,7 +308,8 @@
 	return known
 }
 
-// handleDatagram applies a digest of loads or of suspected parts from another entry, or an inventory or a notice about an engine from its agent.
+// handleDatagram applies a digest of loads or of suspected parts from another entry, an inventory, or a notice about an engine
+// or a question about one.
 func (g *gateway) handleDatagram(from net.Addr, datagram *railproto.Datagram) {
 	if digest := datagram.GetDigest(); digest != nil {
 		g.entries.MarkSeen(digest.GetEntry())
@@ -292,6 +322,9 @@
 		g.relay.HandleInventory(from, inventory)
 	}
 	if n := datagram.GetNotice(); n != nil {
-		g.fleet.ApplyNotice(n.GetAddress(), n.GetVersion(), time.Duration(n.GetChangesInMillis())*time.Millisecond)
+		g.handleNotice(from, n)
+	}
+	if q := datagram.GetQuery(); q != nil {
+		g.answerQuery(from, q)
 	}
 }
--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/routing/railhash"
 	"github.com/fulmarrail/fulmarrail/internal/store/railstoreclock"
 	"github.com/fulmarrail/fulmarrail/internal/store/railversion"
+	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
 
 const (
@@ -34,8 +35,6 @@
 	startMargin = 100 * time.Millisecond
 	// drainOverrun is the time for which responses may continue past the announced time of a weights change.
 	drainOverrun = time.Second
-	// coldShare is the fraction of an endpoint's cold limit that all entries together use.
-	coldShare = 0.9
 )
 
 // Fleet is the set of endpoints with their load. It is safe for concurrent use; its exported fields must be set before its first
@@ -47,10 +46,20 @@
 	ColdOvershoot, ColdSlack float64
 	// Share returns this entry's share of the total requests per second that an endpoint accepts from all entries together.
 	Share func(endpoint string, total int) int
+	// RequireProofs keeps requests for engines from weights that SetProven has not named.
+	RequireProofs bool
+	// Holders returns the names of the other entries that have a share of a total, and Ask sends one of them a question for a loan, which may
+	// be lost. Without Ask, this entry keeps to its own share.
+	Holders func(endpoint string, total int) []string
+	Ask     func(entry string, loan *railproto.QuotaLoan)
 	// OnChange is called after each change that may free capacity for a queued request.
 	OnChange func()
 	// OnRestart is called with the ID of an endpoint that has started again, or whose address another one has taken over. It may be nil.
 	OnRestart func(endpoint string)
+	// OnFailure is called with the address of an endpoint that has not responded correctly. It may be nil.
+	OnFailure func(address string)
+	// Suspended reports whether this process has stood still and may have missed what it was told of engines' weights since. It may be nil.
+	Suspended func() bool
 	// StoreClock relates the versions of endpoints' rows to the time of the responses in which they have said that they leave. Without it,
 	// such an endpoint does not come back.
 	StoreClock *railstoreclock.Clock
@@ -58,12 +67,19 @@
 
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
+	// proven holds the version of the proven weights by the address of the engine.
+	proven map[string]int64
+	// instances holds the endpoints by the hashes of their instances.
+	instances map[uint32]*endpoint
 	// reports holds the latest instance's report by the ID of the endpoint.
 	reports map[string]*reportSlot
 	peers   map[string]*peer
 	// peerLoads holds the sum of the other entries' loads by endpoint hash.
-	peerLoads     map[uint32]railenginelatency.Load
-	sequence      uint64
+	peerLoads map[uint32]railenginelatency.Load
+	sequence  uint64
+	borrower  borrower
+	// limitNamed is set once an endpoint has named a limit.
+	limitNamed    bool
 	once          sync.Once
 	loadIncreased chan struct{}
 }
@@ -112,19 +128,20 @@
 		f.reports = map[string]*reportSlot{}
 	}
 	endpoints := make(map[string]*endpoint, len(list))
+	instances := make(map[uint32]*endpoint, len(list))
 	addresses := make(map[string]bool, len(list))
 	for _, i := range list {
 		e := f.endpoints[i.ID]
 		if e == nil || e.Address != i.Address || e.StartMillis != i.StartMillis {
-			e = &endpoint{slowdown: 1}
+			e = &endpoint{slowdown: 1, proofRequired: f.RequireProofs, provenVersion: f.proven[i.Address]}
 			f.Log.Info("endpoint appears", "endpoint", i.ID, "address", i.Address, "service", i.Service, "zone", i.Zone, "weights", i.WeightsVersion, "row", railversion.String(i.RowVersion))
 		}
-		if e.noticeExpired(time.Now()) {
+		if e.noticed && !e.noticeDecides(i.RowVersion, time.Now()) {
 			f.Log.Info("endpoint's row decides again on its weights", "endpoint", i.ID, "noticed", e.WeightsVersion, "listed", i.WeightsVersion, "row", railversion.String(i.RowVersion), "noticeAge", time.Since(e.noticedAt))
 		}
 		e.update(i)
 		e.report = f.listedReport(i)
-		endpoints[i.ID] = e
+		endpoints[i.ID], instances[e.instanceHash] = e, e
 		addresses[i.Address] = true
 	}
 	f.expireReports(endpoints, time.Now())
@@ -137,7 +154,7 @@
 			restarted = append(restarted, id)
 		}
 	}
-	f.endpoints = endpoints
+	f.endpoints, f.instances = endpoints, instances
 	return restarted
 }
 
@@ -159,9 +176,30 @@
 	}
 }
 
+// SetProven sets the version of the weights at an address that are proven to be intact, or 0 for none. It does not call OnChange.
+func (f *Fleet) SetProven(address string, version int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.proven == nil {
+		f.proven = map[string]int64{}
+	}
+	f.proven[address] = version
+	if version == 0 {
+		delete(f.proven, address)
+	}
+	for _, e := range f.endpoints {
+		if e.Address == address {
+			e.provenVersion = version
+		}
+	}
+}
+
 // Reserve picks the endpoint with the earliest predicted start of the response and counts the request there. It returns false
 // if no endpoint can start the response in time.
 func (f *Fleet) Reserve(req Requirements) (*Lease, bool) {
+	if req.Backend.IsEngine() && f.Suspended != nil && f.Suspended() {
+		return nil, false
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
@@ -182,6 +220,7 @@
 		}
 	}
 	if best == nil {
+		f.borrow(req, now)
 		return nil, false
 	}
 	return f.newLease(best, req, earliest, now), true
@@ -235,20 +274,12 @@
 	return n
 }
 
-// usable reports whether an endpoint may get the request, regardless of its load.
-func (f *Fleet) usable(e *endpoint, req Requirements, now time.Time) bool {
-	if !e.eligible(req) || req.Tried[e.ID] || now.Before(e.backoffUntil) || e.report.Load().Paused(now) {
-		return false
-	}
-	return f.withinColdLimit(e, req.Backend, 0)
-}
-
 // predictStart predicts the time until the response starts, including the network penalty. It returns false if that is too late, if
 // the endpoint has no capacity for the request, if the prompt would delay the endpoint's other responses too long, or if the response
 // would continue past a planned change of the weights. Without a timing model, each request in flight adds one millisecond, so that
 // the least loaded endpoint is preferred.
 func (f *Fleet) predictStart(e *endpoint, req Requirements, now time.Time) (time.Duration, bool) {
-	if !f.withinColdLimit(e, req.Backend, e.recentSends.Count(now)) {
+	if e.recentSends.Count(now) >= f.coldQuota(e, req.Backend) {
 		return 0, false
 	}
 	load := e.ownLoad.Add(f.peersLoad(e.hash))
@@ -289,13 +320,3 @@
 	}
 	return 0
 }
-
-// withinColdLimit reports whether this entry may send one more request to an endpoint after having sent the given number in the
-// last second. The cold limit applies to warm endpoints too, since an endpoint may turn cold at any time.
-func (f *Fleet) withinColdLimit(e *endpoint, backend railbackend.Backend, sent int) bool {
-	if backend.ColdPerSecond <= 0 {
-		return true
-	}
-	limit := coldShare * (backend.ColdPerSecond*f.ColdOvershoot + f.ColdSlack)
-	return sent < f.Share(e.ID, int(limit))
-}
