Add a trial of limits that endpoints name

fulmarbench limit sends requests through some numbers of gateways to stand-in endpoints that name small limits, by the system's own admission, by the same without regard to limits and by equal parts for all gateways. Demand differs between gateways and customers, digests are lost, and the busiest gateway freezes, the second stops and another one joins. A row shows the greatest number of requests within 4 s against the limit and against what is tolerated, the share of the limits that was used, who was refused at once and who after a wait, and what the digests cost.

The package's tests run it in virtual time.

--- a/internal/command/railbenchcmd/bench.go
+++ b/internal/command/railbenchcmd/bench.go
@@ -28,7 +28,7 @@
 	}
 	cmd.PersistentFlags().BoolVar(&opts.JSON, "json", false, "print the result as JSON")
 	cmd.PersistentFlags().Uint64Var(&opts.Seed, "seed", 1, "seed of the experiment")
-	cmd.AddCommand(newCmdRollout(opts), newCmdZone(opts), newCmdRoute(opts), newCmdLoad(opts), newCmdOrders(opts), newCmdConfig(opts), newCmdCapacity(opts))
+	cmd.AddCommand(newCmdRollout(opts), newCmdZone(opts), newCmdRoute(opts), newCmdLoad(opts), newCmdLimit(opts), newCmdOrders(opts), newCmdConfig(opts), newCmdCapacity(opts))
 	return cmd
 }
 
