--- a/internal/lab/raillimittrial/result.go
+++ b/internal/lab/raillimittrial/result.go
@@ -13,7 +13,7 @@
 	Gateways int     `json:"gateways"`
 	Engines  int     `json:"engines"`
 	Demand   float64 `json:"demand"`
-	Lost     float64 `json:"lostDigests"`
+	Lost     float64 `json:"lostDatagrams"`
 
 	// Most is the greatest number of requests within 4 s at the endpoint where it is highest against Tolerated, of gateways that had to know
 	// the limit. Named is the number that the limit allows there, and Tolerated the number that is tolerated. MostOfAll is the greatest number
@@ -39,9 +39,9 @@
 	WorstCustomerShare    float64 `json:"worstCustomer"`
 	SmallestCustomerShare float64 `json:"smallestCustomer"`
 	QuietGatewaysShare    float64 `json:"quietGateways"`
-	// DigestsPerSecond and BytesPerSecond are the load digests that one gateway sends on average, counted once for each receiver.
-	DigestsPerSecond float64 `json:"digestsPerSecond"`
-	BytesPerSecond   float64 `json:"digestBytesPerSecond"`
+	// DatagramsPerSecond and BytesPerSecond are what one gateway sends to others on average, counted once for each receiver.
+	DatagramsPerSecond float64 `json:"datagramsPerSecond"`
+	BytesPerSecond     float64 `json:"bytesPerSecond"`
 }
 
 // tally counts the requests of one customer or one gateway.
@@ -91,7 +91,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.result
-	r.Policy, r.Gateways, r.Engines, r.Demand, r.Lost = t.Policy, t.Gateways, t.Engines, t.Demand, t.LostDigests
+	r.Policy, r.Gateways, r.Engines, r.Demand, r.Lost = t.Policy, t.Gateways, t.Engines, t.Demand, t.LostDatagrams
 	t.compareWithLimits(&r, from, to)
 	r.P99WaitMillis = railpercentile.Millis(t.waits, 99)
 	r.SmallestCustomerShare = t.customers[len(t.customers)-1].share()
@@ -107,7 +107,7 @@
 	r.QuietGatewaysShare = quiet.share()
 	for _, g := range t.gateways {
 		g.mu.Lock()
-		r.DigestsPerSecond += float64(g.digests) / t.Duration.Seconds() / float64(t.Gateways)
+		r.DatagramsPerSecond += float64(g.datagrams) / t.Duration.Seconds() / float64(t.Gateways)
 		r.BytesPerSecond += float64(g.bytes) / t.Duration.Seconds() / float64(t.Gateways)
 		g.mu.Unlock()
 	}
