Let an endpoint's slowdown fall while no response starts there

Cause: the slowdown is a moving average over starts of responses, and an endpoint with a high one gets no request whose start could lower it. The class: a judgement that only the service which it withholds could revise.

It now falls by half every 5 s without a start, towards none. An endpoint with requests has a start far more often, so that nothing changes there.

--- a/internal/membership/railfleet/endpoint.go
+++ b/internal/membership/railfleet/endpoint.go
@@ -1,6 +1,7 @@
 package railfleet
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -24,6 +25,8 @@
 	maxFailures = 8
 	// noticeTTL is the time for which a notice from an endpoint's carrier, the agent on its VM, takes precedence over the list.
 	noticeTTL = 4 * time.Second
+	// slowdownHalfLife is the time without a response that starts in which an endpoint's slowdown falls by half.
+	slowdownHalfLife = 5 * time.Second
 	// slowdownWeight is the weight of the newest response in the moving average of an endpoint's slowdown, and maxSlowdown bounds the
 	// slowdown of one response.
 	slowdownWeight = 0.2
@@ -43,8 +46,10 @@
 	recentSends railwindow.Window
 	// loadUnreported is set when ownLoad has changed since it was last reported to the other entries.
 	loadUnreported bool
-	// slowdown is the moving average of the ratio of actual to predicted time until responses start, at least 1.
+	// slowdown is the moving average of the ratio of actual to predicted time until responses start, at least 1, as of the last one.
 	slowdown float64
+	// slowdownAt is the time of that response, or zero if none has started.
+	slowdownAt time.Time
 	// failures is the number of failures since a response last started.
 	failures int
 	// noticedAt is the time of the last notice of the weights version from the endpoint's carrier. The list shows it later.
@@ -145,10 +150,20 @@
 }
 
 // recordStart updates the slowdown from the predicted and the actual time until a response started.
-func (e *endpoint) recordStart(predicted, took time.Duration) {
+func (e *endpoint) recordStart(predicted, took time.Duration, now time.Time) {
 	if predicted <= 0 {
 		return
 	}
 	ratio := min(float64(took)/float64(predicted), maxSlowdown)
-	e.slowdown += slowdownWeight * (max(ratio, 1) - e.slowdown)
+	slowdown := e.slowdownNow(now)
+	e.slowdown, e.slowdownAt = slowdown+slowdownWeight*(max(ratio, 1)-slowdown), now
+}
+
+// slowdownNow returns the slowdown to expect now. It falls while no response starts, since nothing else would show that an endpoint without requests
+// is as fast as before.
+func (e *endpoint) slowdownNow(now time.Time) float64 {
+	if e.slowdownAt.IsZero() {
+		return e.slowdown
+	}
+	return 1 + (e.slowdown-1)*math.Exp2(-float64(now.Sub(e.slowdownAt))/float64(slowdownHalfLife))
 }
--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -287,11 +287,11 @@
 		return 0, false
 	}
 	if req.Backend.Engine == nil {
-		return time.Duration(float64(load.Running)*e.slowdown*float64(time.Millisecond)) + f.networkPenalty(e), true
+		return time.Duration(float64(load.Running)*e.slowdownNow(now)*float64(time.Millisecond)) + f.networkPenalty(e), true
 	}
 	timing := req.Backend.Engine.Timing
 	prefillTime := timing.PrefillTime(req.PromptTokens)
-	start := time.Duration(e.slowdown * float64(load.TimeToFirstToken(timing, prefillTime)+load.SlotWait(timing, e.Slots, req.Backend.Engine.MeanOutputTokens)))
+	start := time.Duration(e.slowdownNow(now) * float64(load.TimeToFirstToken(timing, prefillTime)+load.SlotWait(timing, e.Slots, req.Backend.Engine.MeanOutputTokens)))
 	// The extra time of a long prompt is not counted against it: otherwise shorter prompts that fill the engines would starve it.
 	extraPrefillTime := time.Duration(0)
 	if meanPromptTokens := req.Backend.Engine.MeanPromptTokens; meanPromptTokens > 0 {
--- a/internal/membership/railfleet/lease.go
+++ b/internal/membership/railfleet/lease.go
@@ -110,7 +110,8 @@
 	}
 	l.started = true
 	l.endpoint.ownLoad.PendingPrefill -= l.requestLoad.PendingPrefill
-	l.endpoint.recordStart(l.PredictedDelay, time.Since(l.grantedAt))
+	now := time.Now()
+	l.endpoint.recordStart(l.PredictedDelay, now.Sub(l.grantedAt), now)
 	l.endpoint.failures = 0
 	f.markChanged(l.endpoint)
 	return true
