Don't take a proof of an earlier start than the list shows

What callers could see: responses from complete weights that nobody has proven, after a restart of an engine under its address.

Cause: a statement about an engine of which nothing is known was taken whatever start it was about. The list drops a proof when it shows a later start, and after that a repeated datagram, or the answer of an entry whose list lags behind, brought the proof of the earlier start back. It also counted as known when the list had shown that later start, so that no further list dropped it: only a statement of the carrier about the later start did.

A statement about an earlier start than the list shows is refused now. If an engine's clock has been set back, its statements count once the list has its new row, as when a proof of the earlier start is known.

Both new cases of TestProofCountsOnlyForLatestKnownOrder failed before.

--- a/internal/membership/railproofs/proofs.go
+++ b/internal/membership/railproofs/proofs.go
@@ -63,7 +63,7 @@
 	e := p.known[s.Address]
 	switch {
 	case e == nil || !e.proof.SameStart(s.StartMillis):
-		if e != nil && !p.replacesStart(s, e) {
+		if p.endedByList(s) || e != nil && !p.replacesStart(s, e) {
 			return false
 		}
 		if p.known == nil {
@@ -89,6 +89,12 @@
 	return s.StartMillis > e.proof.StartMillis || p.listed[s.Address].StartMillis == s.StartMillis && s.StartMillis != e.listedStart
 }
 
+// endedByList reports whether the list shows a later start of an engine than a statement is about. If the engine's clock has been set back, its
+// statements count once the list has changed.
+func (p *Proofs) endedByList(s railproof.Proof) bool {
+	return s.StartMillis > 0 && p.listed[s.Address].StartMillis > s.StartMillis
+}
+
 // Get returns what is known of the engine at an address, and whether anything is.
 func (p *Proofs) Get(address string) (railproof.Proof, bool) {
 	p.mu.Lock()
--- a/internal/membership/railproofs/proofs_test.go
+++ b/internal/membership/railproofs/proofs_test.go
@@ -67,6 +67,17 @@
 			p.SetInstances(listed(born))
 			p.Apply(state(born, 2, 1))
 		}, 0},
+		"a late statement about an earlier start that the list has dropped": {func(p *railproofs.Proofs) {
+			p.SetInstances(listed(born))
+			p.Apply(state(born, 2, 1))
+			p.SetInstances(listed(reborn))
+			p.Apply(state(born, 2, 1))
+			p.SetInstances(listed(reborn))
+		}, 0},
+		"a statement about an earlier start than the list has shown from the beginning": {func(p *railproofs.Proofs) {
+			p.SetInstances(listed(reborn))
+			p.Apply(state(born, 2, 1))
+		}, 0},
 		"a row of an earlier start is listed first": {func(p *railproofs.Proofs) {
 			p.Apply(state(reborn, 2, 1))
 			p.SetInstances(listed(born))
