Let what another entry knows confirm no proof that is in doubt

What callers could see: responses from complete weights that nobody has proven, at a gateway that has missed a statement of the carrier.

Cause: a proof in doubt, after a failure of its engine or a standstill of the process, counted again when any other entry repeated it. The gateway asks the carrier and one entry at random. An entry that has missed the same statement, since it was cut off from the carrier too, or that has just woken from the same standstill and answers before it puts its own proofs in doubt, gave the proof back; one that knows of a later order without proven weights says nothing. So a gateway that has started could also take over the proof of such an entry, after the carrier had waited for all entries it knew. The class: what somebody knew earlier is taken for a confirmation that it still holds.

What another entry knows is kept in doubt now until the carrier or the engine has told the start and the order's number. Which weights are proven after an order never changes, so the two halves may come from different processes.

The new cases of TestProofCountsOnlyForLatestKnownOrder that are in doubt fail (three of seven) if a report counts as a statement, as before.

--- a/internal/command/railgatewaycmd/proofs.go
+++ b/internal/command/railgatewaycmd/proofs.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/fulmarrail/fulmarrail/internal/core/raillog"
@@ -33,7 +34,11 @@
 // handleNotice applies a notice about an engine and replies if that is wanted. A notice about an earlier order than is known changes nothing.
 func (g *gateway) handleNotice(from net.Addr, n *railproto.EndpointNotice) {
 	proof := railproof.Proof{Address: n.GetAddress(), StartMillis: n.GetStartMillis(), Sequence: n.GetSequence(), Version: n.GetProvenVersion()}
-	applied := g.proofs.Apply(proof)
+	apply := g.proofs.Apply
+	if g.isEntry(from) {
+		apply = g.proofs.ApplyReport
+	}
+	applied := apply(proof)
 	if applied && !n.GetProofOnly() && (n.GetVersion() == 0 || n.GetVersion() == n.GetProvenVersion()) {
 		g.fleet.ApplyNotice(n.GetAddress(), n.GetVersion(), time.Duration(n.GetChangesInMillis())*time.Millisecond)
 	}
@@ -49,6 +54,12 @@
 	g.socket.Send(&railproto.Datagram{Content: &railproto.Datagram_NoticeReply{NoticeReply: reply}}, address)
 }
 
+// isEntry reports whether a datagram is from another entry.
+func (g *gateway) isEntry(from net.Addr) bool {
+	sender, ok := from.(*net.UDPAddr)
+	return ok && slices.ContainsFunc(g.peerAddresses(), func(a *net.UDPAddr) bool { return a.Port == sender.Port && a.IP.Equal(sender.IP) })
+}
+
 // answerQuery tells another entry which weights are proven.
 func (g *gateway) answerQuery(from net.Addr, q *railproto.EndpointQuery) {
 	address, ok := from.(*net.UDPAddr)
--- a/internal/membership/railproofs/doc.go
+++ b/internal/membership/railproofs/doc.go
@@ -7,5 +7,6 @@
 // which requests that name the version would not notice; before that, the carrier has the entries drop their proofs.
 //
 // A proof is in doubt after a failure of its engine, which may have started again, and after this process has stood still, when it may have missed
-// a statement. It counts again once somebody has confirmed the engine's start and order.
+// a statement. It counts again once the carrier or the engine has confirmed the engine's start and order. What another entry knows is in doubt from the
+// beginning, since it may have missed a statement itself.
 package railproofs
--- a/internal/membership/railproofs/proofs.go
+++ b/internal/membership/railproofs/proofs.go
@@ -43,12 +43,23 @@
 	return e.proof.Version
 }
 
-// Apply records a statement about an engine. It returns false if a later one is known.
+// Apply records a statement of the carrier beside an engine, or of the engine. It returns false if a later one is known.
 func (p *Proofs) Apply(s railproof.Proof) bool {
+	return p.record(s, p.apply)
+}
+
+// ApplyReport records what another entry knows of an engine. It returns false if something later is known. The other entry may have missed later
+// statements, so that what it knows counts only once the carrier or the engine has confirmed the start and the order.
+func (p *Proofs) ApplyReport(s railproof.Proof) bool {
+	return p.record(s, p.applyReport)
+}
+
+// record applies a statement and tells of a changed version.
+func (p *Proofs) record(s railproof.Proof, apply func(railproof.Proof) bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	before := p.known[s.Address].version()
-	if !p.apply(s) {
+	if !apply(s) {
 		return false
 	}
 	if version := p.known[s.Address].version(); version != before {
@@ -58,6 +69,17 @@
 	return true
 }
 
+// applyReport records what another entry knows unless something later is known. The lock is held.
+func (p *Proofs) applyReport(s railproof.Proof) bool {
+	e := p.known[s.Address]
+	inDoubt := e == nil || e.doubted || !e.proof.SameStart(s.StartMillis) || s.Sequence > e.proof.Sequence
+	if !p.apply(s) {
+		return false
+	}
+	p.known[s.Address].doubted = inDoubt
+	return true
+}
+
 // apply records a statement unless a later one is known. The lock is held.
 func (p *Proofs) apply(s railproof.Proof) bool {
 	e := p.known[s.Address]
--- a/internal/membership/railproofs/proofs_test.go
+++ b/internal/membership/railproofs/proofs_test.go
@@ -119,6 +119,34 @@
 			p.Doubt(address)
 			p.Apply(state(born, 1, 1))
 		}, 0},
+		"a failure, and an entry that has missed a later order repeats the proof": {func(p *railproofs.Proofs) {
+			p.Apply(state(born, 2, 1))
+			p.Doubt(address)
+			p.ApplyReport(state(born, 2, 1))
+		}, 0},
+		"only an entry that may have missed a later order knows of a proof": {func(p *railproofs.Proofs) {
+			p.ApplyReport(state(born, 2, 1))
+		}, 0},
+		"an entry knows of a proof, and the order is confirmed": {func(p *railproofs.Proofs) {
+			p.ApplyReport(state(born, 2, 1))
+			p.Apply(state(born, 2, 0))
+		}, 1},
+		"the order is known, and an entry knows of its proof": {func(p *railproofs.Proofs) {
+			p.Apply(state(born, 2, 0))
+			p.ApplyReport(state(born, 2, 1))
+		}, 1},
+		"an entry knows of a proof, and there was a later order": {func(p *railproofs.Proofs) {
+			p.ApplyReport(state(born, 2, 1))
+			p.Apply(state(born, 3, 0))
+		}, 0},
+		"an entry knows of a later order": {func(p *railproofs.Proofs) {
+			p.Apply(state(born, 2, 1))
+			p.ApplyReport(state(born, 4, 3))
+		}, 0},
+		"an entry repeats a proof that counts": {func(p *railproofs.Proofs) {
+			p.Apply(state(born, 2, 1))
+			p.ApplyReport(state(born, 2, 1))
+		}, 1},
 		"this process has stood still": {func(p *railproofs.Proofs) {
 			p.Apply(state(born, 2, 1))
 			p.DoubtAll()
