Read an engine only while its last order is not known

What is lost: priced reads. An entry that knows no proof of complete weights read the engine's state every 2 s for as long as that was so, also after the carrier had told that an order is not proven yet.

Cause: questions were counted, not those without an answer.

The engine is read only while its start and order are not known or in doubt, or while it was ordered nothing.

--- a/internal/membership/railproofs/proofs.go
+++ b/internal/membership/railproofs/proofs.go
@@ -130,6 +130,14 @@
 	return s, true
 }
 
+// OrderKnown reports whether it is known, without doubt, which of its orders an engine has executed last, if it was given any.
+func (p *Proofs) OrderKnown(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.known[address]
+	return e != nil && !e.doubted && e.proof.Sequence > 0
+}
+
 // SetInstances replaces the list of engines. It drops what is known of engines that the list shows to have started again.
 func (p *Proofs) SetInstances(list []railinstance.Instance) {
 	p.mu.Lock()
--- a/internal/node/railproofkeeper/keeper.go
+++ b/internal/node/railproofkeeper/keeper.go
@@ -23,7 +23,7 @@
 	// firstDelay is the time between the first two questions about an engine. It doubles up to maxDelay.
 	firstDelay = 100 * time.Millisecond
 	maxDelay   = 2 * time.Second
-	// unansweredQuestions is the number of questions without an answer after which the engine itself is asked.
+	// unansweredQuestions is the number of questions after which the engine itself is asked which order it has executed last, if nobody has told.
 	unansweredQuestions = 3
 	// reportTimeout bounds one read of an engine's state, and maxReports the number of concurrent ones.
 	reportTimeout = time.Second
@@ -95,7 +95,7 @@
 		if now >= q.nextAt {
 			due = append(due, i)
 			q = question{asked: q.asked + 1, nextAt: now + min(firstDelay<<min(q.asked, 10), maxDelay)}
-			if q.asked > unansweredQuestions {
+			if q.asked > unansweredQuestions && !k.Proofs.OrderKnown(i.Address) {
 				k.read(ctx, i)
 			}
 		}
--- a/internal/node/railproofkeeper/keeper_test.go
+++ b/internal/node/railproofkeeper/keeper_test.go
@@ -124,3 +124,25 @@
 		qt.Check(t, known.Version, qt.Equals, int64(0))
 	})
 }
+
+// Guards against reads of an engine by all entries for as long as its carrier verifies a load, or is gone: they can't show that weights are proven which
+// the engine has been ordered to load.
+func TestEngineIsNotReadAgainWhileItsOrderIsKnown(t *testing.T) {
+	for name, test := range map[string]struct {
+		answer *railproof.Proof
+		reads  int
+	}{
+		"its carrier does not know yet": {answer: &railproof.Proof{Address: address, StartMillis: 1, Sequence: 2}},
+		"its carrier is gone":           {reads: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			railvirtualtime.Test(t, func(t *testing.T) {
+				k := startKeeper(t, test.answer, &railenginestate.State{StartMillis: 1, Sequence: 2, Version: 3, HeldVersion: 3})
+				time.Sleep(time.Minute)
+				k.mu.Lock()
+				defer k.mu.Unlock()
+				qt.Check(t, k.reports, qt.Equals, test.reads)
+			})
+		})
+	}
+}
