Use proven weights also where the row or the refusal of a load is late

What is lost: an engine with proven weights gets nothing from a gateway that has lost the one datagram that ends the refusal of its load: for 4 s and until the next change of the list, or while the store is away until it is back. A gateway that starts while the store is away, after engines have loaded a newer version, uses none of these: it has their rows from other entries, and the proofs of newer weights than these show.

Cause: only the proof is repeated until it has arrived; the version that the engine serves was still that of the row or of the last notice, and had to be the same.

Versions only grow on one start of an engine, and a proof that is known belongs to the listed start. So one of newer weights than the row shows, or than were proven when the last notice arrived, is later than these, and its version is used. A row that shows no weights may be newer than the proof and stays as it is.

--- a/internal/membership/railfleet/endpoint.go
+++ b/internal/membership/railfleet/endpoint.go
@@ -54,8 +54,10 @@
 	// noticedRow is the version of the row that was listed when the last notice arrived.
 	noticedRow int64
 	// proofRequired is set if the endpoint may serve only weights that are proven to be intact, and provenVersion is their version, or 0.
-	proofRequired bool
-	provenVersion int64
+	// latestProven is the latest one that was proven, and refusedAfter its value when the last notice arrived.
+	proofRequired              bool
+	provenVersion              int64
+	latestProven, refusedAfter int64
 	// weightsChangeAt is the announced time of the next weights change, or zero if unknown.
 	weightsChangeAt time.Time
 	backoffUntil    time.Time
@@ -95,6 +97,9 @@
 		i.WeightsVersion = e.WeightsVersion
 	} else {
 		e.weightsChangeAt, e.noticed = time.Time{}, false
+		if i.WeightsVersion > 0 { // A row that shows older weights than are proven is late; one that shows none may be newer than the proof.
+			i.WeightsVersion = max(i.WeightsVersion, e.provenVersion)
+		}
 	}
 	if e.WeightsVersion != i.WeightsVersion || e.misdirected && e.RowVersion != i.RowVersion {
 		e.backoffUntil, e.failures, e.misdirected = time.Time{}, 0, false
@@ -112,15 +117,32 @@
 
 // applyNotice applies a notice from the endpoint's carrier.
 func (e *endpoint) applyNotice(version int64, changesIn time.Duration, now time.Time) {
-	if e.misdirected && e.WeightsVersion != version {
-		e.backoffUntil, e.misdirected = time.Time{}, false
-	}
-	e.WeightsVersion, e.noticed, e.noticedAt, e.noticedRow, e.weightsChangeAt = version, true, now, e.RowVersion, time.Time{}
+	e.setWeights(version)
+	e.noticed, e.noticedAt, e.noticedRow, e.weightsChangeAt = true, now, e.RowVersion, time.Time{}
+	e.refusedAfter = e.latestProven
 	if changesIn > 0 {
 		e.weightsChangeAt = now.Add(changesIn)
 	}
 }
 
+// setProven sets the version of the weights that are proven, or 0 for none. A proof of newer weights than were proven at the last notice, or than the
+// row shows, is later than these: the notice of the end of the load was lost, or the row is late.
+func (e *endpoint) setProven(version int64) {
+	e.provenVersion, e.latestProven = version, max(e.latestProven, version)
+	if e.noticed && version > e.refusedAfter || !e.noticed && e.WeightsVersion > 0 && version > e.WeightsVersion {
+		e.setWeights(version)
+		e.weightsChangeAt = time.Time{}
+	}
+}
+
+// setWeights sets the version of the weights that the endpoint serves.
+func (e *endpoint) setWeights(version int64) {
+	if e.misdirected && e.WeightsVersion != version {
+		e.backoffUntil, e.misdirected = time.Time{}, false
+	}
+	e.WeightsVersion = version
+}
+
 // recordOutcome applies the outcome of a request.
 func (e *endpoint) recordOutcome(outcome Outcome, now time.Time) {
 	switch outcome {
--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -133,7 +133,7 @@
 	for _, i := range list {
 		e := f.endpoints[i.ID]
 		if e == nil || e.Address != i.Address || e.StartMillis != i.StartMillis {
-			e = &endpoint{slowdown: 1, proofRequired: f.RequireProofs, provenVersion: f.proven[i.Address]}
+			e = &endpoint{slowdown: 1, proofRequired: f.RequireProofs, provenVersion: f.proven[i.Address], latestProven: f.proven[i.Address]}
 			f.Log.Info("endpoint appears", "endpoint", i.ID, "address", i.Address, "service", i.Service, "zone", i.Zone, "weights", i.WeightsVersion, "row", railversion.String(i.RowVersion))
 		}
 		if e.noticed && !e.noticeDecides(i.RowVersion, time.Now()) {
@@ -189,7 +189,7 @@
 	}
 	for _, e := range f.endpoints {
 		if e.Address == address {
-			e.provenVersion = version
+			e.setProven(version)
 		}
 	}
 }
--- a/internal/membership/railfleet/proven_test.go
+++ b/internal/membership/railfleet/proven_test.go
@@ -48,6 +48,42 @@
 			time.Sleep(time.Minute)
 			f.SetInstances([]railinstance.Instance{i})
 		}, true},
+		"the row of proven weights is late, and the notice of them was lost": {func(f *railfleet.Fleet) {
+			f.SetProven(address, 2)
+			time.Sleep(time.Minute)
+			f.SetInstances([]railinstance.Instance{engine("1")})
+		}, true},
+		"a row that shows no weights is not outdone by a proof that may be older": {func(f *railfleet.Fleet) {
+			f.SetProven(address, 2)
+			i := engine("1")
+			i.WeightsVersion = 0
+			f.SetInstances([]railinstance.Instance{i})
+		}, false},
+		"the refusal of a load is over with the proof of its version, and the notice of its end was lost": {func(f *railfleet.Fleet) {
+			f.SetProven(address, 1)
+			f.ApplyNotice(address, 0, 0)
+			f.SetProven(address, 0)
+			f.SetProven(address, 2)
+		}, true},
+		"a planned change is over with the proof of the new version, and all later notices were lost": {func(f *railfleet.Fleet) {
+			f.SetProven(address, 1)
+			f.ApplyNotice(address, 1, time.Second)
+			time.Sleep(3 * time.Second)
+			f.SetProven(address, 2)
+		}, true},
+		"the refusal of a load goes on while the proof of the earlier version is confirmed": {func(f *railfleet.Fleet) {
+			f.SetProven(address, 1)
+			f.SetProven(address, 0)
+			f.ApplyNotice(address, 0, 0)
+			f.SetProven(address, 1)
+		}, false},
+		"the row of an earlier version arrives after the proof of a load": {func(f *railfleet.Fleet) {
+			f.SetProven(address, 2)
+			f.SetInstances([]railinstance.Instance{engine("1")})
+			i := engine("1")
+			i.RowVersion++
+			f.SetInstances([]railinstance.Instance{i})
+		}, true},
 		"the engine leaves the list for a moment": {func(f *railfleet.Fleet) {
 			f.SetProven(address, 1)
 			f.SetInstances(nil)
