Load a version whose turn has come also while no entry replies

What callers could lose: a newer version never comes at an engine whose carrier has started again, for as long as no entry replies to its notices.

Cause: the carrier asks the entries whether the weights that it finds are proven, and repeats that without end if none replies; all else waits for it.

The answer matters only for weights that stay. Once it is the engine's turn to load a newer version, the load goes on. Entries that hold a proof of the earlier version name that version in their requests.

TestDueVersionIsLoadedWhileNoEntryReplies failed before: nothing was loaded within 12 s.

--- a/internal/rollout/railinstaller/installer_test.go
+++ b/internal/rollout/railinstaller/installer_test.go
@@ -15,11 +15,13 @@
 
 	"github.com/fulmarrail/fulmarrail/internal/lab/railvirtualtime"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
+	"github.com/fulmarrail/fulmarrail/internal/membership/railproof"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railchunks"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/raildownloader"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railfetcher"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railfetchorder"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railinstaller"
+	"github.com/fulmarrail/fulmarrail/internal/rollout/raillayers"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railloadorder"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railmanifest"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railmemstore"
@@ -232,6 +234,30 @@
 	})
 }
 
+// Guards against a newer version that never comes, since a carrier that has started waits for an entry to tell what it knows of the earlier one.
+func TestDueVersionIsLoadedWhileNoEntryReplies(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, 1, func(env *testEnv) {
+			env.wantedSince[2] = time.Now()
+			env.engine.OnComplete = nil
+			for sequence, order := range []raillayers.Range{{End: layerCount - 1}, {End: layerCount}} { // By an earlier process.
+				qt.Assert(t, env.engine.StartLoad(t.Context(), railloadorder.Order{Model: "m", Version: 1, Layers: order, Sequence: int64(sequence)}), qt.IsNil)
+				time.Sleep(3 * time.Second)
+			}
+			env.engine.OnComplete = env.recordLoad
+			env.installer.Known = func(context.Context, railproof.Proof) (int64, bool) { return 0, false }
+			env.loadAtNanos = time.Duration(time.Now().Add(5 * time.Second).UnixNano())
+		})
+		time.Sleep(4 * time.Second)
+		loaded, _ := env.loaded()
+		qt.Check(t, loaded, qt.HasLen, 0, qt.Commentf("it is not this engine's turn"))
+		time.Sleep(8 * time.Second)
+		loaded, wrong := env.loaded()
+		qt.Check(t, loaded, qt.DeepEquals, []int64{2})
+		qt.Check(t, wrong, qt.IsFalse)
+	})
+}
+
 // Guards against a newer version that never comes, since an engine whose model has one layer can't be withdrawn from service after a load that
 // is not proven.
 func TestUnprovenLoadOfSingleLayerIsReplacedByNextVersion(t *testing.T) {
--- a/internal/rollout/railinstaller/load.go
+++ b/internal/rollout/railinstaller/load.go
@@ -19,7 +19,7 @@
 		w := n.Downloader.LatestComplete()
 		state, err := n.readState(ctx)
 		if err == nil {
-			err = n.loader.VerifyInherited(ctx, w)
+			err = n.verifyInherited(ctx, w, state)
 			n.SetIdle(n.hasNothingToServe(state.Version))
 		}
 		serves := state.Version > 0 && n.loader.Proven(state)
@@ -46,6 +46,16 @@
 	return ctx.Err()
 }
 
+// verifyInherited finds out whether weights that an earlier process has loaded are intact. An error holds nothing up once they are to be replaced.
+func (n *Installer) verifyInherited(ctx context.Context, w raildownloader.Weights, state railenginestate.State) error {
+	err := n.loader.VerifyInherited(ctx, w)
+	if err == nil || w.Version <= state.Version || n.LoadDelay(state.Version, w.Version) > 0 {
+		return err
+	}
+	n.Log.Warn("weights of an earlier process are replaced without a proof", "version", state.Version, "by", w.Version, "err", err)
+	return nil
+}
+
 // awaitTurn waits until the engine is to load a version, for pollInterval at most, and announces the load.
 func (n *Installer) awaitTurn(ctx context.Context, serving, loading int64) {
 	delay := n.LoadDelay(serving, loading)
