Verify all layers of complete weights that a killed process has left unproven

Cause: a carrier that starts took all layers but the last for proven, since the last one is ordered only once they are. An engine that loads whole models holds complete weights after the order for the first part, which was not proven when the process was killed; only the pieces of the last layer were read. On an engine that loads by parts the assumption holds.

All layers are read now, the first ones before the last, so that a corrupt last layer alone is still replaced alone. That is done only if no entry knows a proof, so after a kill between an order and its proof, and takes as long as the audit of a whole load.

--- a/internal/rollout/railloader/loader.go
+++ b/internal/rollout/railloader/loader.go
@@ -186,8 +186,11 @@
 		return nil
 	}
 	l.inherited = false
-	l.intact = l.allButLast() // The last layer is ordered only once the others are known to be intact.
-	_, err := l.audit(ctx, w)
+	// The earlier process need not have ordered all of these layers: there are engines that load the whole model at its order for the first part.
+	intact, err := l.auditLayers(ctx, w, l.allButLast())
+	if intact {
+		_, err = l.audit(ctx, w)
+	}
 	l.inherited = err != nil
 	return err
 }
@@ -383,11 +386,16 @@
 // audit reads the pieces of all layers that the engine holds and that are not known to be intact. It reports whether all pieces are intact,
 // and records that the layers are. The pieces must not have been put since the engine has loaded them.
 func (l *Loader) audit(ctx context.Context, w raildownloader.Weights) (bool, error) {
+	return l.auditLayers(ctx, w, l.last.Held)
+}
+
+// auditLayers does the same for some of the layers that the engine holds.
+func (l *Loader) auditLayers(ctx context.Context, w raildownloader.Weights, layers raillayers.Range) (bool, error) {
 	before := *l.last
 	if before.Sequence == l.unauditable && before.Sequence > 0 {
 		return false, nil
 	}
-	unknown := before.Held
+	unknown := layers
 	if before.Sequence == l.intactSequence && l.intact.From == unknown.From && l.intact.End > unknown.From {
 		unknown.From = min(l.intact.End, unknown.End)
 	}
@@ -408,7 +416,7 @@
 	case corrupt > 0:
 		return false, nil
 	}
-	l.intact, l.intactSequence = before.Held, before.Sequence
+	l.intact, l.intactSequence = layers, before.Sequence
 	l.Log.Info("loaded layers are intact by an audit", "version", w.Version, "layers", l.intact, "start", before.StartMillis, "sequence", before.Sequence)
 	l.publish()
 	return true, nil
--- a/internal/rollout/railloader/proof_test.go
+++ b/internal/rollout/railloader/proof_test.go
@@ -207,3 +207,26 @@
 		qt.Check(t, l.Proof().Version, qt.Equals, int64(3))
 	})
 }
+
+// Guards against corrupt layers of a killed process that count as proven: an engine that loads whole models holds complete weights after the order for
+// the first layers, whose pieces nobody has proven then.
+func TestWholeModelOfKilledProcessIsProvenByAllItsPieces(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		e := newEngine()
+		e.LoadsWholeModels = true
+		ctx, kill := context.WithCancel(t.Context())
+		e.OnOrder = func(o railloadorder.Order) bool {
+			if o.Sequence == 0 {
+				e.Corrupt(0, 1, 2)
+				time.Sleep(freezeTime)
+				kill()
+			}
+			return false
+		}
+		qt.Assert(t, reconcile(ctx, newLoader(e), e, 2), qt.IsNotNil)
+		time.Sleep(freezeTime)
+		l := newProvingLoader(t, e)
+		l.Known = func(context.Context, railproof.Proof) (int64, bool) { return 0, true }
+		install(t, l, e, 2)
+	})
+}
