Find the endpoints of a proof by their address

What is lost: time under the lock of the fleet, which each request needs. Each change of a proof, and each notice, went through all endpoints.

--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -69,8 +69,9 @@
 	endpoints map[string]*endpoint
 	// proven holds the version of the proven weights by the address of the engine.
 	proven map[string]int64
-	// instances holds the endpoints by the hashes of their instances.
+	// instances holds the endpoints by the hashes of their instances, and addresses by their addresses.
 	instances map[uint32]*endpoint
+	addresses map[string][]*endpoint
 	// reports holds the latest instance's report by the ID of the endpoint.
 	reports map[string]*reportSlot
 	peers   map[string]*peer
@@ -129,7 +130,7 @@
 	}
 	endpoints := make(map[string]*endpoint, len(list))
 	instances := make(map[uint32]*endpoint, len(list))
-	addresses := make(map[string]bool, len(list))
+	addresses := make(map[string][]*endpoint, len(list))
 	for _, i := range list {
 		e := f.endpoints[i.ID]
 		if e == nil || e.Address != i.Address || e.StartMillis != i.StartMillis {
@@ -142,7 +143,7 @@
 		e.update(i)
 		e.report = f.listedReport(i)
 		endpoints[i.ID], instances[e.instanceHash] = e, e
-		addresses[i.Address] = true
+		addresses[i.Address] = append(addresses[i.Address], e)
 	}
 	f.expireReports(endpoints, time.Now())
 	for id, old := range f.endpoints {
@@ -150,11 +151,11 @@
 		if e == nil {
 			f.Log.Info("endpoint is gone", "endpoint", id)
 		}
-		if e == nil && addresses[old.Address] || e != nil && e != old {
+		if e == nil && len(addresses[old.Address]) > 0 || e != nil && e != old {
 			restarted = append(restarted, id)
 		}
 	}
-	f.endpoints, f.instances = endpoints, instances
+	f.endpoints, f.instances, f.addresses = endpoints, instances, addresses
 	return restarted
 }
 
@@ -168,11 +169,9 @@
 func (f *Fleet) notice(address string, version int64, changesIn time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, e := range f.endpoints {
-		if e.Address == address {
-			f.Log.Info("endpoint changes its weights", "endpoint", e.ID, "from", e.WeightsVersion, "to", version, "in", changesIn)
-			e.applyNotice(version, changesIn, time.Now())
-		}
+	for _, e := range f.addresses[address] {
+		f.Log.Info("endpoint changes its weights", "endpoint", e.ID, "from", e.WeightsVersion, "to", version, "in", changesIn)
+		e.applyNotice(version, changesIn, time.Now())
 	}
 }
 
@@ -187,10 +186,8 @@
 	if version == 0 {
 		delete(f.proven, address)
 	}
-	for _, e := range f.endpoints {
-		if e.Address == address {
-			e.setProven(version)
-		}
+	for _, e := range f.addresses[address] {
+		e.setProven(version)
 	}
 }
 
