Refuse statements about a start that the list has replaced

What callers could see: responses from unproven weights, or none at all from an engine until its next start, after an engine's clock was set back between two starts.

Cause: of two starts, the one with the later time counts as later. A statement about the earlier start that arrives late, or that another entry repeats, replaced what was known of the present one, since its time was ahead; and from then on the carrier's statements were refused, since the list had not changed since.

The set remembers a start that the list had shown and then replaced by one that seems earlier, and refuses statements about it until the list shows it again. After a restore of the store, an engine that started in the seconds that were lost is not used until its row is back.

--- a/internal/membership/railproofs/proofs.go
+++ b/internal/membership/railproofs/proofs.go
@@ -22,6 +22,8 @@
 	mu     sync.Mutex
 	known  map[string]*entry
 	listed map[string]railinstance.Instance
+	// ended holds the last start of each engine that the list has replaced by one that seems earlier, since the engine's clock was set back.
+	ended map[string]int64
 }
 
 // entry is what is known of one engine.
@@ -111,10 +113,10 @@
 	return s.StartMillis > e.proof.StartMillis || p.listed[s.Address].StartMillis == s.StartMillis && s.StartMillis != e.listedStart
 }
 
-// endedByList reports whether the list shows a later start of an engine than a statement is about. If the engine's clock has been set back, its
-// statements count once the list has changed.
+// endedByList reports whether the list shows a later start of an engine than a statement is about, or has replaced that start. If the engine's clock
+// has been set back, its statements count once the list has changed.
 func (p *Proofs) endedByList(s railproof.Proof) bool {
-	return s.StartMillis > 0 && p.listed[s.Address].StartMillis > s.StartMillis
+	return s.StartMillis > 0 && (p.listed[s.Address].StartMillis > s.StartMillis || p.ended[s.Address] == s.StartMillis)
 }
 
 // Get returns what is known of the engine at an address, and whether anything is.
@@ -142,13 +144,18 @@
 func (p *Proofs) SetInstances(list []railinstance.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now, before := time.Now(), p.listed
 	p.listed = make(map[string]railinstance.Instance, len(list))
 	for _, i := range list {
 		if other, ok := p.listed[i.Address]; !ok || i.RowVersion > other.RowVersion {
 			p.listed[i.Address] = i
 		}
 	}
+	for address, start := range p.ended {
+		if p.listed[address].StartMillis == start {
+			delete(p.ended, address) // The list was behind for a moment, as after a restore of the store.
+		}
+	}
 	for address, e := range p.known {
 		i, ok := p.listed[address]
 		switch {
@@ -156,6 +163,7 @@
 			e.listedStart, e.unlistedSince = i.StartMillis, time.Time{} // The row of an earlier start.
 		case ok && !e.proof.SameStart(i.StartMillis) && i.StartMillis != e.listedStart:
 			p.Log.Info("endpoint has started again; its weights are not proven", "address", address, "start", i.StartMillis, "before", e.proof.StartMillis)
+			p.recordEnd(e.proof, before[address].StartMillis, i.StartMillis)
 			p.drop(address)
 		case ok:
 			e.unlistedSince = time.Time{}
@@ -167,6 +175,18 @@
 	}
 }
 
+// recordEnd records that the list shows another start of an engine than it did when it agreed with a proof, if that seems to be an earlier one. The lock
+// is held.
+func (p *Proofs) recordEnd(proof railproof.Proof, before, listed int64) {
+	if before != proof.StartMillis || listed > before {
+		return
+	}
+	if p.ended == nil {
+		p.ended = map[string]int64{}
+	}
+	p.ended[proof.Address] = before
+}
+
 // drop forgets what is known of an engine. The lock is held.
 func (p *Proofs) drop(address string) {
 	delete(p.known, address)
--- a/internal/membership/railproofs/proofs_test.go
+++ b/internal/membership/railproofs/proofs_test.go
@@ -94,6 +94,29 @@
 			p.SetInstances(listed(born))
 			p.Apply(state(born, 4, 3))
 		}, 3},
+		"a late statement about an earlier start whose clock was ahead": {func(p *railproofs.Proofs) {
+			p.SetInstances(listed(reborn))
+			p.Apply(state(reborn, 2, 1))
+			p.SetInstances(listed(born))
+			p.Apply(state(born, 4, 3))
+			p.Apply(state(reborn, 2, 1))
+		}, 3},
+		"the carrier goes on after a late statement about an earlier start whose clock was ahead": {func(p *railproofs.Proofs) {
+			p.SetInstances(listed(reborn))
+			p.Apply(state(reborn, 2, 1))
+			p.SetInstances(listed(born))
+			p.Apply(state(born, 3, 0))
+			p.Apply(state(reborn, 2, 1))
+			p.SetInstances(listed(born))
+			p.Apply(state(born, 4, 3))
+		}, 3},
+		"the list goes back to an earlier start for a moment, as after a restore of the store": {func(p *railproofs.Proofs) {
+			p.SetInstances(listed(reborn))
+			p.Apply(state(reborn, 2, 1))
+			p.SetInstances(listed(born))
+			p.SetInstances(listed(reborn))
+			p.Apply(state(reborn, 2, 1))
+		}, 1},
 		"the engine leaves the list for a moment": {func(p *railproofs.Proofs) {
 			p.SetInstances(listed(born))
 			p.Apply(state(born, 2, 1))
