Don't count a standstill of the carrier as a wait for replies

What callers could see: responses from unproven weights at a gateway that still held the proof of an earlier load of the same version. A standstill of the machine is part of each such case, since it makes the order late.

Cause: before the order for the last layer, the carrier waits until all entries have dropped earlier proofs, for 1.5 s at most after the first notice. The clock went on while the process stood still, so that the wait was over when it woke: a notice that was lost had not been repeated, and no reply that had arrived meanwhile had been read.

A gap of over 0.25 s between two looks at the replies, in which nothing can have been sent or read, is not counted beyond that.

--- a/internal/rollout/railannouncer/announcer.go
+++ b/internal/rollout/railannouncer/announcer.go
@@ -26,6 +26,8 @@
 	replyTimeout = 1500 * time.Millisecond
 	// pollInterval is the time between looks at the replies during a wait.
 	pollInterval = 2 * time.Millisecond
+	// maxPollGap is the time between two looks beyond which the process counts as having stood still.
+	maxPollGap = 250 * time.Millisecond
 )
 
 // Announcer sends notices about one engine. It is safe for concurrent use; its exported fields must be set before its first use.
@@ -245,9 +247,14 @@
 func (a *Announcer) await(ctx context.Context, p railproof.Proof, enough func(reply) bool) []railmember.Member {
 	a.once.Do(a.init)
 	a.requestReplies(p)
+	stoodStill, polledAt := time.Duration(0), time.Now()
 	for {
 		silent, settled, waited := a.lookup(p, enough)
-		if settled || len(silent) == 0 || waited > replyTimeout || !railtimer.Sleep(ctx, pollInterval) {
+		if gap := time.Since(polledAt); gap > maxPollGap { // No notice was repeated and no reply was read in this time.
+			stoodStill += gap - maxPollGap
+		}
+		polledAt = time.Now()
+		if settled || len(silent) == 0 || waited-stoodStill > replyTimeout || !railtimer.Sleep(ctx, pollInterval) {
 			return silent
 		}
 	}
--- a/internal/rollout/railannouncer/announcer_test.go
+++ b/internal/rollout/railannouncer/announcer_test.go
@@ -167,3 +167,35 @@
 		})
 	}
 }
+
+// Guards against a load before an entry has dropped its proof, since a carrier that has stood still took that time for a wait: the notice was lost, and
+// there was no time to repeat it.
+func TestFenceDoesNotCountStandstillAsWait(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		e := newEntries(2)
+		lost := false
+		e.lost = func(entry string) bool {
+			first := entry == "10.0.0.2:7" && !lost
+			lost = lost || first
+			return first
+		}
+		thaw := time.Now().Add(4 * time.Second)
+		e.announcer.Entries = func() []railmember.Member {
+			if time.Until(thaw) < 4*time.Second { // The process stands still right after the first notice.
+				time.Sleep(time.Until(thaw))
+			}
+			return e.members
+		}
+		e.announcer.Send = func(d *railproto.Datagram, to ...*net.UDPAddr) {
+			time.AfterFunc(time.Millisecond, func() { e.receive(d, to...) })
+		}
+		go e.announcer.Run(t.Context())
+		p := railproof.Proof{StartMillis: 1, Sequence: 4}
+		e.announcer.SetProof(p)
+		time.Sleep(time.Millisecond)
+		e.announcer.Fence(t.Context(), p)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		qt.Check(t, e.known["10.0.0.2:7"].Sequence, qt.Equals, int64(4))
+	})
+}
