Audit each load in the minute after a start of the carrier

What callers could see: responses from weights with a piece of another version, for good, after a kill of a carrier and two versions in quick succession.

Cause: a put that is carried out late makes a check before the order prove nothing, but only the process that sent it knew of it. The next process staged and verified the pieces of a newer version; a put of the killed one then replaced one of them before the order arrived.

For a minute after it has found an engine, a carrier takes every piece for one that a put of an earlier process may still replace, so that loads are audited after the order, whatever was verified before it. A restart of the engine ends that. A late put of the killed process with the content of the version that is being loaded, between a load from a corrupt piece and its audit, is still not noticed: then nothing could be proven for a minute.

--- a/internal/rollout/railloader/loader.go
+++ b/internal/rollout/railloader/loader.go
@@ -128,6 +128,7 @@
 func (l *Loader) observe(s railenginestate.State) {
 	switch {
 	case l.last == nil:
+		l.Stager.ExpectEarlierPuts()
 		l.adopt(s)
 	case !s.Follows(*l.last):
 		l.Log.Info("engine has restarted", "start", s.StartMillis, "sequence", s.Sequence)
--- a/internal/rollout/railloader/proof_test.go
+++ b/internal/rollout/railloader/proof_test.go
@@ -230,3 +230,17 @@
 		install(t, l, e, 2)
 	})
 }
+
+// Guards against weights with a piece of another version, whose put a killed process had on its way: the next process doesn't know of it.
+func TestPutOfKilledProcessThatIsCarriedOutLateIsNoticed(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		e := newEngine()
+		late := &latePuts{Engine: e}
+		killed := newLoader(e)
+		killed.Engine, killed.Stager.Engine = late, late
+		qt.Check(t, reconcile(t.Context(), killed, e, 2), qt.IsNotNil)
+		l := newProvingLoader(t, e)
+		l.Engine, l.Stager.Engine = late, late
+		install(t, l, e, 3)
+	})
+}
--- a/internal/rollout/railstager/stage.go
+++ b/internal/rollout/railstager/stage.go
@@ -53,6 +53,8 @@
 	putEvents int64
 	// unanswered holds the puts of each piece that were not answered, and may still be carried out.
 	unanswered map[int][]unansweredPut
+	// earlierPutsUntil is the time until which puts of an earlier process may be carried out.
+	earlierPutsUntil time.Duration
 }
 
 // unansweredPut is a put of the chunk with a digest that was given up at some time.
@@ -175,6 +177,16 @@
 	defer s.mu.Unlock()
 	clear(s.verified)
 	clear(s.unanswered)
+	s.earlierPutsUntil = 0
+}
+
+// ExpectEarlierPuts must be called when this process finds an engine to which an earlier process may have put pieces: some of its puts may still be
+// carried out, of any content.
+func (s *Stager) ExpectEarlierPuts() {
+	until := s.Now() + latePutTime
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.earlierPutsUntil = until
 }
 
 // PutEvents returns a number that grows with each put that begins or ends.
@@ -184,10 +196,10 @@
 	return s.putEvents
 }
 
-// MayDifferLater reports whether one of the pieces from first up to end may still be replaced by other content, by a put that was not answered. Then
+// MayDifferLater reports whether one of the pieces from first up to end may still be replaced by other content, by a put that was not answered or that was an earlier process's. Then
 // what was verified before an order proves nothing.
 func (s *Stager) MayDifferLater(m railmanifest.Manifest, first, end int) bool {
-	return s.hasUnanswered(m, first, end, false)
+	return s.mayHaveEarlierPuts() || s.hasUnanswered(m, first, end, false)
 }
 
 // MayHealLater reports whether one of the pieces from first up to end may still become intact, by a put that was not answered. Then what an audit finds
@@ -196,6 +208,13 @@
 	return s.hasUnanswered(m, first, end, true)
 }
 
+func (s *Stager) mayHaveEarlierPuts() bool {
+	now := s.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now < s.earlierPutsUntil
+}
+
 // hasUnanswered reports whether a put of one of the pieces from first up to end may still be carried out, of the manifest's content or of other.
 func (s *Stager) hasUnanswered(m railmanifest.Manifest, first, end int, same bool) bool {
 	now := s.Now()
