Confirm proofs after all other entries were silent for a time

What callers could see: responses from unproven weights at a gateway whose VM was cut off from the others while a version was loaded again, by an engine that had started again under its ID or after a withdrawal.

Cause: a carrier waits 1.5 s for an entry that does not reply and then goes on, since such an entry would ask again before it uses the engine. It did so after a failed request and after a standstill of its process, but not after a cut in which it had sent that engine nothing: its proof counted until the next repetition of the notice, up to 2 s later, or for good once the carrier had given up repeating it, some 12 s after the first.

Entries send digests twice a second. The first one after 1.2 s without any, from an entry that has not started again meanwhile, now has the same effect as a standstill: no request goes to engines until all proofs are in doubt, at most 0.1 s later, and each is confirmed. Silence that has its reason at the others, one of several, or the only one that has started again, changes nothing.

TestProofsAreConfirmedAfterCut; before, nothing told a gateway of a cut, and its proof stayed. What remains: a cut between a gateway's VM and an engine's alone, in which no request failed.

--- a/internal/command/railgatewaycmd/gateway.go
+++ b/internal/command/railgatewaycmd/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/membership/railproofs"
 	"github.com/fulmarrail/fulmarrail/internal/node/railgateway"
 	"github.com/fulmarrail/fulmarrail/internal/node/railpeersource"
+	"github.com/fulmarrail/fulmarrail/internal/node/railproofkeeper"
 	"github.com/fulmarrail/fulmarrail/internal/node/railrelay"
 	"github.com/fulmarrail/fulmarrail/internal/node/railreplicaserver"
 	"github.com/fulmarrail/fulmarrail/internal/node/railstatus"
@@ -74,6 +75,7 @@
 	fleet            *railfleet.Fleet
 	quarantine       *railquarantine.Quarantine
 	proofs           *railproofs.Proofs
+	keeper           *railproofkeeper.Keeper
 	socket           *raildatagram.Socket
 
 	configServer *railconfigserver.Server
@@ -313,6 +315,7 @@
 func (g *gateway) handleDatagram(from net.Addr, datagram *railproto.Datagram) {
 	if digest := datagram.GetDigest(); digest != nil {
 		g.entries.MarkSeen(digest.GetEntry())
+		g.keeper.Heard(digest.GetEntry(), digest.GetIncarnation())
 		g.fleet.MergeDigest(digest)
 	}
 	if parts := datagram.GetParts(); parts != nil {
--- a/internal/command/railgatewaycmd/proofs.go
+++ b/internal/command/railgatewaycmd/proofs.go
@@ -27,6 +27,7 @@
 	log := raillog.Named(g.Log, "proofs")
 	g.proofs = &railproofs.Proofs{OnChange: g.fleet.SetProven, Log: log}
 	keeper := &railproofkeeper.Keeper{Proofs: g.proofs, Ask: g.askForProofs, Report: g.engineState, Now: g.Clock.Now, Timer: timer, Log: log}
+	g.keeper = keeper
 	g.fleet.RequireProofs, g.fleet.OnFailure, g.fleet.Suspended = true, g.proofs.Doubt, keeper.Suspended
 	return keeper
 }
--- a/internal/node/railproofkeeper/keeper.go
+++ b/internal/node/railproofkeeper/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,9 @@
 	// stood still.
 	tickInterval  = 100 * time.Millisecond
 	maxStandstill = time.Second
+	// maxSilence is the time without a word from any other entry after which this one counts as having been cut off. Entries send digests twice a
+	// second, and carriers wait longer for a reply.
+	maxSilence = 1200 * time.Millisecond
 	// firstDelay is the time between the first two questions about an engine. It doubles up to maxDelay.
 	firstDelay = 100 * time.Millisecond
 	maxDelay   = 2 * time.Second
@@ -46,6 +50,19 @@
 	reports   *semaphore.Weighted
 	// tickedAt is the time of the last look.
 	tickedAt atomic.Int64
+	// cutOff is set from the end of a time in which no other entry was heard until the proofs are in doubt.
+	cutOff atomic.Bool
+
+	mu sync.Mutex
+	// heardAt is the time at which another entry was last heard, or 0, and heard holds what was heard of each.
+	heardAt time.Duration
+	heard   map[string]hearing
+}
+
+// hearing is the last word of another entry: when it came, and by which run of its process.
+type hearing struct {
+	at          time.Duration
+	incarnation uint32
 }
 
 // question is the state of the search for one engine's proof.
@@ -70,8 +87,30 @@
 	}
 }
 
-// Suspended reports whether this process has stood still and has not yet put its proofs in doubt.
+// Heard records a word of another entry, by the run of its process with the given number. If all of them were silent for long, and this one did not
+// start again meanwhile, this VM was cut off and may have missed statements.
+func (k *Keeper) Heard(entry string, incarnation uint32) {
+	now := k.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	last, known := k.heard[entry]
+	if known && last.incarnation == incarnation && now-last.at > maxSilence && now-k.heardAt > maxSilence {
+		k.cutOff.Store(true)
+	}
+	if k.heard == nil {
+		k.heard = map[string]hearing{}
+	}
+	k.heard[entry] = hearing{at: now, incarnation: incarnation}
+	if last.incarnation == incarnation {
+		k.heardAt = now
+	}
+}
+
+// Suspended reports whether this process has stood still or was cut off and has not yet put its proofs in doubt.
 func (k *Keeper) Suspended() bool {
+	if k.cutOff.Load() {
+		return true
+	}
 	ticked := k.tickedAt.Load()
 	return ticked > 0 && k.Now()-time.Duration(ticked) > maxStandstill
 }
@@ -79,8 +118,9 @@
 func (k *Keeper) tick(ctx context.Context) {
 	now := k.Now()
 	if k.Suspended() {
-		k.Log.Warn("process has stood still; proofs of weights are confirmed again", "for", now-time.Duration(k.tickedAt.Load()))
+		k.Log.Warn("process has stood still or was cut off; proofs of weights are confirmed again", "cutOff", k.cutOff.Load(), "for", now-time.Duration(k.tickedAt.Load()))
 		k.Proofs.DoubtAll()
+		k.cutOff.Store(false)
 	}
 	k.tickedAt.Store(int64(now))
 	k.ask(ctx, now)
--- a/internal/node/railproofkeeper/keeper_test.go
+++ b/internal/node/railproofkeeper/keeper_test.go
@@ -146,3 +146,52 @@
 		})
 	}
 }
+
+// Guards against requests to an engine whose weights have changed while this VM was cut off, and against doubts when other entries were silent by themselves.
+func TestProofsAreConfirmedAfterCut(t *testing.T) {
+	for name, test := range map[string]struct {
+		// words are what is heard after the silence, each by an entry and the run of its process.
+		words map[string]uint32
+		// other is set if another entry is heard all the time.
+		other, doubted bool
+	}{
+		"all entries were silent":                {words: map[string]uint32{"a": 1, "b": 1}, doubted: true},
+		"one was silent":                         {words: map[string]uint32{"a": 1}, other: true},
+		"the only other entry has started again": {words: map[string]uint32{"a": 2}},
+		"an entry that was never heard is heard": {words: map[string]uint32{"c": 1}},
+		"all were silent, one has started again": {words: map[string]uint32{"a": 2, "b": 1}, doubted: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			railvirtualtime.Test(t, func(t *testing.T) {
+				answer := railproof.Proof{Address: address, StartMillis: 1, Sequence: 2, Version: 3}
+				k := startKeeper(t, &answer, nil)
+				for range 30 {
+					k.Heard("a", 1)
+					k.Heard("b", 1)
+					time.Sleep(100 * time.Millisecond)
+				}
+				known, _ := k.Proofs.Get(address)
+				qt.Assert(t, known.Version, qt.Equals, int64(3))
+				k.mu.Lock()
+				answer = railproof.Proof{Address: address, StartMillis: 1, Sequence: 3}
+				k.mu.Unlock()
+				for range 30 {
+					if test.other {
+						k.Heard("b", 1)
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				for range 2 {
+					for entry, incarnation := range test.words {
+						k.Heard(entry, incarnation)
+					}
+					qt.Check(t, k.Suspended(), qt.Equals, test.doubted)
+					test.doubted = false
+					time.Sleep(500 * time.Millisecond)
+				}
+				known, _ = k.Proofs.Get(address)
+				qt.Check(t, known.Version == 0, qt.Equals, test.words["b"] == 1 && !test.other)
+			})
+		})
+	}
+}
