Test that an entry which was cut off from a carrier uses no earlier proof

The carrier goes on without its reply after 1.5 s, and when the cut is over the entry holds the proof of an earlier load of the same version until the next notice: up to 2 s later, or for good if the cut outlasted the repetitions. An entry whose VM was cut off from the others as well confirms its proofs; one that was cut off from the carrier's VM alone, and had no request there that failed, does not. The requests that can go wrong need the same version on the same ID of the engine, not yet proven.

--- a/internal/rollout/railannouncer/announcer_test.go
+++ b/internal/rollout/railannouncer/announcer_test.go
@@ -14,6 +14,7 @@
 	"github.com/fulmarrail/fulmarrail/internal/lab/railvirtualtime"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railmember"
 	"github.com/fulmarrail/fulmarrail/internal/membership/railproof"
+	"github.com/fulmarrail/fulmarrail/internal/membership/railproofs"
 	"github.com/fulmarrail/fulmarrail/internal/rollout/railannouncer"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
 )
@@ -199,3 +200,30 @@
 		qt.Check(t, e.known["10.0.0.2:7"].Sequence, qt.Equals, int64(4))
 	})
 }
+
+// Guards against requests by an entry that was cut off from the carrier while the others dropped their proofs, and is back before a repeated notice
+// reaches it: it has seen no failure, and the weights may be complete by then though nobody has proven them.
+func TestEntryThatWasCutOffDuringFenceUsesNoEarlierProof(t *testing.T) {
+	for name, cut := range map[string]time.Duration{"for 3 s": 3 * time.Second, "until after the last repetition": 30 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			railvirtualtime.Test(t, func(t *testing.T) {
+				e := newEntries(1)
+				known := &railproofs.Proofs{OnChange: func(string, int64) {}, Log: slog.New(slog.DiscardHandler)}
+				began := time.Now()
+				e.announcer.Send = func(d *railproto.Datagram, _ ...*net.UDPAddr) {
+					if n := d.GetNotice(); time.Since(began) >= cut {
+						known.Apply(railproof.Proof{Address: n.GetAddress(), StartMillis: n.GetStartMillis(), Sequence: n.GetSequence(), Version: n.GetProvenVersion()})
+					}
+				}
+				known.Apply(railproof.Proof{Address: e.announcer.Address, StartMillis: 1, Sequence: 2, Version: 5})
+				go e.announcer.Run(t.Context())
+				p := railproof.Proof{StartMillis: 2}
+				e.announcer.SetProof(p)
+				e.announcer.Fence(t.Context(), p) // The version is loaded once more after that.
+				time.Sleep(cut + 10*time.Millisecond - time.Since(began))
+				proof, _ := known.Get(e.announcer.Address)
+				qt.Check(t, proof.Version, qt.Equals, int64(0))
+			})
+		})
+	}
+}
