--- a/internal/membership/railproofs/proofs.go
+++ b/internal/membership/railproofs/proofs.go
@@ -22,6 +22,8 @@
 	mu     sync.Mutex
 	known  map[string]*entry
 	listed map[string]railinstance.Instance
+	// ended holds the last start of each engine that the list has replaced by one that seems earlier, since the engine's clock was set back.
+	ended map[string]int64
 }
 
 // entry is what is known of one engine.
@@ -43,12 +45,23 @@
 	return e.proof.Version
 }
 
-// Apply records a statement about an engine. It returns false if a later one is known.
+// Apply records a statement of the carrier beside an engine, or of the engine. It returns false if a later one is known.
 func (p *Proofs) Apply(s railproof.Proof) bool {
+	return p.record(s, p.apply)
+}
+
+// ApplyReport records what another entry knows of an engine. It returns false if something later is known. The other entry may have missed later
+// statements, so that what it knows counts only once the carrier or the engine has confirmed the start and the order.
+func (p *Proofs) ApplyReport(s railproof.Proof) bool {
+	return p.record(s, p.applyReport)
+}
+
+// record applies a statement and tells of a changed version.
+func (p *Proofs) record(s railproof.Proof, apply func(railproof.Proof) bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	before := p.known[s.Address].version()
-	if !p.apply(s) {
+	if !apply(s) {
 		return false
 	}
 	if version := p.known[s.Address].version(); version != before {
@@ -58,12 +71,23 @@
 	return true
 }
 
+// applyReport records what another entry knows unless something later is known. The lock is held.
+func (p *Proofs) applyReport(s railproof.Proof) bool {
+	e := p.known[s.Address]
+	inDoubt := e == nil || e.doubted || !e.proof.SameStart(s.StartMillis) || s.Sequence > e.proof.Sequence
+	if !p.apply(s) {
+		return false
+	}
+	p.known[s.Address].doubted = inDoubt
+	return true
+}
+
 // apply records a statement unless a later one is known. The lock is held.
 func (p *Proofs) apply(s railproof.Proof) bool {
 	e := p.known[s.Address]
 	switch {
 	case e == nil || !e.proof.SameStart(s.StartMillis):
-		if e != nil && !p.replacesStart(s, e) {
+		if p.endedByList(s) || e != nil && !p.replacesStart(s, e) {
 			return false
 		}
 		if p.known == nil {
@@ -89,6 +113,12 @@
 	return s.StartMillis > e.proof.StartMillis || p.listed[s.Address].StartMillis == s.StartMillis && s.StartMillis != e.listedStart
 }
 
+// endedByList reports whether the list shows a later start of an engine than a statement is about, or has replaced that start. If the engine's clock
+// has been set back, its statements count once the list has changed.
+func (p *Proofs) endedByList(s railproof.Proof) bool {
+	return s.StartMillis > 0 && (p.listed[s.Address].StartMillis > s.StartMillis || p.ended[s.Address] == s.StartMillis)
+}
+
 // Get returns what is known of the engine at an address, and whether anything is.
 func (p *Proofs) Get(address string) (railproof.Proof, bool) {
 	p.mu.Lock()
@@ -102,17 +132,30 @@
 	return s, true
 }
 
+// OrderKnown reports whether it is known, without doubt, which of its orders an engine has executed last, if it was given any.
+func (p *Proofs) OrderKnown(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.known[address]
+	return e != nil && !e.doubted && e.proof.Sequence > 0
+}
+
 // SetInstances replaces the list of engines. It drops what is known of engines that the list shows to have started again.
 func (p *Proofs) SetInstances(list []railinstance.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now, before := time.Now(), p.listed
 	p.listed = make(map[string]railinstance.Instance, len(list))
 	for _, i := range list {
 		if other, ok := p.listed[i.Address]; !ok || i.RowVersion > other.RowVersion {
 			p.listed[i.Address] = i
 		}
 	}
+	for address, start := range p.ended {
+		if p.listed[address].StartMillis == start {
+			delete(p.ended, address) // The list was behind for a moment, as after a restore of the store.
+		}
+	}
 	for address, e := range p.known {
 		i, ok := p.listed[address]
 		switch {
@@ -120,6 +163,7 @@
 			e.listedStart, e.unlistedSince = i.StartMillis, time.Time{} // The row of an earlier start.
 		case ok && !e.proof.SameStart(i.StartMillis) && i.StartMillis != e.listedStart:
 			p.Log.Info("endpoint has started again; its weights are not proven", "address", address, "start", i.StartMillis, "before", e.proof.StartMillis)
+			p.recordEnd(e.proof, before[address].StartMillis, i.StartMillis)
 			p.drop(address)
 		case ok:
 			e.unlistedSince = time.Time{}
@@ -131,6 +175,18 @@
 	}
 }
 
+// recordEnd records that the list shows another start of an engine than it did when it agreed with a proof, if that seems to be an earlier one. The lock
+// is held.
+func (p *Proofs) recordEnd(proof railproof.Proof, before, listed int64) {
+	if before != proof.StartMillis || listed > before {
+		return
+	}
+	if p.ended == nil {
+		p.ended = map[string]int64{}
+	}
+	p.ended[proof.Address] = before
+}
+
 // drop forgets what is known of an engine. The lock is held.
 func (p *Proofs) drop(address string) {
 	delete(p.known, address)
--- a/internal/membership/railproofs/proofs_test.go
+++ b/internal/membership/railproofs/proofs_test.go
@@ -67,6 +67,17 @@
 			p.SetInstances(listed(born))
 			p.Apply(state(born, 2, 1))
 		}, 0},
+		"a late statement about an earlier start that the list has dropped": {func(p *railproofs.Proofs) {
+			p.SetInstances(listed(born))
+			p.Apply(state(born, 2, 1))
+			p.SetInstances(listed(reborn))
+			p.Apply(state(born, 2, 1))
+			p.SetInstances(listed(reborn))
+		}, 0},
+		"a statement about an earlier start than the list has shown from the beginning": {func(p *railproofs.Proofs) {
+			p.SetInstances(listed(reborn))
+			p.Apply(state(born, 2, 1))
+		}, 0},
 		"a row of an earlier start is listed first": {func(p *railproofs.Proofs) {
 			p.Apply(state(reborn, 2, 1))
 			p.SetInstances(listed(born))
@@ -83,6 +94,29 @@
 			p.SetInstances(listed(born))
 			p.Apply(state(born, 4, 3))
 		}, 3},
+		"a late statement about an earlier start whose clock was ahead": {func(p *railproofs.Proofs) {
+			p.SetInstances(listed(reborn))
+			p.Apply(state(reborn, 2, 1))
+			p.SetInstances(listed(born))
+			p.Apply(state(born, 4, 3))
+			p.Apply(state(reborn, 2, 1))
+		}, 3},
+		"the carrier goes on after a late statement about an earlier start whose clock was ahead": {func(p *railproofs.Proofs) {
+			p.SetInstances(listed(reborn))
+			p.Apply(state(reborn, 2, 1))
+			p.SetInstances(listed(born))
+			p.Apply(state(born, 3, 0))
+			p.Apply(state(reborn, 2, 1))
+			p.SetInstances(listed(born))
+			p.Apply(state(born, 4, 3))
+		}, 3},
+		"the list goes back to an earlier start for a moment, as after a restore of the store": {func(p *railproofs.Proofs) {
+			p.SetInstances(listed(reborn))
+			p.Apply(state(reborn, 2, 1))
+			p.SetInstances(listed(born))
+			p.SetInstances(listed(reborn))
+			p.Apply(state(reborn, 2, 1))
+		}, 1},
 		"the engine leaves the list for a moment": {func(p *railproofs.Proofs) {
 			p.SetInstances(listed(born))
 			p.Apply(state(born, 2, 1))
@@ -108,6 +142,34 @@
 			p.Doubt(address)
 			p.Apply(state(born, 1, 1))
 		}, 0},
+		"a failure, and an entry that has missed a later order repeats the proof": {func(p *railproofs.Proofs) {
+			p.Apply(state(born, 2, 1))
+			p.Doubt(address)
+			p.ApplyReport(state(born, 2, 1))
+		}, 0},
+		"only an entry that may have missed a later order knows of a proof": {func(p *railproofs.Proofs) {
+			p.ApplyReport(state(born, 2, 1))
+		}, 0},
+		"an entry knows of a proof, and the order is confirmed": {func(p *railproofs.Proofs) {
+			p.ApplyReport(state(born, 2, 1))
+			p.Apply(state(born, 2, 0))
+		}, 1},
+		"the order is known, and an entry knows of its proof": {func(p *railproofs.Proofs) {
+			p.Apply(state(born, 2, 0))
+			p.ApplyReport(state(born, 2, 1))
+		}, 1},
+		"an entry knows of a proof, and there was a later order": {func(p *railproofs.Proofs) {
+			p.ApplyReport(state(born, 2, 1))
+			p.Apply(state(born, 3, 0))
+		}, 0},
+		"an entry knows of a later order": {func(p *railproofs.Proofs) {
+			p.Apply(state(born, 2, 1))
+			p.ApplyReport(state(born, 4, 3))
+		}, 0},
+		"an entry repeats a proof that counts": {func(p *railproofs.Proofs) {
+			p.Apply(state(born, 2, 1))
+			p.ApplyReport(state(born, 2, 1))
+		}, 1},
 		"this process has stood still": {func(p *railproofs.Proofs) {
 			p.Apply(state(born, 2, 1))
 			p.DoubtAll()
