Take statements for a carrier's only if they come from the engine's VM

A statement counted as a carrier's unless its sender was a known entry, so that an entry which is not listed yet could have confirmed a proof that it had not confirmed itself; now its sender's address must be the engine's. And a carrier that finds an engine without any staged piece, as in a cold start, expects no late puts of an earlier process: cold starts are as quick as before, without an audit.

--- a/internal/command/railgatewaycmd/proofs.go
+++ b/internal/command/railgatewaycmd/proofs.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/fulmarrail/fulmarrail/internal/core/raillog"
@@ -35,9 +34,9 @@
 // handleNotice applies a notice about an engine and replies if that is wanted. A notice about an earlier order than is known changes nothing.
 func (g *gateway) handleNotice(from net.Addr, n *railproto.EndpointNotice) {
 	proof := railproof.Proof{Address: n.GetAddress(), StartMillis: n.GetStartMillis(), Sequence: n.GetSequence(), Version: n.GetProvenVersion()}
-	apply := g.proofs.Apply
-	if g.isEntry(from) {
-		apply = g.proofs.ApplyReport
+	apply := g.proofs.ApplyReport
+	if isFromCarrier(from, n) {
+		apply = g.proofs.Apply
 	}
 	applied := apply(proof)
 	if applied && !n.GetProofOnly() && (n.GetVersion() == 0 || n.GetVersion() == n.GetProvenVersion()) {
@@ -55,10 +54,14 @@
 	g.socket.Send(&railproto.Datagram{Content: &railproto.Datagram_NoticeReply{NoticeReply: reply}}, address)
 }
 
-// isEntry reports whether a datagram is from another entry.
-func (g *gateway) isEntry(from net.Addr) bool {
+// isFromCarrier reports whether a notice is from the VM of the engine that it is about, and so from the carrier there. Others are from entries.
+func isFromCarrier(from net.Addr, n *railproto.EndpointNotice) bool {
 	sender, ok := from.(*net.UDPAddr)
-	return ok && slices.ContainsFunc(g.peerAddresses(), func(a *net.UDPAddr) bool { return a.Port == sender.Port && a.IP.Equal(sender.IP) })
+	if !ok {
+		return false
+	}
+	engine, err := netip.ParseAddrPort(n.GetAddress())
+	return err == nil && sender.AddrPort().Addr().Unmap() == engine.Addr().Unmap()
 }
 
 // answerQuery tells another entry which weights are proven.
--- a/internal/rollout/railstager/stage.go
+++ b/internal/rollout/railstager/stage.go
@@ -91,6 +91,7 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "list the staged pieces")
 	}
+	s.notePieces(len(stagedIndexes))
 	indexes := make([]int, len(m.Chunks))
 	for i := range indexes {
 		indexes[i] = i
@@ -180,6 +181,15 @@
 	s.earlierPutsUntil = 0
 }
 
+// notePieces ends the expectation of an earlier process's puts if the engine has no pieces at all, as in a cold start.
+func (s *Stager) notePieces(count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if count == 0 {
+		s.earlierPutsUntil = 0
+	}
+}
+
 // ExpectEarlierPuts must be called when this process finds an engine to which an earlier process may have put pieces: some of its puts may still be
 // carried out, of any content.
 func (s *Stager) ExpectEarlierPuts() {
@@ -196,8 +206,8 @@
 	return s.putEvents
 }
 
-// MayDifferLater reports whether one of the pieces from first up to end may still be replaced by other content, by a put that was not answered or that was an earlier process's. Then
-// what was verified before an order proves nothing.
+// MayDifferLater reports whether one of the pieces from first up to end may still be replaced by other content, by a put that was not answered or that was
+// an earlier process's. Then what was verified before an order proves nothing.
 func (s *Stager) MayDifferLater(m railmanifest.Manifest, first, end int) bool {
 	return s.mayHaveEarlierPuts() || s.hasUnanswered(m, first, end, false)
 }
