Reject flags that leave fulmarbench limit nothing to run

No gateway or no customer ended in a panic; no endpoint, a limit of 0 or a demand of 0 ran without end (each tried by hand). The command says now which flag to change and ends with the code for usage.

--- a/internal/command/railbenchcmd/limit.go
+++ b/internal/command/railbenchcmd/limit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,7 +13,11 @@
 	"github.com/fulmarrail/fulmarrail/internal/lab/raillimittrial"
 )
 
-const limitTimeout = 20 * time.Minute
+const (
+	limitTimeout = 20 * time.Minute
+	// minLimitDuration leaves some seconds to measure in after the endpoints have named their limits.
+	minLimitDuration = 10 * time.Second
+)
 
 type limitOptions struct {
 	*Options
@@ -51,7 +56,35 @@
 	return cmd
 }
 
+// validate returns an error if a flag leaves nothing to run.
+func (o *limitOptions) validate() error {
+	policies := []string{raillimittrial.PolicySystem, raillimittrial.PolicyNoLimits, raillimittrial.PolicyEqualParts}
+	unknown := func(policy string) bool { return !slices.Contains(policies, policy) }
+	switch {
+	case len(o.GatewayCounts) == 0 || slices.Min(o.GatewayCounts) < 1:
+		return errors.New("--gateways must name numbers of at least 1")
+	case o.Trial.Engines < 1:
+		return errors.New("--engines must be at least 1")
+	case o.Trial.Customers < 1:
+		return errors.New("--customers must be at least 1")
+	case len(o.Trial.Limits) == 0 || slices.Min(o.Trial.Limits) <= 0:
+		return errors.New("--limits must name rates above 0")
+	case len(o.Demands) == 0 || slices.Min(o.Demands) <= 0:
+		return errors.New("--demand must name ratios above 0")
+	case o.Trial.LostDatagrams < 0 || o.Trial.LostDatagrams > 1:
+		return errors.New("--lost must be a share from 0 to 1")
+	case o.Trial.Duration < minLimitDuration:
+		return errors.Newf("--duration must be at least %v", minLimitDuration)
+	case slices.ContainsFunc(o.Policies, unknown):
+		return errors.Newf("--policies must name some of %v", policies)
+	}
+	return nil
+}
+
 func limitRun(opts *limitOptions) error {
+	if err := opts.validate(); err != nil {
+		return railexit.WithCode(err, railexit.Usage)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), limitTimeout)
 	defer cancel()
 	var results []raillimittrial.Result
