Tell entries that have asked of later orders

What callers could see: responses from unproven weights at a gateway that started while the store was away.

Cause: a carrier told the entries of its list of later orders, and waited for these before it made weights complete. An entry that starts while the store is away is in no list, since its row can't be written; it asks each carrier and holds their proofs from then on. Nobody told it that one is over, and its list of engines did not show a new start either. The same holds for the time until a carrier has the new list.

A carrier remembers who has asked, for 10 minutes or until it is listed, and tells and awaits these too.

TestEntryThatHasAskedIsToldOfLaterOrders failed before: the entry still held the proof of order 2 after the carrier had waited for all to know of order 4.

--- a/internal/rollout/railannouncer/announcer.go
+++ b/internal/rollout/railannouncer/announcer.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +21,8 @@
 	maxRepeat   = 2 * time.Second
 	// maxRepeats limits the repetitions of one notice. An entry that has not replied then asks by itself when it is back.
 	maxRepeats = 10
+	// askerTTL is the time for which an entry that is in no list gets notices after it has asked.
+	askerTTL = 10 * time.Minute
 	// checkInterval is the time between looks at the list of entries, since one that has started needs the latest notice.
 	checkInterval = time.Second
 	// replyTimeout bounds the wait for the replies of entries that may be gone for good.
@@ -49,8 +52,10 @@
 	repeatAt    time.Time
 	// replies holds the latest reply of each entry, by its address.
 	replies map[string]reply
-	wake    chan struct{}
-	once    sync.Once
+	// askers holds the times of the last questions of entries, by their addresses. They may be in no list yet, as while the store is away.
+	askers map[string]time.Time
+	wake   chan struct{}
+	once   sync.Once
 }
 
 // reply is what an entry knows after it has applied a notice.
@@ -111,7 +116,7 @@
 		a.recordAnnounced(time.Now())
 	}
 	a.mu.Unlock()
-	a.send(notice, a.addresses(a.Entries())...)
+	a.send(notice, a.addresses(a.entries())...)
 }
 
 // notice returns a notice of the proof that is known now. The lock is held.
@@ -137,6 +142,30 @@
 	a.Send(&railproto.Datagram{Content: &railproto.Datagram_Notice{Notice: notice}}, to...)
 }
 
+// entries returns the listed entries and those that have asked.
+func (a *Announcer) entries() []railmember.Member {
+	list := a.Entries()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.askers) == 0 {
+		return list
+	}
+	listed := make(map[string]bool, len(list))
+	for _, m := range list {
+		listed[m.Address] = true
+	}
+	list = slices.Clone(list)
+	for address, at := range a.askers {
+		switch {
+		case listed[address] || time.Since(at) > askerTTL:
+			delete(a.askers, address)
+		default:
+			list = append(list, railmember.Member{Name: address, Address: address})
+		}
+	}
+	return list
+}
+
 // addresses returns the datagram addresses of entries.
 func (a *Announcer) addresses(entries []railmember.Member) []*net.UDPAddr {
 	return raildatagram.Addresses(entries)
@@ -144,7 +173,7 @@
 
 // repeatDue sends what is known to the entries that have not replied, if that is due, and returns the time until the next look.
 func (a *Announcer) repeatDue(now time.Time) time.Duration {
-	entries := a.Entries()
+	entries := a.entries()
 	a.mu.Lock()
 	silent := a.silent(entries)
 	if !a.known || len(silent) == 0 || a.repeats > maxRepeats {
@@ -203,6 +232,10 @@
 		return
 	}
 	a.mu.Lock()
+	if a.askers == nil {
+		a.askers = map[string]time.Time{}
+	}
+	a.askers[address.String()] = time.Now()
 	if !a.known {
 		a.mu.Unlock()
 		return
@@ -217,7 +250,7 @@
 // replied in time.
 func (a *Announcer) Known(ctx context.Context, p railproof.Proof) (version int64, answered bool) {
 	a.await(ctx, p, func(r reply) bool { return r.proof.Version > 0 })
-	entries := a.Entries()
+	entries := a.entries()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	answered = len(entries) == 0
@@ -273,7 +306,7 @@
 
 // lookup returns the entries that have not replied, whether one of the replies is enough, and the time since the notice.
 func (a *Announcer) lookup(p railproof.Proof, enough func(reply) bool) (silent []railmember.Member, settled bool, waited time.Duration) {
-	entries := a.Entries()
+	entries := a.entries()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, m := range entries {
--- a/internal/rollout/railannouncer/announcer_test.go
+++ b/internal/rollout/railannouncer/announcer_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -227,3 +228,29 @@
 		})
 	}
 }
+
+// Guards against an entry that keeps the proof of an earlier load since the carrier does not know it: it has started while the store is away, and has
+// learned of the proof by asking.
+func TestEntryThatHasAskedIsToldOfLaterOrders(t *testing.T) {
+	railvirtualtime.Test(t, func(t *testing.T) {
+		const asker = "10.0.0.9:7"
+		e := newEntries(1)
+		go e.announcer.Run(t.Context())
+		e.announcer.SetProof(railproof.Proof{StartMillis: 1, Sequence: 2, Version: 5})
+		time.Sleep(time.Second)
+		e.announcer.Answer(net.UDPAddrFromAddrPort(netip.MustParseAddrPort(asker)))
+		p := railproof.Proof{StartMillis: 1, Sequence: 4}
+		e.announcer.SetProof(p)
+		e.announcer.Fence(t.Context(), p)
+		e.mu.Lock()
+		qt.Check(t, e.known[asker].Sequence, qt.Equals, int64(4))
+		e.lost = func(entry string) bool { return entry == asker }
+		e.mu.Unlock()
+		time.Sleep(time.Hour)
+		began := time.Now()
+		p.Sequence = 6
+		e.announcer.SetProof(p)
+		e.announcer.Fence(t.Context(), p)
+		qt.Check(t, time.Since(began) < time.Second, qt.IsTrue, qt.Commentf("an entry that was not heard for an hour is not waited for"))
+	})
+}
