Put a proof in doubt also after silence or a response from other weights

What callers could see: responses from unproven weights at a gateway that has missed a statement of the carrier, though a request had shown that the engine has other weights than were expected, or had been left by it.

Cause: only a failed attempt put a proof in doubt. An attempt that was replaced because its engine fell silent ends without a failure, as does one whose caller has left; and a 421 says outright that what is known of the engine is over, but only paused it.

Both put the proof in doubt now.

TestFailureOfEndpointIsReported wanted no report after a 421; it wants one now, and plays silence too. Both cases failed before.

--- a/internal/membership/railfleet/fleet.go
+++ b/internal/membership/railfleet/fleet.go
@@ -56,7 +56,8 @@
 	OnChange func()
 	// OnRestart is called with the ID of an endpoint that has started again, or whose address another one has taken over. It may be nil.
 	OnRestart func(endpoint string)
-	// OnFailure is called with the address of an endpoint that has not responded correctly. It may be nil.
+	// OnFailure is called with the address of an endpoint that has not responded correctly, is silent, or has other weights than were expected. It
+	// may be nil.
 	OnFailure func(address string)
 	// Suspended reports whether this process has stood still and may have missed what it was told of engines' weights since. It may be nil.
 	Suspended func() bool
--- a/internal/membership/railfleet/lease.go
+++ b/internal/membership/railfleet/lease.go
@@ -82,8 +82,8 @@
 	if !l.release(outcome) {
 		return
 	}
-	if outcome == Failed && l.fleet.OnFailure != nil {
-		l.fleet.OnFailure(l.Instance.Address)
+	if outcome == Failed || outcome == Misdirected {
+		l.reportFailure()
 	}
 	l.fleet.OnChange()
 }
@@ -91,12 +91,25 @@
 // Silent records that the endpoint has not gone on with the request for longer than usual. The request stays there, but for some time
 // others are sent elsewhere, as after a failure.
 func (l *Lease) Silent() {
+	if l.markSilent() {
+		l.reportFailure()
+	}
+}
+
+func (l *Lease) markSilent() bool {
 	f := l.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !l.done {
 		l.endpoint.recordOutcome(Failed, time.Now())
 	}
+	return !l.done
+}
+
+func (l *Lease) reportFailure() {
+	if l.fleet.OnFailure != nil {
+		l.fleet.OnFailure(l.Instance.Address)
+	}
 }
 
 func (l *Lease) markStarted() bool {
--- a/internal/membership/railfleet/proven_test.go
+++ b/internal/membership/railfleet/proven_test.go
@@ -109,13 +109,25 @@
 
 // Guards against trust in an engine that may have started again since it was last heard of.
 func TestFailureOfEndpointIsReported(t *testing.T) {
-	var failed []string
-	for _, outcome := range []railfleet.Outcome{railfleet.Answered, railfleet.Rejected, railfleet.Misdirected, railfleet.Failed} {
-		f, req := newFleet(1, engine("1"))
-		f.OnFailure = func(address string) { failed = append(failed, address) }
-		l, ok := f.Reserve(req)
-		qt.Assert(t, ok, qt.IsTrue)
-		l.Done(outcome)
+	for name, test := range map[string]struct {
+		end  func(l *railfleet.Lease)
+		want []string
+	}{
+		"it has answered":            {func(l *railfleet.Lease) { l.Done(railfleet.Answered) }, nil},
+		"it has rejected":            {func(l *railfleet.Lease) { l.Done(railfleet.Rejected) }, nil},
+		"it has other weights":       {func(l *railfleet.Lease) { l.Done(railfleet.Misdirected) }, []string{"10.0.0.1:1"}},
+		"it has failed":              {func(l *railfleet.Lease) { l.Done(railfleet.Failed) }, []string{"10.0.0.1:1"}},
+		"it is silent":               {func(l *railfleet.Lease) { l.Silent() }, []string{"10.0.0.1:1"}},
+		"it was silent, and is done": {func(l *railfleet.Lease) { l.Done(railfleet.Answered); l.Silent() }, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var failed []string
+			f, req := newFleet(1, engine("1"))
+			f.OnFailure = func(address string) { failed = append(failed, address) }
+			l, ok := f.Reserve(req)
+			qt.Assert(t, ok, qt.IsTrue)
+			test.end(l)
+			qt.Check(t, failed, qt.DeepEquals, test.want)
+		})
 	}
-	qt.Check(t, failed, qt.DeepEquals, []string{"10.0.0.1:1"})
 }
