Take requests again soon after an agent's endpoint raises its limit

Cause: a resumed stream reaches the endpoint at once and takes the next opening in advance. That is kept as a time, which follows from the rate of then (24 h for a limit of 0). It was kept when the rate rose, when the limit ended and over the engine's restart.

The openings that are taken in advance now come sooner in the ratio of the intervals when the rate rises, and a limit that begins counts from its beginning. The new TestResumedStreamsPutOffNothingOnceTheLimitRises failed in its three cases before.

--- a/internal/admission/railadmission/limit.go
+++ b/internal/admission/railadmission/limit.go
@@ -53,9 +53,14 @@
 		c.engineReport = *c.engineReport.WithLimitEnd(said.SentAt)
 	}
 	after = c.rateLimit(now)
-	if after.limited && !before.limited {
+	switch {
+	case after.limited && !before.limited:
+		c.admissions, c.sends = railspacer.Spacer{}, railspacer.Spacer{} // What an earlier limit has put off is no matter of this one.
 		c.admissions.RecordSent(now, after.perSecond)
 		c.sends.RecordSent(now, after.perSecond)
+	case after.limited:
+		c.admissions.ChangeRate(now, before.perSecond, after.perSecond)
+		c.sends.ChangeRate(now, before.perSecond, after.perSecond)
 	}
 	return before, after
 }
--- a/internal/admission/railadmission/limit_test.go
+++ b/internal/admission/railadmission/limit_test.go
@@ -173,3 +173,35 @@
 		qt.Check(t, ctrl.Load().GetOpeningMillis(), qt.Equals, int64(4000))
 	})
 }
+
+// Guards against an endpoint that gets nothing for a day because streams were resumed while it took next to nothing, though it takes many requests again.
+func TestResumedStreamsPutOffNothingOnceTheLimitRises(t *testing.T) {
+	report := func(ctrl *railadmission.Controller, perSecond float64) {
+		ctrl.RecordLimit(railendpoint.LimitReport{Incarnation: "engine", SentAt: time.Now(), PerSecond: perSecond, Limited: true})
+	}
+	for name, change := range map[string]func(ctrl *railadmission.Controller){
+		"a higher limit": func(ctrl *railadmission.Controller) { report(ctrl, 100) },
+		"no limit, then another one": func(ctrl *railadmission.Controller) {
+			ctrl.RecordLimit(railendpoint.LimitReport{Incarnation: "engine", SentAt: time.Now()})
+			time.Sleep(time.Millisecond)
+			report(ctrl, 100)
+		},
+		"another engine": func(ctrl *railadmission.Controller) {
+			ctrl.SetWeights("digest", "engine-2")
+			ctrl.RecordLimit(railendpoint.LimitReport{Incarnation: "engine-2", SentAt: time.Now(), PerSecond: 100, Limited: true})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			railvirtualtime.Test(t, func(t *testing.T) {
+				ctrl := newLimitedController(qt.New(t))
+				report(ctrl, 0)
+				ctrl.RecordResume()
+				time.Sleep(time.Second)
+				change(ctrl)
+				time.Sleep(100 * time.Millisecond)
+				_, reason := ctrl.TryAdmit(&railproto.ExecuteRequest{Incarnation: "i", Service: "chat"})
+				qt.Check(t, reason, qt.Equals, railproto.Reason_REASON_UNSPECIFIED)
+			})
+		})
+	}
+}
--- a/internal/limit/railspacer/spacer.go
+++ b/internal/limit/railspacer/spacer.go
@@ -49,3 +49,10 @@
 		s.sentAt = opening
 	}
 }
+
+// ChangeRate brings the openings that requests have taken in advance forward if the rate rises now, in requests per second.
+func (s *Spacer) ChangeRate(now time.Time, from, to float64) {
+	if ahead := s.sentAt.Sub(now); ahead > 0 && to > from {
+		s.sentAt = now.Add(time.Duration(float64(ahead) * float64(Interval(to)) / float64(Interval(from))))
+	}
+}
