Ask for no loan that can't be used

Callers saw requests rejected at gateways without a share of a limit, and endpoints in need got less than they had said that they take.

Cause: a gateway whose request no endpoint takes asked for a loan at any endpoint with a limit, also one that it would send nothing to: it is full, or this gateway has no share of its cold limit, as most at 340 gateways. The lender counted the request as sent, so its place was lost, and no other endpoint was asked for meanwhile.

Now only an endpoint is asked for that would take the request if it had no limit. TestNoLoanIsAskedForThatCanNotBeUsed and TestNoLoanIsAskedForAtAFullEndpoint failed before.

--- a/internal/membership/railfleet/loans.go
+++ b/internal/membership/railfleet/loans.go
@@ -126,6 +126,9 @@
 		if !limited || e.report.open(quota, now) || e.report.hasLoan(now) {
 			continue
 		}
+		if _, ok := f.predictStart(e, req, now); !ok {
+			continue // A loan would not be used.
+		}
 		n++
 		if rand.IntN(n) == 0 {
 			picked = e
