Tell a gateway that asks for a loan that the limit has ended

Callers of a gateway that was cut off from the other gateways, or stood still, while an endpoint's limit ended saw requests rejected for up to ten minutes although the endpoint took any number again.

Cause: gateways repeat for 10 s that a limit has ended. One without a share, as most are with many gateways and small limits, sends the endpoint nothing, so no response tells it later. It asked those with a share for loans, and they only answered that they lend nothing, since they know of no limit.

A gateway that is asked for a part of a limit that has ended now tells of the end again with its next digest.

--- a/internal/membership/railfleet/loans.go
+++ b/internal/membership/railfleet/loans.go
@@ -158,7 +158,11 @@
 		return false
 	}
 	quota, limited := f.limitQuota(e, now)
-	if !limited || !e.report.open(quota, now) {
+	if !limited {
+		f.repeatLimitEnd(e)
+		return false
+	}
+	if !e.report.open(quota, now) {
 		return false
 	}
 	e.report.sends.Record(quota, now, now.Add(loanTime))
@@ -166,6 +170,13 @@
 	return true
 }
 
+// repeatLimitEnd lets the next digest tell again that an endpoint's limit has ended, if it has: another entry has missed that.
+func (f *Fleet) repeatLimitEnd(e *endpoint) {
+	if !e.report.Load().LimitEndedAt().IsZero() {
+		f.markLimitChanged(e)
+	}
+}
+
 // applyLoan applies the answer to the question that this entry has asked. It reports whether it was that.
 func (f *Fleet) applyLoan(loan *railproto.QuotaLoan) bool {
 	f.mu.Lock()
