Use loans whose answers take longer than 50 ms

Callers of gateways far from each other saw requests rejected beyond what endpoints in need had asked for: with 50 ms and more from a question for a loan to its answer, no loan was ever used, but each one took a place from the lender.

Cause: after 50 ms another entry is asked, and the answer was compared with the latest question only.

Questions are kept for the 200 ms in which their loan may be used, so a late answer grants it, once. The bound is the same: the lender counts the request as sent at the end of that time after its answer. TestLoanFromADistantEntryIsUsed failed before.

--- a/internal/membership/railfleet/loans.go
+++ b/internal/membership/railfleet/loans.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -13,7 +14,7 @@
 const (
 	// loanTime is the time since it was asked for in which a loan may be used.
 	loanTime = 200 * time.Millisecond
-	// loanTimeout is the time after which an entry that has not answered counts as one that lends nothing.
+	// loanTimeout is the time after which another entry is asked. An answer that comes later, as from a distant region, still grants a loan.
 	loanTimeout = 50 * time.Millisecond
 	// maxLoanAsks is the number of entries that are asked one after the other. If none of them lends, no other is asked for minLoanBackoff, which
 	// doubles up to maxLoanBackoff until a loan is granted: all shares are in use.
@@ -28,12 +29,12 @@
 	loansLent    = metrics.GetOrCreateCounter(`fulmarrail_quota_loans_total{step="lent"}`)
 )
 
-// borrower asks other entries for parts of their shares. Only one of them is asked at a time.
+// borrower asks other entries for parts of their shares. It waits for the answer of one of them at a time.
 type borrower struct {
-	// id and instance are those of the question that is not answered yet, and askedAt its time, or zero if there is none.
-	id       uint64
-	instance uint32
-	askedAt  time.Time
+	// questions holds those that may still be answered with a loan that can be used, oldest first.
+	questions []loanQuestion
+	// waiting is set while the latest question is waited for.
+	waiting bool
 	// asks is the number of entries that were asked in vain one after the other, and backoff the time until blockedUntil after which others
 	// are asked.
 	asks         int
@@ -41,15 +42,45 @@
 	blockedUntil time.Time
 }
 
+// loanQuestion is a question for a loan at an instance.
+type loanQuestion struct {
+	id       uint64
+	instance uint32
+	askedAt  time.Time
+}
+
+// ask records a question that is sent now.
+func (b *borrower) ask(q loanQuestion) {
+	b.questions = slices.DeleteFunc(b.questions, func(old loanQuestion) bool { return q.askedAt.Sub(old.askedAt) >= loanTime })
+	b.questions, b.waiting = append(b.questions, q), true
+}
+
+// take returns the question that an answer belongs to, and removes it. It reports false if there is none, as for an answer that comes again, and
+// reports whether it is the one that is waited for.
+func (b *borrower) take(loan *railproto.QuotaLoan) (q loanQuestion, awaited, ok bool) {
+	i := slices.IndexFunc(b.questions, func(q loanQuestion) bool { return q.id == loan.GetId() && q.instance == loan.GetInstance() })
+	if i < 0 {
+		return loanQuestion{}, false, false
+	}
+	q, awaited = b.questions[i], b.waiting && i == len(b.questions)-1
+	b.questions = slices.Delete(b.questions, i, i+1)
+	return q, awaited, true
+}
+
+// latest returns the latest question. There must be one.
+func (b *borrower) latest() loanQuestion {
+	return b.questions[len(b.questions)-1]
+}
+
 // pending reports whether an entry that was asked for a loan at an instance may still answer.
 func (b *borrower) pending(instance uint32, now time.Time) bool {
-	return !b.askedAt.IsZero() && b.instance == instance && now.Sub(b.askedAt) < loanTimeout
+	return b.waiting && b.latest().instance == instance && now.Sub(b.latest().askedAt) < loanTimeout
 }
 
 // ready reports whether an entry may be asked now. A question without an answer counts as one that was asked in vain.
 func (b *borrower) ready(now time.Time) bool {
-	if !b.askedAt.IsZero() {
-		if now.Sub(b.askedAt) < loanTimeout {
+	if b.waiting {
+		if now.Sub(b.latest().askedAt) < loanTimeout {
 			return false
 		}
 		b.refused(now)
@@ -59,7 +90,7 @@
 
 // refused records that the entry that was asked lends nothing.
 func (b *borrower) refused(now time.Time) {
-	b.askedAt = time.Time{}
+	b.waiting = false
 	b.asks++
 	if b.asks < maxLoanAsks {
 		return
@@ -68,9 +99,12 @@
 	b.asks, b.blockedUntil = 0, now.Add(b.backoff)
 }
 
-// granted records a loan.
-func (b *borrower) granted() {
-	b.askedAt, b.asks, b.backoff = time.Time{}, 0, 0
+// granted records a loan, also after the wait for it.
+func (b *borrower) granted(awaited bool) {
+	if awaited {
+		b.waiting = false
+	}
+	b.asks, b.backoff, b.blockedUntil = 0, 0, time.Time{}
 }
 
 // hasLoan reports whether a loan may be used now.
@@ -109,9 +143,10 @@
 	if len(holders) == 0 {
 		return
 	}
-	f.borrower.id, f.borrower.instance, f.borrower.askedAt = rand.Uint64(), e.instanceHash, now
+	q := loanQuestion{id: rand.Uint64(), instance: e.instanceHash, askedAt: now}
+	f.borrower.ask(q)
 	loansAsked.Inc()
-	f.Ask(holders[rand.IntN(len(holders))], &railproto.QuotaLoan{Instance: e.instanceHash, Id: f.borrower.id})
+	f.Ask(holders[rand.IntN(len(holders))], &railproto.QuotaLoan{Instance: q.instance, Id: q.id})
 }
 
 // pickBorrowable returns one of the endpoints that would take a request if this entry had a greater share of their limits, or nil.
@@ -177,22 +212,25 @@
 	}
 }
 
-// applyLoan applies the answer to the question that this entry has asked. It reports whether it was that.
+// applyLoan applies the answer to a question that this entry has asked. It reports whether that changes what waiting requests may expect.
 func (f *Fleet) applyLoan(loan *railproto.QuotaLoan) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	b, now := &f.borrower, time.Now()
-	if b.askedAt.IsZero() || b.id != loan.GetId() || b.instance != loan.GetInstance() {
+	q, awaited, ok := b.take(loan)
+	switch {
+	case !ok:
 		return false
+	case !loan.GetGranted():
+		if awaited {
+			b.refused(now)
+		}
+		return awaited
 	}
-	if !loan.GetGranted() {
-		b.refused(now)
-		return true
-	}
-	if e := f.instances[loan.GetInstance()]; e != nil {
-		e.report.loans = append(e.report.loans, b.askedAt.Add(loanTime))
+	if e := f.instances[q.instance]; e != nil {
+		e.report.loans = append(e.report.loans, q.askedAt.Add(loanTime))
 	}
-	b.granted()
+	b.granted(awaited)
 	loansGranted.Inc()
 	return true
 }
