Ask more gateways for loans while some are granted

Callers saw requests rejected at once at a demand of 0.7 of what endpoints in need had asked for, while shares of other gateways lay unused.

Cause: after five vain questions a gateway asks nobody for 100 ms, then for up to 2 s, about any endpoint. When two thirds of the shares are in use, five vain questions in a row are common, and each request that comes meanwhile is rejected at once.

It now asks up to 20, and halves that, down to two, each time that all were in vain, until a loan is granted or it has needed none for 4 s. So there are still few questions while nobody lends (TestFewQuestionsWhileNobodyLends, unchanged). TestDemandBelowLimitsIsServedByLoans failed before.

--- a/internal/membership/railfleet/limits_load_test.go
+++ b/internal/membership/railfleet/limits_load_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -34,8 +35,10 @@
 	knownAfter     = 500 * time.Millisecond
 
 	limitedLoadTime = 20 * time.Second
-	limitedSeed     = 1
-	datagramDelay   = 3 * time.Millisecond
+	// settleTime is the time after which all shares have come into use: they count as used when a limit begins.
+	settleTime    = 6 * time.Second
+	limitedSeed   = 1
+	datagramDelay = 3 * time.Millisecond
 	// limitedWait is the time for which a request may wait for an engine.
 	limitedWait = 300 * time.Millisecond
 )
@@ -57,6 +60,8 @@
 	admitters []*railadmitter.Admitter
 	// lends is set if gateways lend each other parts of their shares.
 	lends bool
+	// skewed lets the demand at a gateway fall with its index.
+	skewed bool
 	// loss is the share of datagrams that are lost.
 	loss float64
 
@@ -72,6 +77,9 @@
 	mu      sync.Mutex
 	engines map[string]*limitedEngine
 	asked   int
+	// start is the beginning of the load. steadyAsked and steadyServed count what came later than settleTime after it.
+	start                     time.Time
+	steadyAsked, steadyServed int
 }
 
 // newLimitedLoad returns a deployment whose gateways all know each other.
@@ -125,15 +133,25 @@
 			f.Ask = func(name string, loan *railproto.QuotaLoan) { load.ask(i, name, loan) }
 		}
 	}
-	for start := time.Now(); time.Since(start) < limitedLoadTime; {
+	load.start = time.Now()
+	for time.Since(load.start) < limitedLoadTime {
 		pause := draw(load, (*rand.Rand).ExpFloat64) / perSecond
-		gateway := draw(load, func(r *rand.Rand) int { return load.from + r.IntN(load.to-load.from) })
+		gateway := draw(load, load.pickGateway)
 		time.Sleep(time.Duration(pause * float64(time.Second)))
 		go load.request(t.Context(), gateway)
 	}
 	time.Sleep(time.Second) // The last responses.
 }
 
+// pickGateway returns the index of the gateway that gets the next request.
+func (load *limitedLoad) pickGateway(r *rand.Rand) int {
+	n := load.to - load.from
+	if load.skewed {
+		return load.from + int(math.Pow(float64(n+1), r.Float64())) - 1
+	}
+	return load.from + r.IntN(n)
+}
+
 // spread sends a digest to the other gateways.
 func (load *limitedLoad) spread(from int, digest *railproto.LoadDigest) {
 	for i, f := range load.gateways {
@@ -174,15 +192,22 @@
 
 // request lets a gateway send a request to an engine that may take it, if there is one in time.
 func (load *limitedLoad) request(ctx context.Context, gateway int) {
+	steady := time.Since(load.start) >= settleTime
 	l, err := load.admitters[gateway].Acquire(ctx, railfleet.Requirements{
 		Backend: railbackend.Backend{Name: "engines"}, RegionAllowed: func(string) bool { return true }, ZoneOut: func(string) bool { return false },
 	}, 0, "", time.Now().Add(limitedWait))
 	load.mu.Lock()
 	defer load.mu.Unlock()
 	load.asked++
+	if steady {
+		load.steadyAsked++
+	}
 	if err != nil {
 		return
 	}
+	if steady {
+		load.steadyServed++
+	}
 	e := load.engines[l.Instance.ID]
 	e.served++
 	if known, ok := e.knownBy[gateway]; ok && time.Since(known) >= knownAfter || load.loss == 0 {
--- a/internal/membership/railfleet/loans.go
+++ b/internal/membership/railfleet/loans.go
@@ -16,9 +16,12 @@
 	loanTime = 200 * time.Millisecond
 	// loanTimeout is the time after which another entry is asked. An answer that comes later, as from a distant region, still grants a loan.
 	loanTimeout = 50 * time.Millisecond
-	// maxLoanAsks is the number of entries that are asked one after the other. If none of them lends, no other is asked for minLoanBackoff, which
-	// doubles up to maxLoanBackoff until a loan is granted: all shares are in use.
-	maxLoanAsks    = 5
+	// maxLoanAsks is the number of entries that are asked in vain one after the other before no other is asked for minLoanBackoff. Until a loan is
+	// granted or loanRest has passed without a question, the number halves down to minLoanAsks and the time doubles up to maxLoanBackoff: all
+	// shares are in use.
+	maxLoanAsks    = 20
+	minLoanAsks    = 2
+	loanRest       = 4 * time.Second
 	minLoanBackoff = 100 * time.Millisecond
 	maxLoanBackoff = 2 * time.Second
 )
@@ -35,9 +38,9 @@
 	questions []loanQuestion
 	// waiting is set while the latest question is waited for.
 	waiting bool
-	// asks is the number of entries that were asked in vain one after the other, and backoff the time until blockedUntil after which others
-	// are asked.
-	asks         int
+	// asks is the number of entries that were asked in vain one after the other, series the number of times that others were not asked for
+	// backoff because of that, and blockedUntil the end of the last such time.
+	asks, series int
 	backoff      time.Duration
 	blockedUntil time.Time
 }
@@ -85,6 +88,9 @@
 		}
 		b.refused(now)
 	}
+	if now.Sub(b.blockedUntil) > loanRest {
+		b.series, b.backoff = 0, 0
+	}
 	return !now.Before(b.blockedUntil)
 }
 
@@ -92,9 +98,10 @@
 func (b *borrower) refused(now time.Time) {
 	b.waiting = false
 	b.asks++
-	if b.asks < maxLoanAsks {
+	if b.asks < max(maxLoanAsks>>b.series, minLoanAsks) {
 		return
 	}
+	b.series++
 	b.backoff = min(max(2*b.backoff, minLoanBackoff), maxLoanBackoff)
 	b.asks, b.blockedUntil = 0, now.Add(b.backoff)
 }
@@ -104,7 +111,7 @@
 	if awaited {
 		b.waiting = false
 	}
-	b.asks, b.backoff, b.blockedUntil = 0, 0, time.Time{}
+	b.asks, b.series, b.backoff, b.blockedUntil = 0, 0, 0, time.Time{}
 }
 
 // hasLoan reports whether a loan may be used now.
