--- a/internal/membership/railfleet/loans_test.go
+++ b/internal/membership/railfleet/loans_test.go
@@ -17,6 +17,9 @@
 // loanTime is the time for which a loan may be used.
 const loanTime = 200 * time.Millisecond
 
+// lentLimit is the limit in requests per second of which a pair of entries lends a part.
+const lentLimit = 0.25
+
 // loanPair is an entry without a share of an endpoint's limit, and one that has it.
 type loanPair struct {
 	borrower, lender *railfleet.Fleet
@@ -25,7 +28,7 @@
 	asked []*railproto.QuotaLoan
 }
 
-func newLoanPair(t *testing.T, limit float64) *loanPair {
+func newLoanPair(t *testing.T) *loanPair {
 	t.Helper()
 	p := &loanPair{req: railfleet.Requirements{
 		Backend: railbackend.Backend{Name: "orders"}, RegionAllowed: func(string) bool { return true }, ZoneOut: func(string) bool { return false },
@@ -40,7 +43,7 @@
 	p.borrower.Ask = func(_ string, loan *railproto.QuotaLoan) { p.asked = append(p.asked, loan) }
 	l, ok := p.borrower.Reserve(p.req)
 	qt.Assert(t, ok, qt.IsTrue)
-	l.RecordLimit(limit)
+	l.RecordLimit(lentLimit)
 	l.Done(railfleet.Answered)
 	p.lender.MergeDigest(&railproto.LoadDigest{Limits: p.borrower.ChangedLimits()})
 	time.Sleep(4 * time.Second) // The lender's share counts as used when the limit begins.
@@ -71,7 +74,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			railvirtualtime.Test(t, func(t *testing.T) {
-				p := newLoanPair(t, 0.25)
+				p := newLoanPair(t)
 				qt.Check(t, p.reserve(p.borrower), qt.IsFalse)
 				qt.Assert(t, p.asked, qt.HasLen, 1)
 				answer := p.lender.HandleLoan(p.asked[0])
@@ -90,7 +93,7 @@
 // Guards against a lender that sends a request itself before the window after the latest time of the loan's use.
 func TestLenderGoesWithoutWhatItLends(t *testing.T) {
 	railvirtualtime.Test(t, func(t *testing.T) {
-		p := newLoanPair(t, 0.25)
+		p := newLoanPair(t)
 		p.reserve(p.borrower)
 		qt.Assert(t, p.lender.HandleLoan(p.asked[0]).GetGranted(), qt.IsTrue)
 		time.Sleep(loanTime + 4*time.Second - 1)
@@ -105,7 +108,7 @@
 	for name, answers := range map[string]bool{"refusals": true, "no answers": false} {
 		t.Run(name, func(t *testing.T) {
 			railvirtualtime.Test(t, func(t *testing.T) {
-				p := newLoanPair(t, 0.25)
+				p := newLoanPair(t)
 				for range 10_000 {
 					answered := len(p.asked)
 					p.reserve(p.borrower)
