--- a/internal/membership/railfleet/limits_lost_test.go
+++ b/internal/membership/railfleet/limits_lost_test.go
@@ -15,7 +15,7 @@
 // although the endpoint takes any number of them.
 func TestEntryThatMissedTheEndOfALimitLearnsOfItFromALender(t *testing.T) {
 	railvirtualtime.Test(t, func(t *testing.T) {
-		p := newLoanPair(t, 0.25)
+		p := newLoanPair(t)
 		endLimit(t, p.lender, p.req)
 		p.lender.ChangedLimits() // Lost.
 		time.Sleep(11 * time.Second)
--- a/internal/membership/railfleet/loans_late_test.go
+++ b/internal/membership/railfleet/loans_late_test.go
@@ -12,7 +12,7 @@
 // Guards against places that are lent to a gateway of a distant region and lost there, since their answers come after another entry has been asked.
 func TestLoanFromADistantEntryIsUsed(t *testing.T) {
 	railvirtualtime.Test(t, func(t *testing.T) {
-		p := newLoanPair(t, 0.25)
+		p := newLoanPair(t)
 		p.reserve(p.borrower)
 		qt.Assert(t, p.asked, qt.HasLen, 1)
 		answer := p.lender.HandleLoan(p.asked[0])
--- a/internal/membership/railfleet/loans_use_test.go
+++ b/internal/membership/railfleet/loans_use_test.go
@@ -15,7 +15,7 @@
 // gives up for that is lost.
 func TestNoLoanIsAskedForThatCanNotBeUsed(t *testing.T) {
 	railvirtualtime.Test(t, func(t *testing.T) {
-		p := newLoanPair(t, 0.25)
+		p := newLoanPair(t)
 		p.req.Backend.ColdPerSecond = 1 // This entry has no share of it either.
 		qt.Check(t, p.reserve(p.borrower), qt.IsFalse)
 		qt.Check(t, p.asked, qt.HasLen, 0)
