Let requests wait for loans by what loans take, not by recent grants

Callers saw requests rejected at once (no endpoint can begin the answer in time) at gateways that had asked another one for a loan, if one request waited already: seen in the test at 60 gateways, at once, with one request ahead.

Cause: while a loan is asked for, no limit tells when endpoints open, so the wait was predicted from the number of requests that were granted in the last second. At a gateway with few requests that is one or none, and the prediction a second.

While a loan is asked for, the wait is predicted as at most 50 ms for each request ahead.

--- a/internal/membership/railfleet/forecast.go
+++ b/internal/membership/railfleet/forecast.go
@@ -15,6 +15,8 @@
 	Elsewhere bool
 	// Bounded reports whether all endpoints of the service that open by then have named limits, so that Total is no matter of load.
 	Bounded bool
+	// Borrowing reports whether another entry may lend a place at one of them any moment. Nothing else is known then.
+	Borrowing bool
 }
 
 // Forecast counts up to atMost requests that endpoints take by the given time, regardless of their load, if each is sent up to delay after an endpoint
@@ -23,7 +25,7 @@
 func (f *Fleet) Forecast(req Requirements, by time.Time, delay time.Duration, atMost int) (Forecast, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now, known := time.Now(), false
+	now, known, borrowing := time.Now(), false, false
 	by = latest(by, now) // An endpoint that is open now counts for a request that can't wait, too.
 	forecast := Forecast{Bounded: true}
 	for _, e := range f.endpoints {
@@ -42,12 +44,17 @@
 			forecast = forecast.withOpening(o, o.asked)
 		case o.uncertain || !o.limited && grants > 0:
 			return Forecast{}, false
+		case o.borrowing:
+			borrowing = true
 		default:
 			known = true
 			forecast.Own = min(forecast.Own+grants, atMost)
 			forecast = forecast.withOpening(o, true)
 		}
 	}
+	if borrowing {
+		return Forecast{Borrowing: true}, false
+	}
 	return forecast, known
 }
 
--- a/internal/membership/railfleet/limits_skew_test.go
+++ b/internal/membership/railfleet/limits_skew_test.go
@@ -24,7 +24,7 @@
 				load.run(t, 40)
 				load.checkLimits(t)
 				t.Logf("%d of %d served", load.steadyServed, load.steadyAsked)
-				qt.Check(t, float64(load.steadyServed) >= 0.97*float64(load.steadyAsked), qt.IsTrue, qt.Commentf("%d of %d served", load.steadyServed, load.steadyAsked))
+				qt.Check(t, float64(load.steadyServed) >= 0.985*float64(load.steadyAsked), qt.IsTrue, qt.Commentf("%d of %d served", load.steadyServed, load.steadyAsked))
 			})
 		})
 	}
--- a/internal/membership/railfleet/opening.go
+++ b/internal/membership/railfleet/opening.go
@@ -23,6 +23,8 @@
 	at time.Time
 	// asked reports whether the endpoint itself has asked for that, and uncertain whether it may open before.
 	asked, uncertain bool
+	// borrowing reports whether another entry may grant a loan any moment.
+	borrowing bool
 	// limited reports whether the endpoint has named a limit, and quota is this entry's share of it.
 	limited bool
 	quota   railquota.Quota
@@ -47,7 +49,7 @@
 		o.at = latest(o.at, e.report.sends.OpensAt(o.quota, now))
 	}
 	o.asked = o.asked || !o.open(now)
-	o.uncertain = o.uncertain || !o.open(now) && f.borrower.pending(e.instanceHash, now)
+	o.borrowing = !o.open(now) && f.borrower.pending(e.instanceHash, now)
 	return o
 }
 
--- a/internal/routing/railadmitter/admitter.go
+++ b/internal/routing/railadmitter/admitter.go
@@ -22,6 +22,8 @@
 	// maxGrantDelay is the longest time until a retry after an endpoint has opened without a change that is reported.
 	maxGrantDelay = pollInterval + minWakeInterval
 	rateWindow    = time.Second
+	// loanWait is the time after which each waiting request is expected to get a loan while other gateways are asked for them.
+	loanWait = 50 * time.Millisecond
 	// dropCheckInterval is the interval at which all waiting requests are checked for being dropped by the configuration. Those that are to be granted
 	// a lease are always checked.
 	dropCheckInterval = 100 * time.Millisecond
@@ -143,6 +145,9 @@
 	if !known || !forecast.Bounded {
 		rejection.ExpectedWait = a.predictWait(now, ahead) // Limits tell more than the rate of recent grants.
 	}
+	if forecast.Borrowing {
+		rejection.ExpectedWait = min(rejection.ExpectedWait, time.Duration(ahead)*loanWait)
+	}
 	noEndpoint := rejection.Eligible == 0 && !now.Before(w.grantBy)
 	if noEndpoint {
 		rejection.Cause = ErrNoEndpoint
