--- a/internal/node/railconn/limits_test.go
+++ b/internal/node/railconn/limits_test.go
@@ -83,8 +83,10 @@
 	return &limitedConn{Conn: conn, reader: bufio.NewReader(conn)}
 }
 
+// send sends data. The deadline of the connection begins anew, since a test may wait for long between two steps.
 func (c *limitedConn) send(t *testing.T, data string) {
 	t.Helper()
+	qt.Assert(t, c.SetDeadline(time.Now().Add(testTimeout)), qt.IsNil)
 	_, err := io.WriteString(c, data)
 	qt.Assert(t, err, qt.IsNil)
 }
