--- a/review/_world2/client.go
+++ b/review/_world2/client.go
@@ -39,16 +39,38 @@
 	return float64(t.served.Load()) / float64(max(t.sent.Load(), 1))
 }
 
+// sending is when a client attempt was sent, and with which key.
+type sending struct {
+	at  time.Time
+	key string
+}
+
+const usualKey = "key-of-box-office"
+
 var requestCount atomic.Int64
 
+// noteSent records when a client attempt was sent, and with which key.
+func (w *world) noteSent(id, key string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sent[id] = sending{at: time.Now(), key: key}
+}
+
+// sentBy returns when a client attempt was sent, and with which key.
+func (w *world) sentBy(id string) sending {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.sent[id]
+}
+
 // request sends a request and repeats it once, as the sheet's clients do: after a refusal, when it says so, at another connection.
-func (w *world) request(t *tally) {
+func (w *world) request(t *tally, key string) {
 	t.sent.Add(1)
 	until := time.Now().Add(clientDeadline)
-	o := w.attempt(until)
+	o := w.attempt(until, key)
 	if !o.served && o.retryAfter <= time.Until(until)/3 {
 		time.Sleep(o.retryAfter)
-		o = w.attempt(until)
+		o = w.attempt(until, key)
 	}
 	switch {
 	case o.served:
@@ -61,18 +83,19 @@
 }
 
 // attempt makes one client attempt at a machine that is in rotation.
-func (w *world) attempt(until time.Time) outcome {
+func (w *world) attempt(until time.Time, key string) outcome {
 	m := w.pick()
 	if m == nil {
 		return outcome{err: fmt.Errorf("no machine is in rotation")}
 	}
 	id := fmt.Sprintf("%016x", requestCount.Add(1))
-	o := w.send(m, id, until)
-	w.record("%s %s to %s: status %d served %v retry-after %s err %v", since(w.began), id, m.name, o.status, o.served, o.retryAfter, o.err)
+	w.noteSent(id, key)
+	o := w.send(m, id, key, until)
+	w.record("%s %s to %s with %s: status %d served %v retry-after %s err %v", since(w.began), id, m.name, key, o.status, o.served, o.retryAfter, o.err)
 	return o
 }
 
-func (w *world) send(m *machine, id string, until time.Time) outcome {
+func (w *world) send(m *machine, id, key string, until time.Time) outcome {
 	conn, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", m.ip, w.ports.front), connectTime)
 	if err != nil {
 		return outcome{err: err}
@@ -81,8 +104,8 @@
 	_ = conn.SetDeadline(until)
 	body := "brief of " + id
 	_, err = fmt.Fprintf(conn, "POST /brief/ HTTP/1.1\r\nHost: assistant.example\r\nX-Fulmarrail-Request-Id: %s\r\nX-Fulmarrail-Model: %s\r\nX-Fulmarrail-Token-Counts: 300,25\r\n"+
-		"X-Fulmarrail-Prompt-Prefix: 5c%x:40,%s:260\r\nX-Fulmarrail-Request-Deadline: %d\r\nAuthorization: Token key-of-box-office\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
-		id, model, rand.IntN(60), id, time.Until(until).Milliseconds(), len(body), body)
+		"X-Fulmarrail-Prompt-Prefix: 5c%x:40,%s:260\r\nX-Fulmarrail-Request-Deadline: %d\r\nAuthorization: Token %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
+		id, model, rand.IntN(60), id, time.Until(until).Milliseconds(), key, len(body), body)
 	if err != nil {
 		return outcome{err: err}
 	}
@@ -101,7 +124,7 @@
 }
 
 // load sends requests at a rate until stop is closed.
-func (w *world) load(perSecond int, t *tally, stop <-chan struct{}) {
+func (w *world) load(perSecond int, t *tally, key string, stop <-chan struct{}) {
 	ticks := time.NewTicker(time.Second / time.Duration(perSecond))
 	defer ticks.Stop()
 	for {
@@ -109,7 +132,7 @@
 		case <-stop:
 			return
 		case <-ticks.C:
-			go w.request(t)
+			go w.request(t, key)
 		}
 	}
 }
--- a/review/_world2/engine.go
+++ b/review/_world2/engine.go
@@ -11,7 +11,8 @@
 const (
 	model        = "model"
 	service      = "assistant"
-	zone         = "zone-a"
+	zoneA        = "zone-a"
+	zoneB        = "zone-b"
 	region       = "region-a"
 	layers       = 16
 	slots        = 16
@@ -22,24 +23,44 @@
 	headerPrefix = "X-Fulmarrail-"
 )
 
+var zones = []string{zoneA, zoneB}
+
 // engine is a stand-in of a model engine that holds version 1 of its weights and takes no orders.
 type engine struct {
-	id, address string
-	born        int64
-	running     atomic.Int64
+	id, address, zone string
+	born              int64
+	running           atomic.Int64
+
+	mu   sync.Mutex
+	runs []engineRun
+}
+
+// engineRun is one request that an engine has run.
+type engineRun struct {
+	id string
+	at time.Time
+}
 
-	mu  sync.Mutex
-	ran map[string]int
+func newEngine(n, port int, zone string) *engine {
+	return &engine{id: fmt.Sprintf("i-%d", n), address: fmt.Sprintf("127.0.3.%d:%d", n, port), zone: zone, born: time.Now().UnixMilli()}
 }
 
-func newEngine(n, port int) *engine {
-	return &engine{id: fmt.Sprintf("i-%d", n), address: fmt.Sprintf("127.0.3.%d:%d", n, port), born: time.Now().UnixMilli(), ran: map[string]int{}}
+// runsBetween returns the requests that the engine began to run between two times.
+func (e *engine) runsBetween(from, to time.Time) (list []engineRun) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range e.runs {
+		if r.at.After(from) && r.at.Before(to) {
+			list = append(list, r)
+		}
+	}
+	return list
 }
 
 // row returns what the engine writes of itself to the store.
 func (e *engine) row() map[string]any {
 	r := e.report()
-	r["service"], r["address"], r["zone"], r["version"], r["slots"], r["state"], r["cold-remaining-ms"] = service, e.address, zone, "v1", slots, "ready", 0
+	r["service"], r["address"], r["zone"], r["version"], r["slots"], r["state"], r["cold-remaining-ms"] = service, e.address, e.zone, "v1", slots, "ready", 0
 	return r
 }
 
@@ -86,7 +107,7 @@
 	}
 	defer e.running.Add(-1)
 	e.mu.Lock()
-	e.ran[id]++
+	e.runs = append(e.runs, engineRun{id: id, at: time.Now()})
 	e.mu.Unlock()
 	w.Header().Set(headerPrefix+"Response-Seal", "seal."+e.id+"."+id)
 	w.Header().Set(headerPrefix+"Weight-Versions", "1")
@@ -103,10 +124,10 @@
 	}
 }
 
-// operatorConfig is the operator's configuration: one resumable streaming route to the engines.
-func operatorConfig() map[string]any {
+// operatorConfig is the operator's configuration: one resumable streaming route to the engines, and a customer with some keys.
+func operatorConfig(version int, keys ...string) map[string]any {
 	return map[string]any{
-		"version": 7,
+		"version": version,
 		"routes": []map[string]any{{
 			"name": "r-1", "host": "assistant.example", "prefix": "/brief/", "kind": "streaming", "timeout-ms": 6000, "target-latency-ms": 500, "priority": 1,
 			"service": service, "attempts": 2, "public": false, "sticky": true, "resumable": true, "target-gap-ms": 400, "allowed-regions": []string{},
@@ -121,6 +142,6 @@
 			},
 		}},
 		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants": []map[string]any{{"name": "box-office", "api-keys": []string{"key-of-box-office"}, "priority": 1, "allowed-regions": []string{}}},
+		"tenants": []map[string]any{{"name": "box-office", "api-keys": keys, "priority": 1, "allowed-regions": []string{}}},
 	}
 }
--- a/review/_world2/main.go
+++ b/review/_world2/main.go
@@ -12,6 +12,9 @@
 	"time"
 )
 
+// firstConfig is the version of the first configuration.
+const firstConfig = 7
+
 // world is one run of a case.
 type world struct {
 	dir, storeAddress string
@@ -25,6 +28,7 @@
 	// fronts are the machines that exist, and misses the number of checks in a row that each has not passed.
 	fronts []*machine
 	misses map[*machine]int
+	sent   map[string]sending
 	log    *os.File
 }
 
@@ -33,7 +37,7 @@
 		fmt.Fprintln(os.Stderr, "usage: world2 CASE RECORD")
 		os.Exit(2)
 	}
-	cases := map[string]func(w *world, trouble bool) (broken bool, err error){"replaced": replaced}
+	cases := map[string]func(w *world, trouble bool) (broken bool, err error){"replaced": replaced, "evacuated": evacuated, "revoked": revoked}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
@@ -49,7 +53,7 @@
 	log, err := os.Create(path)
 	must(err)
 	defer log.Close()
-	w := &world{dir: dir, store: newStore(), began: time.Now(), ports: freePorts(), misses: map[*machine]int{}, log: log}
+	w := &world{dir: dir, store: newStore(), began: time.Now(), ports: freePorts(), misses: map[*machine]int{}, sent: map[string]sending{}, log: log}
 	defer w.killAll()
 	broken, err := play(w, os.Getenv("TROUBLE") != "0")
 	switch {
@@ -65,11 +69,12 @@
 }
 
 // begin starts the store, the engines, their side machines and the first front machines, and waits until these are ready.
-func (w *world) begin(engineCount, frontCount int) error {
+func (w *world) begin(engineCount, frontCount int, keys ...string) error {
 	w.storeAddress = serve("127.0.0.1:0", w.store.handler())
-	w.store.put("op", "config", operatorConfig())
+	go w.store.keepCopies()
+	w.store.put("op", "config", operatorConfig(firstConfig, keys...))
 	for n := range engineCount {
-		e := newEngine(n+1, w.ports.engine)
+		e := newEngine(n+1, w.ports.engine, zones[n%len(zones)])
 		serve(e.address, e.handler())
 		go e.beat(w.store)
 		w.engines = append(w.engines, e)
--- a/review/_world2/process.go
+++ b/review/_world2/process.go
@@ -36,7 +36,7 @@
 }
 
 // newMachine writes the settings of a machine in the form of deploy/settings.ini.
-func (w *world) newMachine(name, role, ip, extra string) *machine {
+func (w *world) newMachine(name, role, ip, zone, extra string) *machine {
 	text := fmt.Sprintf(`[process]
 name = %s
 zone = %s
@@ -60,7 +60,8 @@
 
 [zones]
 %s = %s
-`, name, zone, region, ip, w.ports.inner, ip, w.ports.admin, w.storeAddress, extra, zone, region)
+%s = %s
+`, name, zone, region, ip, w.ports.inner, ip, w.ports.admin, w.storeAddress, extra, zoneA, region, zoneB, region)
 	m := &machine{name: name, role: role, ip: ip, settings: filepath.Join(w.dir, name+".ini")}
 	must(os.WriteFile(m.settings, []byte(text), 0o600))
 	return m
@@ -69,15 +70,15 @@
 // newFront returns the nth front machine. Each has an address and a name of its own.
 func (w *world) newFront(n int) *machine {
 	ip := fmt.Sprintf("127.1.%d.%d", n/200, 1+n%200)
-	extra := fmt.Sprintf("callers = %s:%d\nready = %s:%d\n", ip, w.ports.front, ip, w.ports.ready)
-	return w.newMachine(fmt.Sprintf("front-%s-%d", zone, n+1), "gateway", ip, extra)
+	extra, zone := fmt.Sprintf("callers = %s:%d\nready = %s:%d\n", ip, w.ports.front, ip, w.ports.ready), zones[n%len(zones)]
+	return w.newMachine(fmt.Sprintf("front-%s-%d", zone, n+1), "gateway", ip, zone, extra)
 }
 
 // newSide returns the machine beside an engine.
 func (w *world) newSide(n int, e *engine) *machine {
 	host, _, err := net.SplitHostPort(e.address)
 	must(err)
-	return w.newMachine(fmt.Sprintf("side-%s-%d", zone, n+1), "carrier", host, fmt.Sprintf("endpoint = %s\nservice = %s\n", e.address, service))
+	return w.newMachine(fmt.Sprintf("side-%s-%d", e.zone, n+1), "carrier", host, e.zone, fmt.Sprintf("endpoint = %s\nservice = %s\n", e.address, service))
 }
 
 // start starts the machine's process by the run line of its role in deploy/system.toml.
--- a/review/_world2/replaced.go
+++ b/review/_world2/replaced.go
@@ -21,13 +21,13 @@
 // replaced plays a deployment whose front machines are replaced by others at new addresses again and again, and then a final fault: all processes are
 // killed and started again.
 func replaced(w *world, trouble bool) (bool, error) {
-	if err := w.begin(engineCount, frontCount); err != nil {
+	if err := w.begin(engineCount, frontCount, usualKey); err != nil {
 		return false, err
 	}
 	w.say("%d front machines are ready, %d engines serve", frontCount, engineCount)
 	before, after := &tally{}, &tally{}
 	stop := make(chan struct{})
-	go w.load(requestsPerSecond, before, stop)
+	go w.load(requestsPerSecond, before, usualKey, stop)
 	time.Sleep(usualTime)
 	w.say("usual traffic: %s", before)
 	if trouble {
@@ -53,7 +53,7 @@
 	}
 	w.say("%d of %d front machines say that they are ready", readyCount, frontCount)
 	stop = make(chan struct{})
-	go w.load(requestsPerSecond, after, stop)
+	go w.load(requestsPerSecond, after, usualKey, stop)
 	time.Sleep(measureTime)
 	close(stop)
 	time.Sleep(clientDeadline)
--- a/review/_world2/store.go
+++ b/review/_world2/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"sort"
 	"strconv"
@@ -17,8 +18,26 @@
 	rows    map[string]map[string]row
 	log     []row
 	changed chan struct{}
+	// era counts the restores, kept is the version from which on the changes are known, and away is set while the store answers nobody.
+	era    int64
+	kept   int64
+	away   bool
+	copies []storeCopy
 }
 
+// storeCopy is the state of the store at some time.
+type storeCopy struct {
+	at      time.Time
+	version int64
+	rows    map[string]map[string]row
+}
+
+const (
+	// copyInterval is the time between two copies.
+	copyInterval = 250 * time.Millisecond
+	headerEra    = "Store-Era"
+)
+
 // row is a row, or the removal of one, on the wire.
 type row struct {
 	Table   string `json:"table"`
@@ -56,6 +75,43 @@
 	s.apply(row{Table: table, Key: key, Value: data, Version: s.version})
 }
 
+// keepCopies makes copies until the process ends.
+func (s *store) keepCopies() {
+	for ; ; time.Sleep(copyInterval) {
+		s.mu.Lock()
+		c := storeCopy{at: time.Now(), version: s.version, rows: map[string]map[string]row{}}
+		for table, rows := range s.rows {
+			c.rows[table] = maps.Clone(rows)
+		}
+		s.copies = append(s.copies, c)
+		s.mu.Unlock()
+	}
+}
+
+// setAway makes the store answer nobody, or answer again.
+func (s *store) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// restore brings the store back from the newest copy that was made before a time. What was written since is lost, and numbers are given out again.
+func (s *store) restore(before time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := len(s.copies) - 1
+	for n > 0 && s.copies[n].at.After(before) {
+		n--
+	}
+	c := s.copies[n]
+	s.rows, s.version, s.copies, s.log = c.rows, c.version, nil, nil
+	s.era++
+	s.kept = c.version
+	s.away = false
+}
+
 // count returns the number of rows of a table.
 func (s *store) count(table string) int {
 	s.mu.Lock()
@@ -82,7 +138,24 @@
 	mux.HandleFunc("GET /rows-get", s.get)
 	mux.HandleFunc("GET /rows-feed", s.feed)
 	mux.HandleFunc("POST /rows-tx", s.transact)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		away, era := s.away, s.era
+		s.mu.Unlock()
+		if away {
+			reset(w)
+			return
+		}
+		w.Header().Set(headerEra, strconv.FormatInt(era, 10))
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// reset closes a connection without an answer.
+func reset(w http.ResponseWriter) {
+	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		_ = conn.Close()
+	}
 }
 
 func (s *store) newPage(rows []row) page {
@@ -117,10 +190,22 @@
 	after, _ := strconv.ParseInt(q.Get("after-revision"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("wait-ms"))
 	expired := time.After(time.Duration(wait) * time.Millisecond)
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		p, changed := s.newPage(s.changes(q.Get("table"), after)), s.changed
+		gone, lost := after < s.kept || after > s.version, s.away || s.era != era
 		s.mu.Unlock()
+		switch {
+		case lost:
+			reset(w)
+			return
+		case gone:
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		if len(p.Rows) > 0 {
 			respond(w, http.StatusOK, p)
 			return
