--- a/review/_world2/answers_test.go
+++ b/review/_world2/answers_test.go
@@ -22,13 +22,15 @@
 	callers, callerRate = 31, 4_000_000
 	// usualAnswer is the site's mean length of an answer, and longAnswer the length of the answers of the case, in bytes.
 	usualAnswer, longAnswer = 800, 8 << 20
-	plainEngines            = 3
-	plainSlots              = 6
-	workTime                = 15 * time.Millisecond
-	answersTime             = 30 * time.Second
-	memoryLimit             = 284_000_000
-	maxLost                 = 3
-	restartTime             = 500 * time.Millisecond
+	// windowBytes keeps a client's window small, as the platform's links have it. What it leaves to the kernel would otherwise depend on the machine.
+	windowBytes  = 64 << 10
+	plainEngines = 3
+	plainSlots   = 6
+	workTime     = 15 * time.Millisecond
+	answersTime  = 30 * time.Second
+	memoryLimit  = 284_000_000
+	maxLost      = 3
+	restartTime  = 500 * time.Millisecond
 )
 
 // answersCase is a run of the case, with what engines and clients have seen.
@@ -100,6 +102,7 @@
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
+		_ = conn.(*net.TCPConn).SetReadBuffer(windowBytes)
 		r := bufio.NewReader(conn)
 		for kept := false; time.Now().Before(c.stop) && c.exchange(conn, r, kept); kept = true {
 		}
