--- a/review/_world2/main_test.go
+++ b/review/_world2/main_test.go
@@ -39,7 +39,7 @@
 		fmt.Fprintln(os.Stderr, "usage: world2 CASE RECORD")
 		os.Exit(2)
 	}
-	cases := map[string]func(w *world, trouble bool) (broken bool, err error){"replaced": replaced, "evacuated": evacuated, "revoked": revoked, "answers": answers}
+	cases := map[string]func(w *world, trouble bool) (broken bool, err error){"replaced": replaced, "evacuated": evacuated, "revoked": revoked, "answers": answers, "bodies": bodies}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
