--- a/internal/endpoint/railexchange/header.go
+++ b/internal/endpoint/railexchange/header.go
@@ -17,11 +17,7 @@
 	protocolPrefix   = "HTTP/1."
 )
 
-var (
-	// errUnclearEnd means that a header contradicts itself on where the body ends. fasthttp would follow one of its statements.
-	errUnclearEnd      = errors.New("the header is not clear on where the body ends")
-	errAmbiguousHeader = errors.New("the header is not clear on where it ends")
-)
+var errAmbiguousHeader = errors.New("the header is not clear on where it ends")
 
 // readHeader reads the header of the final response and skips informational ones.
 func (e *Exchange) readHeader() error {
@@ -32,7 +28,7 @@
 		switch code := e.Header.StatusCode(); {
 		case code >= fasthttp.StatusOK:
 			return nil
-		case code < fasthttp.StatusContinue || code == fasthttp.StatusSwitchingProtocols:
+		case code == fasthttp.StatusSwitchingProtocols:
 			return errors.Newf("unexpected status %d", code)
 		}
 	}
@@ -53,8 +49,8 @@
 	if err != nil {
 		return err
 	}
-	if !railframing.HasClearEnd(raw) {
-		return errUnclearEnd
+	if err := railframing.Check(raw); err != nil {
+		return err
 	}
 	buffered, size := e.reader.Buffered(), len(raw)
 	if err := e.Header.Read(e.reader); err != nil {
--- a/internal/endpoint/railframing/doc.go
+++ b/internal/endpoint/railframing/doc.go
@@ -1,2 +1,2 @@
-// Package railframing tells where the header of an HTTP response ends, and whether it is clear on where the body ends.
+// Package railframing tells where the header of an HTTP response ends, and whether the header is one that a proxy may act on.
 package railframing
--- a/internal/endpoint/railframing/framing.go
+++ b/internal/endpoint/railframing/framing.go
@@ -2,10 +2,26 @@
 
 import (
 	"bytes"
+	"strconv"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 )
 
+const (
+	statusDigits = 3
+	minStatus    = 100
+	maxStatus    = 599
+)
+
+var (
+	// ErrInvalidStatus means that a header does not begin with a status line that states one of the valid statuses, 100 to 599. fasthttp would
+	// return 200 for the status 000.
+	ErrInvalidStatus = errors.New("the header states no valid status")
+	// ErrUnclearEnd means that a header contradicts itself on where the body ends. fasthttp would follow one of its statements.
+	ErrUnclearEnd = errors.New("the header is not clear on where the body ends")
+)
+
 // HeaderSize returns the size of the header at the start of b with its blank line, or 0 if it is not complete.
 func HeaderSize(b []byte) int {
 	size := 0
@@ -18,8 +34,24 @@
 	return 0
 }
 
-// HasClearEnd reports whether a header has either a length or an encoding or neither, and an encoding only in a protocol that has them.
-func HasClearEnd(header []byte) bool {
+// Status returns the status that a header states, or 0 if it states no valid one.
+func Status(header []byte) int {
+	line, _, _ := bytes.Cut(header, []byte("\n"))
+	_, rest, _ := bytes.Cut(bytes.TrimSuffix(line, []byte("\r")), []byte(" "))
+	text, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	code, err := strconv.ParseUint(string(text), 10, 0)
+	if err != nil || len(text) != statusDigits || code < minStatus || code > maxStatus {
+		return 0
+	}
+	return int(code)
+}
+
+// Check returns an error unless a header states a valid status, and says clearly where the body ends: it has either a length or an encoding or
+// neither, and an encoding only in a protocol that has them.
+func Check(header []byte) error {
+	if Status(header) == 0 {
+		return ErrInvalidStatus
+	}
 	hasLength, hasEncoding := false, false
 	for line := range bytes.Lines(header) {
 		name, _, _ := bytes.Cut(line, []byte(":"))
@@ -27,5 +59,8 @@
 		hasLength = hasLength || bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength))
 		hasEncoding = hasEncoding || bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding))
 	}
-	return !hasEncoding || !hasLength && bytes.HasPrefix(header, []byte("HTTP/1.1 "))
+	if hasEncoding && (hasLength || !bytes.HasPrefix(header, []byte("HTTP/1.1 "))) {
+		return ErrUnclearEnd
+	}
+	return nil
 }
--- /dev/null
+++ b/internal/endpoint/railupstream/broken_answer_test.go
@@ -0,0 +1,97 @@
+package railupstream_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmarrail/fulmarrail/internal/endpoint/railendpoint"
+	"github.com/fulmarrail/fulmarrail/internal/endpoint/railupstream"
+	"github.com/fulmarrail/fulmarrail/internal/request/railheader"
+	"github.com/fulmarrail/fulmarrail/internal/request/railverdict"
+	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
+)
+
+const (
+	// reportLines is all that an endpoint can say of itself.
+	reportLines = railendpoint.LeavingHeader + ": 1\r\n" + railendpoint.LimitHeader + ": 0.5\r\nRetry-After: 40\r\n"
+	stateBody   = `{"digest":"a","incarnation":"e"}`
+	stateLines  = "Content-Length: 32\r\n\r\n" + stateBody
+)
+
+// brokenAnswers are responses that are none in the protocol. They state all that could make an agent act on them.
+var brokenAnswers = map[string]string{
+	"status 000":                     "HTTP/1.1 000 OK\r\n" + reportLines + stateLines,
+	"status 000 without a length":    "HTTP/1.1 000 OK\r\nConnection: close\r\n" + reportLines + "\r\n" + stateBody,
+	"status 000 in events":           "HTTP/1.1 000 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\nX-First-Event: 2\r\n" + reportLines + "\r\n" + lastEvents,
+	"status 000 after informational": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK\r\n" + reportLines + stateLines,
+	"status 999":                     "HTTP/1.1 999 Text\r\n" + reportLines + stateLines,
+}
+
+// rejectReports makes the test fail if the client takes over what an endpoint says of itself.
+func rejectReports(c *qt.C, client *railupstream.Client) {
+	client.OnReport = func(incarnation string, said railheader.SelfReport) { c.Errorf("report of %q: %+v", incarnation, said) }
+	client.OnLimit = func(r railendpoint.LimitReport) { c.Errorf("limit: %+v", r) }
+}
+
+// Guards against broken answers of an endpoint that callers get, that count as a refusal, or that say something of the endpoint.
+func TestBrokenAnswerIsNeitherPassedOnNorProof(t *testing.T) {
+	for name, answer := range brokenAnswers {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			engine := startRawEngine(c, answer)
+			rejectReports(c, engine.Client)
+			verdict, err := engine.Run(t.Context(), &railproto.ExecuteRequest{RequestId: "r", Path: "/", Idempotent: true}, func(f *railproto.Frame) {
+				c.Errorf("frame: %v", f)
+			})
+			c.Check(err, qt.IsNotNil)
+			c.Check(verdict, qt.Equals, railverdict.MayHaveRun)
+		})
+	}
+}
+
+// Guards against streams that go on with a broken answer.
+func TestBrokenAnswerDoesNotResumeAStream(t *testing.T) {
+	for name, answer := range brokenAnswers {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			engine := startRawEngine(c, streamHead+"\r\n"+firstEvents, answer)
+			reports, frames := 0, 0
+			engine.OnReport = func(string, railheader.SelfReport) { reports++ }
+			verdict, err := engine.Run(t.Context(), &railproto.ExecuteRequest{RequestId: "r", Path: "/", Idempotent: true}, func(*railproto.Frame) { frames++ })
+			c.Check(err, qt.IsNotNil)
+			c.Check(verdict, qt.Equals, railverdict.MayHaveRun)
+			c.Check(frames, qt.Equals, 2)
+			c.Check(reports, qt.Equals, 1, qt.Commentf("only the stream's first response says something of the endpoint"))
+		})
+	}
+}
+
+// Guards against control requests that count as done, or as refused because of a newer fencing token, since the answer was broken.
+func TestBrokenAnswerToControlRequestIsAnError(t *testing.T) {
+	for name, call := range map[string]func(context.Context, *railupstream.Client) error{
+		"read the weights": func(ctx context.Context, e *railupstream.Client) error { _, _, err := e.LoadedWeights(ctx); return err },
+		"load weights": func(ctx context.Context, e *railupstream.Client) error {
+			return e.LoadWeights(ctx, []byte("manifest"), 1)
+		},
+		"list chunks": func(ctx context.Context, e *railupstream.Client) error { _, err := e.Chunks(ctx); return err },
+		"put a chunk": func(ctx context.Context, e *railupstream.Client) error {
+			return e.PutChunk(ctx, "digest", []byte("data"))
+		},
+		"read a chunk": func(ctx context.Context, e *railupstream.Client) error { _, err := e.Chunk(ctx, "digest"); return err },
+		"keep chunks":  func(ctx context.Context, e *railupstream.Client) error { return e.Keep(ctx, []string{"digest"}) },
+	} {
+		for kind, answer := range brokenAnswers {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				c := qt.New(t)
+				engine := startRawEngine(c, answer)
+				rejectReports(c, engine.Client)
+				err := call(t.Context(), engine.Client)
+				c.Check(err, qt.IsNotNil)
+				c.Check(errors.Is(err, railendpoint.ErrStaleFence), qt.IsFalse)
+			})
+		}
+	}
+}
--- a/internal/node/railentry/deployment_test.go
+++ b/internal/node/railentry/deployment_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -50,18 +52,25 @@
 	callTimeout  = time.Second
 	pollInterval = 5 * time.Millisecond
 	heldBody     = "held"
+	rawBody      = "HTTP/"
 )
 
-// plainEndpoint is a plain endpoint. A request whose body is heldBody is answered once release is closed.
+// plainEndpoint is a plain endpoint. A request whose body is heldBody is answered once release is closed, and one whose body begins with rawBody with
+// that body as the whole response.
 type plainEndpoint struct {
 	started, release chan struct{}
 	once             sync.Once
 }
 
 func (e *plainEndpoint) handle(ctx *fasthttp.RequestCtx) {
-	if string(ctx.PostBody()) == heldBody {
+	switch body := string(ctx.PostBody()); {
+	case body == heldBody:
 		e.once.Do(func() { close(e.started) })
 		<-e.release
+	case strings.HasPrefix(body, rawBody):
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(conn net.Conn) { _, _ = io.WriteString(conn, body) })
+		return
 	}
 	ctx.SetBodyString("done")
 }
