--- a/internal/endpoint/railexchange/exchange.go
+++ b/internal/endpoint/railexchange/exchange.go
@@ -46,12 +46,13 @@
 	// Header is the response header.
 	Header fasthttp.ResponseHeader
 
-	conn          net.Conn
+	conn          *net.TCPConn
 	reader        *bufio.Reader
 	body          io.Reader
 	stopAfterFunc func() bool
 	closeOnce     sync.Once
-	sendResult    chan error
+	// sent is closed once the request has been written to the connection, or can't be.
+	sent chan struct{}
 }
 
 // Start sends a request to an address and returns after it has read the response header. Cancelling ctx ends the whole exchange,
@@ -64,7 +65,7 @@
 		fasthttp.ReleaseRequest(req)
 		return nil, railverdict.NotRun, errors.Wrap(err, "connect")
 	}
-	e := &Exchange{conn: conn, sendResult: make(chan error, 1)}
+	e := &Exchange{conn: conn.(*net.TCPConn), sent: make(chan struct{})}
 	e.stopAfterFunc = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	if err := e.send(req); err != nil {
 		e.Close()
@@ -91,7 +92,8 @@
 
 // EndsWithConnection reports whether the end of the connection is the end of the body, so that a body that was cut off may look complete.
 func (e *Exchange) EndsWithConnection() bool {
-	return e.body == e.reader
+	_, ok := e.body.(*connectionReader)
+	return ok
 }
 
 // Close ends the exchange and closes the connection, which tells the endpoint to stop working on the request.
@@ -109,27 +111,26 @@
 // send writes and releases the request.
 func (e *Exchange) send(req *fasthttp.Request) error {
 	if len(req.Body()) <= asyncSendBytes {
-		defer fasthttp.ReleaseRequest(req)
 		return e.write(req)
 	}
-	go func() {
-		defer fasthttp.ReleaseRequest(req)
-		e.sendResult <- e.writeContained(req)
-	}()
+	go e.writeContained(req)
 	return nil
 }
 
-// writeContained is write, which returns a panic as an error: it runs apart from the request's other work, which contains its own.
-func (e *Exchange) writeContained(req *fasthttp.Request) (err error) {
+// writeContained is write, whose panic it contains: it runs apart from the request's other work, which contains its own. The reader sees by itself that
+// the connection has broken, and that it was closed after a panic, since the endpoint would wait for the rest of the request.
+func (e *Exchange) writeContained(req *fasthttp.Request) {
 	defer func() {
-		if p := railpanic.Recovered(recover(), nil, "send"); p != nil {
-			err = p
+		if railpanic.Recovered(recover(), nil, "send") != nil {
+			_ = e.conn.Close() // The connection is not used any more.
 		}
 	}()
-	return e.write(req)
+	_ = e.write(req)
 }
 
 func (e *Exchange) write(req *fasthttp.Request) error {
+	defer close(e.sent)
+	defer fasthttp.ReleaseRequest(req)
 	w := writerPool.Get().(*bufio.Writer)
 	defer writerPool.Put(w)
 	w.Reset(e.conn)
@@ -148,7 +149,7 @@
 	case n == chunkedLength:
 		return httputil.NewChunkedReader(e.reader)
 	case n == identityLength:
-		return e.reader
+		return &connectionReader{exchange: e}
 	default:
 		return &lengthReader{reader: e.reader, remaining: n}
 	}
--- a/internal/endpoint/railupstream/broken_answer_test.go
+++ b/internal/endpoint/railupstream/broken_answer_test.go
@@ -1,8 +1,13 @@
 package railupstream_test
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
+	"net/http"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
@@ -17,8 +22,13 @@
 const (
 	// reportLines is all that an endpoint can say of itself.
 	reportLines = railendpoint.LeavingHeader + ": 1\r\n" + railendpoint.LimitHeader + ": 0.5\r\nRetry-After: 40\r\n"
-	stateBody   = `{"digest":"a","incarnation":"e"}`
-	stateLines  = "Content-Length: 32\r\n\r\n" + stateBody
+	// uploadBytes is more than the buffers of both sockets of a connection hold.
+	uploadBytes = 4 << 20
+	// uploads is the number of plays of a case whose outcome depends on whether the sender or the reader finds the reset first.
+	uploads    = 5
+	resetDelay = 30 * time.Millisecond
+	stateBody  = `{"digest":"a","incarnation":"e"}`
+	stateLines = "Content-Length: 32\r\n\r\n" + stateBody
 )
 
 // brokenAnswers are responses that are none in the protocol. They state all that could make an agent act on them.
@@ -95,3 +105,40 @@
 		}
 	}
 }
+
+// startEarlyEngine starts an engine that reads only the header of each request, writes the response, and resets the connection while the request's body
+// is being sent.
+func startEarlyEngine(c *qt.C, response string) *railupstream.Client {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(conn)) // Without a request, the caller gets no response and reports that.
+			_, _ = io.WriteString(conn, response)
+			time.Sleep(resetDelay)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+	}()
+	return &railupstream.Client{Address: lis.Addr().String()}
+}
+
+// Guards against a part of an answer that counts as the whole, and against chunks and loads that count as done, since the answer had no length and its
+// connection was reset while the request was still being sent.
+func TestEarlyAnswerThatIsResetIsNotComplete(t *testing.T) {
+	body := make([]byte, uploadBytes)
+	for range uploads {
+		c := qt.New(t)
+		client := startEarlyEngine(c, "HTTP/1.1 200 OK\r\n\r\npart")
+		verdict, err := client.Run(t.Context(), &railproto.ExecuteRequest{RequestId: "r", Path: "/", Body: body}, func(f *railproto.Frame) { c.Errorf("frame: %v", f) })
+		c.Check(err, qt.IsNotNil)
+		c.Check(verdict, qt.Equals, railverdict.MayHaveRun)
+		c.Check(client.PutChunk(t.Context(), "digest", body), qt.IsNotNil)
+		c.Check(client.LoadWeights(t.Context(), body, 1), qt.IsNotNil)
+	}
+}
--- a/internal/node/railgateway/faulty_engine_test.go
+++ b/internal/node/railgateway/faulty_engine_test.go
@@ -27,6 +27,8 @@
 	name string
 	// respond writes the response to a request.
 	respond func(conn *net.TCPConn, r *http.Request)
+	// early is set if the engine leaves the request's body to respond.
+	early bool
 
 	arrivals atomic.Int64
 }
@@ -64,7 +66,9 @@
 			if err != nil {
 				return
 			}
-			_, _ = io.Copy(io.Discard, r.Body)
+			if !e.early {
+				_, _ = io.Copy(io.Discard, r.Body)
+			}
 			e.arrivals.Add(1)
 			e.respond(conn.(*net.TCPConn), r)
 		}()
