--- a/internal/endpoint/railframing/framing_test.go
+++ b/internal/endpoint/railframing/framing_test.go
@@ -44,3 +44,46 @@
 		})
 	}
 }
+
+// Guards against a field that is passed on with a name that is none, and against a body that ends where a field with such a name says, since fasthttp
+// keeps blanks within a name and drops those after it.
+func TestFieldsMustHaveValidNames(t *testing.T) {
+	for line, valid := range map[string]bool{
+		"X-Odd: 1": true,
+		"X-Odd:":   true,
+		"x:y:z":    true,
+		"!#$%&'*+-.^_`|~09azAZ: every sign of a token": true,
+		"X-Odd: first\r\n second:\r\n\tthird":          true,
+		"X-Odd: \x80\t":                                true,
+		"X Odd: 1":                                     false,
+		"X-Odd : 1":                                    false,
+		"X-Odd\t: 1":                                   false,
+		"X\x01Odd: 1":                                  false,
+		"X\x00Odd: 1":                                  false,
+		"X\x7fOdd: 1":                                  false,
+		"X\rOdd: 1":                                    false,
+		"X\x80Odd: 1":                                  false,
+		"X(Odd): 1":                                    false,
+		"X/Odd: 1":                                     false,
+		"\"X-Odd\": 1":                                 false,
+		": 1":                                          false,
+		"X-Odd":                                        false,
+		"X-Odd 1":                                      false,
+		"Content Length: 0":                            false,
+		"Content-Type : a":                             false,
+		"Transfer-Encoding : a":                        false,
+		"X-Odd: 1\r\nX Odd: 1":                         false,
+		"X Odd: 1\nX-Odd: 1":                           false,
+		"X-Odd: 1\r\n a\r\nX : b":                      false,
+	} {
+		t.Run(line, func(t *testing.T) {
+			header := []byte("HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 0\r\n\r\nX Odd: in the body")
+			header = header[:railframing.HeaderSize(header)]
+			if valid {
+				qt.Check(t, railframing.Check(header), qt.IsNil)
+				return
+			}
+			qt.Check(t, railframing.Check(header), qt.ErrorIs, railframing.ErrInvalidName)
+		})
+	}
+}
--- a/internal/endpoint/railupstream/broken_answer_test.go
+++ b/internal/endpoint/railupstream/broken_answer_test.go
@@ -38,6 +38,13 @@
 	"status 000 in events":           "HTTP/1.1 000 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\nX-First-Event: 2\r\n" + reportLines + "\r\n" + lastEvents,
 	"status 000 after informational": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK\r\n" + reportLines + stateLines,
 	"status 999":                     "HTTP/1.1 999 Text\r\n" + reportLines + stateLines,
+	"blank in a name":                "HTTP/1.1 200 OK\r\n" + reportLines + "X Odd: 1\r\n" + stateLines,
+	"blank after a name":             "HTTP/1.1 200 OK\r\n" + reportLines + "X-Odd : 1\r\n" + stateLines,
+	"control byte in a name":         "HTTP/1.1 200 OK\r\n" + reportLines + "X\x01Odd: 1\r\n" + stateLines,
+	"blank in events":                streamHead + "X-First-Event: 2\r\n" + reportLines + "X Odd: 1\r\n\r\n" + lastEvents,
+	"blank after a length":           "HTTP/1.1 200 OK\r\n" + reportLines + "Content-Length : 32\r\n\r\n" + stateBody + "more",
+	"blank in a refusal's name":      "HTTP/1.1 503 Service Unavailable\r\n" + reportLines + "X Odd: 1\r\n" + stateLines,
+	"blank in a stale fence's name":  "HTTP/1.1 412 Precondition Failed\r\n" + reportLines + "X Odd: 1\r\n" + stateLines,
 }
 
 // rejectReports makes the test fail if the client takes over what an endpoint says of itself.
--- a/internal/node/railentry/broken_answer_test.go
+++ b/internal/node/railentry/broken_answer_test.go
@@ -15,6 +15,11 @@
 		"status 000":                  "HTTP/1.1 000 OK\r\n" + end,
 		"status 000 without a length": "HTTP/1.1 000 OK\r\n\r\ndone",
 		"status 999":                  "HTTP/1.1 999 Text\r\n" + end,
+		"blank in a name":             "HTTP/1.1 200 OK\r\nX Odd: 1\r\n" + end,
+		"blank after a name":          "HTTP/1.1 200 OK\r\nX-Odd : 1\r\n" + end,
+		"control byte in a name":      "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\n" + end,
+		"blank after a length":        "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\ndone and more",
+		"blank in a refusal's name":   "HTTP/1.1 503 Service Unavailable\r\nX Odd: 1\r\n" + end,
 	} {
 		for _, service := range []string{"orders", "lookups"} {
 			t.Run(name+", "+service, func(t *testing.T) {
--- a/internal/node/railgateway/broken_answer_test.go
+++ b/internal/node/railgateway/broken_answer_test.go
@@ -29,6 +29,29 @@
 	"status 042":                     "HTTP/1.1 042 Text\r\n" + idLine + sealLine + reportLines + doneLines,
 	"status 999":                     "HTTP/1.1 999 Text\r\n" + idLine + sealLine + reportLines + doneLines,
 	"four digits":                    "HTTP/1.1 2000 OK\r\n" + idLine + sealLine + reportLines + doneLines,
+	"blank in a name":                withLine("200 OK", "X Odd: 1"),
+	"blank after a name":             withLine("200 OK", "X-Odd : 1"),
+	"tab after a name":               withLine("200 OK", "X-Odd\t: 1"),
+	"control byte in a name":         withLine("200 OK", "X\x01Odd: 1"),
+	"zero byte in a name":            withLine("200 OK", "X\x00Odd: 1"),
+	"delete in a name":               withLine("200 OK", "X\x7fOdd: 1"),
+	"no colon":                       withLine("200 OK", "X-Odd"),
+	"blank in a failure's name":      withLine("404 Not Found", "X Odd: 1"),
+	"blank in a refusal's name":      withLine("503 Service Unavailable", notRunHeader+": 1\r\nX Odd: 1"),
+	"blank after a refusal's proof":  withLine("503 Service Unavailable", notRunHeader+" : 1"),
+	"blank in a wrong engine's name": withLine("421 Misdirected Request", "X Odd: 1"),
+	"blank in informational":         "HTTP/1.1 103 Early Hints\r\nX-Odd : 1\r\n\r\nHTTP/1.1 200 OK\r\n" + idLine + sealLine + reportLines + doneLines,
+	"blank after a length":           "HTTP/1.1 200 OK\r\n" + idLine + sealLine + reportLines + "Content-Length : 4\r\n\r\ndone and more",
+	"blank after a failure's length": "HTTP/1.1 404 Not Found\r\n" + idLine + sealLine + reportLines + "Content-Length : 4\r\n\r\nnone and more",
+	"blank in a length":              "HTTP/1.1 200 OK\r\n" + idLine + sealLine + reportLines + "Content Length: 4\r\n\r\ndone",
+	"blank after an encoding":        "HTTP/1.1 200 OK\r\n" + idLine + sealLine + reportLines + "Transfer-Encoding : chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
+	"blank in a name, in events":     "HTTP/1.1 200 OK\r\n" + idLine + sealLine + reportLines + "X Odd: 1\r\n\r\nid: 1\ndata: x\n\n",
+	"blank in the seal's name":       "HTTP/1.1 200 OK\r\n" + idLine + reportLines + sealHeader + " : seal\r\n" + doneLines,
+}
+
+// withLine returns a complete response with a status and a line in its header.
+func withLine(status, line string) string {
+	return "HTTP/1.1 " + status + "\r\n" + idLine + sealLine + reportLines + line + "\r\n" + doneLines
 }
 
 // respondText returns a response of an engine that writes the text and closes.
@@ -91,3 +114,40 @@
 		})
 	}
 }
+
+// Guards against sound answers that are refused because their headers are unusual.
+func TestUnusualAnswerIsPassedOn(t *testing.T) {
+	const (
+		ok   = "HTTP/1.1 200 OK\r\n"
+		rest = idLine + sealLine + doneLines
+		name = "!#$%&'*+-.^_`|~0aZ"
+	)
+	for kind, c := range map[string]struct{ answer, name, value string }{
+		"every sign of a token in a name": {ok + name + ": 1\r\n" + rest, name, "1"},
+		"empty value":                     {ok + "X-Odd:\r\n" + rest, "X-Odd", ""},
+		"no blank before the value":       {ok + "X-Odd:1\r\n" + rest, "X-Odd", "1"},
+		"tabs in the value":               {ok + "X-Odd:\t1\t2\t\r\n" + rest, "X-Odd", "1\t2"},
+		"colons in the value":             {ok + "X-Odd: a : b:c\r\n" + rest, "X-Odd", "a : b:c"},
+		"bytes that are no ASCII":         {ok + "X-Odd: \xe9\xff\r\n" + rest, "X-Odd", "\xe9\xff"},
+		"value on two lines":              {ok + "X-Odd: 1\r\n  Content-Length: 9\r\n" + rest, "X-Odd", "1 Content-Length: 9"}, // RFC 9112, section 5.2: a proxy joins the lines.
+		"no reason":                       {"HTTP/1.1 200\r\nX-Odd: 1\r\n" + rest, "X-Odd", "1"},
+		"empty reason":                    {"HTTP/1.1 200 \r\nX-Odd: 1\r\n" + rest, "X-Odd", "1"},
+		"control byte in the reason":      {"HTTP/1.1 200 \x01\r\nX-Odd: 1\r\n" + rest, "X-Odd", "1"}, // The reason is not forwarded.
+		"two blanks before the status":    {"HTTP/1.1  200 OK\r\nX-Odd: 1\r\n" + rest, "X-Odd", "1"},  // RFC 9112, section 4, allows to read this.
+		"lower case":                      {ok + strings.ToLower("X-Odd: 1\r\n"+rest), "X-Odd", "1"},
+		"informational first":             {"HTTP/1.1 102\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + ok + "X-Odd: 1\r\n" + rest, "X-Odd", "1"},
+		"older protocol":                  {"HTTP/1.0 200 OK\r\nX-Odd: 1\r\n" + rest, "X-Odd", "1"},
+		"no length":                       {ok + "X-Odd: 1\r\n" + idLine + sealLine + "\r\ndone", "X-Odd", "1"},
+	} {
+		t.Run(kind, func(t *testing.T) {
+			d, _, far := newBrokenDeployment(t, "/unsafe/x", respondText(c.answer))
+			got := d.call(t, "/unsafe/x", validKey)
+			qt.Check(t, got.err, qt.IsNil)
+			qt.Check(t, got.status, qt.Equals, http.StatusOK)
+			qt.Check(t, got.body, qt.Equals, "done")
+			qt.Check(t, got.header.Get(sealHeader), qt.Equals, "seal")
+			qt.Check(t, strings.Join(got.header[http.CanonicalHeaderKey(c.name)], ","), qt.Equals, c.value, qt.Commentf("%v", got.header))
+			qt.Check(t, far.arrivals.Load(), qt.Equals, int64(0))
+		})
+	}
+}
