--- a/internal/endpoint/railexchange/exchange.go
+++ b/internal/endpoint/railexchange/exchange.go
@@ -21,6 +21,8 @@
 const (
 	// ConnectTimeout limits a connection attempt, since a VM that has lost power does not reply at all.
 	ConnectTimeout = 400 * time.Millisecond
+	// RefusalTimeout limits the time for which the body of a refusal may arrive, since another endpoint may take the request.
+	RefusalTimeout = 2 * time.Second
 	// userTimeout is the TCP user timeout: the time for which sent data may stay unacknowledged.
 	userTimeout = 2 * time.Second
 	bufferBytes = 4096
--- a/internal/endpoint/railupstream/broken_answer_test.go
+++ b/internal/endpoint/railupstream/broken_answer_test.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -47,15 +49,33 @@
 	"blank in a stale fence's name":  "HTTP/1.1 412 Precondition Failed\r\n" + reportLines + "X Odd: 1\r\n" + stateLines,
 }
 
+// truncatedAnswers are responses that break off in their body. All of them state their length, or have chunks.
+var truncatedAnswers = map[string]string{
+	"refusal":           "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n" + reportLines + "Content-Length: 9\r\n\r\nfull",
+	"refusal in chunks": "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n" + reportLines + "Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n",
+	"spoilt chunks":     "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n" + reportLines + "Transfer-Encoding: chunked\r\n\r\nzz\r\nfull\r\n0\r\n\r\n",
+	"stale fence":       "HTTP/1.1 412 Precondition Failed\r\nConnection: close\r\n" + reportLines + "Content-Length: 9\r\n\r\nfull",
+	"success":           "HTTP/1.1 200 OK\r\nConnection: close\r\n" + reportLines + "Content-Length: 90\r\n\r\n" + stateBody,
+	"failure":           "HTTP/1.1 500 Internal Server Error\r\nConnection: close\r\n" + reportLines + "Content-Length: 9\r\n\r\nfull",
+	"events":            streamHead + reportLines + "Content-Length: 90\r\n\r\ndata: {\"weig",
+}
+
 // rejectReports makes the test fail if the client takes over what an endpoint says of itself.
 func rejectReports(c *qt.C, client *railupstream.Client) {
 	client.OnReport = func(incarnation string, said railheader.SelfReport) { c.Errorf("report of %q: %+v", incarnation, said) }
 	client.OnLimit = func(r railendpoint.LimitReport) { c.Errorf("limit: %+v", r) }
 }
 
+// allBrokenAnswers returns the broken and the truncated answers.
+func allBrokenAnswers() map[string]string {
+	all := maps.Clone(truncatedAnswers)
+	maps.Copy(all, brokenAnswers)
+	return all
+}
+
 // Guards against broken answers of an endpoint that callers get, that count as a refusal, or that say something of the endpoint.
 func TestBrokenAnswerIsNeitherPassedOnNorProof(t *testing.T) {
-	for name, answer := range brokenAnswers {
+	for name, answer := range allBrokenAnswers() {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			engine := startRawEngine(c, answer)
@@ -71,7 +91,7 @@
 
 // Guards against streams that go on with a broken answer.
 func TestBrokenAnswerDoesNotResumeAStream(t *testing.T) {
-	for name, answer := range brokenAnswers {
+	for name, answer := range allBrokenAnswers() {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			engine := startRawEngine(c, streamHead+"\r\n"+firstEvents, answer)
@@ -86,6 +106,19 @@
 	}
 }
 
+// Guards against requests that wait for their deadline at an endpoint that has begun to refuse them.
+func TestRefusalThatDoesNotEndIsNoProof(t *testing.T) {
+	c := qt.New(t)
+	engine := startRawEngine(c, strings.Replace(truncatedAnswers["refusal"], "Connection: close\r\n", "", 1))
+	rejectReports(c, engine.Client)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	verdict, err := engine.Run(ctx, &railproto.ExecuteRequest{RequestId: "r", Path: "/", Idempotent: true}, func(*railproto.Frame) {})
+	c.Check(err, qt.IsNotNil)
+	c.Check(verdict, qt.Equals, railverdict.MayHaveRun)
+	c.Check(ctx.Err(), qt.IsNil, qt.Commentf("the request lasted until its deadline"))
+}
+
 // Guards against control requests that count as done, or as refused because of a newer fencing token, since the answer was broken.
 func TestBrokenAnswerToControlRequestIsAnError(t *testing.T) {
 	for name, call := range map[string]func(context.Context, *railupstream.Client) error{
@@ -100,7 +133,7 @@
 		"read a chunk": func(ctx context.Context, e *railupstream.Client) error { _, err := e.Chunk(ctx, "digest"); return err },
 		"keep chunks":  func(ctx context.Context, e *railupstream.Client) error { return e.Keep(ctx, []string{"digest"}) },
 	} {
-		for kind, answer := range brokenAnswers {
+		for kind, answer := range allBrokenAnswers() {
 			t.Run(name+", "+kind, func(t *testing.T) {
 				c := qt.New(t)
 				engine := startRawEngine(c, answer)
--- a/internal/endpoint/railupstream/client.go
+++ b/internal/endpoint/railupstream/client.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,10 +38,10 @@
 type Client struct {
 	// Address is the endpoint's IP address and port.
 	Address string
-	// OnReport is called with what the endpoint says of itself in each response, and with the incarnation of the engine, or an empty string
-	// if the response does not state it. It may be nil.
+	// OnReport is called with what the endpoint says of itself in each response that is not broken, and with the incarnation of the engine, or an
+	// empty string if the response does not state it. It may be nil.
 	OnReport func(incarnation string, said railheader.SelfReport)
-	// OnLimit is called with what each response says of the number of requests that the endpoint takes, unless all that it names is malformed. It
+	// OnLimit is called with what each such response says of the number of requests that the endpoint takes, unless all that it names is malformed. It
 	// may be nil.
 	OnLimit func(railendpoint.LimitReport)
 	// OnResume is called before each request that resumes a stream. It may be nil.
@@ -91,8 +92,12 @@
 		return verdict, errors.Wrap(err, "call the endpoint")
 	}
 	defer exchange.Close()
-	c.report(&exchange.Header, railendpoint.LimitReport{SentAt: sentAt})
-	return c.handleResponse(ctx, req, incarnation, exchange, emit)
+	if exchange.Header.StatusCode() == fasthttp.StatusServiceUnavailable && req.GetIdempotent() {
+		limit := time.AfterFunc(railexchange.RefusalTimeout, cancel)
+		defer limit.Stop()
+	}
+	report := sync.OnceFunc(func() { c.report(&exchange.Header, railendpoint.LimitReport{SentAt: sentAt}) })
+	return c.handleResponse(ctx, req, incarnation, exchange, report, emit)
 }
 
 // LoadedWeights returns the digest of the weights in service and the engine's incarnation.
@@ -181,27 +186,32 @@
 	return req
 }
 
-func (c *Client) handleResponse(ctx context.Context, req *railproto.ExecuteRequest, incarnation string, exchange *railexchange.Exchange, emit func(*railproto.Frame)) (railverdict.Verdict, error) {
+// handleResponse emits the frames of a response. It calls report, maybe more than once, unless the response is broken.
+func (c *Client) handleResponse(
+	ctx context.Context, req *railproto.ExecuteRequest, incarnation string, exchange *railexchange.Exchange, report func(), emit func(*railproto.Frame),
+) (railverdict.Verdict, error) {
 	status := exchange.Header.StatusCode()
-	// Status 503 proves that an idempotent request was not run. A service whose requests must not be repeated may have run a
-	// request that it answers with an error.
-	if status == fasthttp.StatusServiceUnavailable && req.GetIdempotent() {
-		return railverdict.NotRun, errors.New("the endpoint refused the request")
-	}
 	contentType := strings.ToValidUTF8(string(exchange.Header.ContentType()), "?") // Only valid text can be sent to an entry.
 	if status == fasthttp.StatusOK && strings.HasPrefix(contentType, eventStreamType) {
-		if err := c.forwardStream(ctx, req.GetRequestId(), exchange, emit); err != nil {
+		if err := c.forwardStream(ctx, req.GetRequestId(), exchange, reporting(report, emit)); err != nil {
 			return railverdict.MayHaveRun, err
 		}
 		return railverdict.Ran, nil
 	}
+	// Status 503 proves that an idempotent request was not run. A service whose requests must not be repeated may have run a
+	// request that it answers with an error.
+	refused := status == fasthttp.StatusServiceUnavailable && req.GetIdempotent()
 	body, err := exchange.ReadAll(maxResponseBytes, nil)
-	if err == nil && exchange.EndsWithConnection() {
+	if err == nil && !refused && exchange.EndsWithConnection() {
 		err = c.checkNotCut(ctx, incarnation)
 	}
 	if err != nil {
 		return railverdict.MayHaveRun, errors.Wrap(errors.CombineErrors(railendpoint.ErrTruncated, err), "read the answer")
 	}
+	report()
+	if refused {
+		return railverdict.NotRun, errors.New("the endpoint refused the request")
+	}
 	if incarnation != "" && status == fasthttp.StatusOK {
 		if err := c.checkWeights(ctx); err != nil {
 			return railverdict.MayHaveRun, err
@@ -256,8 +266,8 @@
 	return reply.content, err
 }
 
-// exchangeControl sends a control request. It returns nil and an error if there is no response, and both if the response is broken or does not
-// have status 200.
+// exchangeControl sends a control request. It returns nil and an error if there is no complete response, and both if the response does not have
+// status 200.
 func (c *Client) exchangeControl(ctx context.Context, method, path string, body []byte, fence int64) (*controlReply, error) {
 	ctx, cancel := withTimeout(ctx)
 	defer cancel()
@@ -269,11 +279,11 @@
 		return nil, errors.Wrapf(err, "%s %s", method, path)
 	}
 	defer exchange.Close()
-	exchange.Header.CopyTo(&reply.header)
 	content, err := exchange.ReadAll(maxResponseBytes, nil)
 	if err != nil {
-		return reply, errors.Wrapf(err, "%s %s", method, path)
+		return nil, errors.Wrapf(err, "%s %s", method, path)
 	}
+	exchange.Header.CopyTo(&reply.header)
 	switch status := reply.header.StatusCode(); status {
 	case fasthttp.StatusOK:
 		reply.content = content
--- a/internal/endpoint/railupstream/cut_test.go
+++ b/internal/endpoint/railupstream/cut_test.go
@@ -78,12 +78,14 @@
 		"length":    head + "Content-Length: 4\r\n\r\ndone",
 		"chunks":    head + "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n",
 		"no length": head + "\r\n",
-		"refusal":   refusal[:len(refusal)-len("\r\n\r\nfull")],
+		"refusal":   refusal,
 	} {
 		for _, reset := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, reset %t", name, reset), func(t *testing.T) {
 				for length := range response {
-					verdict, complete, err := runCut(t, startCutEngine(t, &cutEngine{text: response[:length], reset: reset}))
+					client := startCutEngine(t, &cutEngine{text: response[:length], reset: reset})
+					rejectReports(qt.New(t), client)
+					verdict, complete, err := runCut(t, client)
 					qt.Check(t, verdict, qt.Equals, railverdict.MayHaveRun, qt.Commentf("cut after %d bytes: %v", length, err))
 					qt.Check(t, complete, qt.IsFalse)
 					qt.Check(t, err, qt.IsNotNil)
--- a/internal/endpoint/railupstream/limit_test.go
+++ b/internal/endpoint/railupstream/limit_test.go
@@ -18,7 +18,7 @@
 	_, _ = client.Run(t.Context(), &railproto.ExecuteRequest{Path: "/", Idempotent: true}, func(*railproto.Frame) {})
 }
 
-// Guards against a limit that an endpoint names in any of its responses, early and broken ones too, and nobody reads.
+// Guards against a limit that an endpoint names in any of its responses, refusals and failures too, and nobody reads.
 func TestLimitIsReportedFromEachResponse(t *testing.T) {
 	for name, test := range map[string]struct {
 		values    []string
--- a/internal/endpoint/railupstream/stream.go
+++ b/internal/endpoint/railupstream/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -131,15 +132,30 @@
 	if c.OnResume != nil {
 		c.OnResume()
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	sentAt := time.Now()
 	exchange, _, err := railexchange.Start(ctx, c.Address, req)
 	if err != nil {
 		return railendpoint.ErrTruncated
 	}
 	defer exchange.Close()
-	c.report(&exchange.Header, railendpoint.LimitReport{SentAt: sentAt})
+	report := sync.OnceFunc(func() { c.report(&exchange.Header, railendpoint.LimitReport{SentAt: sentAt}) })
 	if exchange.Header.StatusCode() != fasthttp.StatusOK || string(exchange.Header.Peek(firstEventHeader)) != nextEvent {
+		limit := time.AfterFunc(railexchange.RefusalTimeout, cancel)
+		defer limit.Stop()
+		if _, err := exchange.ReadAll(maxResponseBytes, nil); err == nil {
+			report()
+		}
 		return errUnknownStream
 	}
-	return s.readEvents(exchange, emit)
+	return s.readEvents(exchange, reporting(report, emit))
+}
+
+// reporting returns emit, which calls report first: a stream counts as a response from its first event on.
+func reporting(report func(), emit func(*railproto.Frame)) func(*railproto.Frame) {
+	return func(f *railproto.Frame) {
+		report()
+		emit(f)
+	}
 }
--- a/internal/node/railgateway/attempt.go
+++ b/internal/node/railgateway/attempt.go
@@ -25,6 +25,9 @@
 	plainTimeoutFactor = 3
 )
 
+// errSlowRefusal means that an endpoint has begun to refuse a request, and has not completed its response in time.
+var errSlowRefusal = errors.New("the endpoint's refusal is not complete in time")
+
 // attempt is one attempt to run a request at an endpoint.
 type attempt struct {
 	lease *railfleet.Lease
@@ -144,7 +147,6 @@
 		return verdict, a.markCause(c, err)
 	}
 	a.responseInfo = g.Translator.ParseResponse(&exchange.Header)
-	g.recordSelfReport(c, a)
 	verdict, err = g.readResponse(c, a)
 	return verdict, a.markCause(c, err)
 }
@@ -175,27 +177,51 @@
 	return errors.IsAny(err, errWrongResponse, errServerError, errRejected, errUnprovenRefusal, errEventGap) || isPanic(err)
 }
 
-// readResponse checks a response's headers, and reads a stream up to its first event and any other response completely.
+// readResponse reads a stream up to its first event and any other response completely, and checks the response's header. Nothing that the header says
+// counts before that, since a response that breaks off is none.
 func (g *Gateway) readResponse(c *call, a *attempt) (railverdict.Verdict, error) {
+	if c.route.Kind == railroute.KindStreaming && a.exchange.Header.StatusCode() < fasthttp.StatusMultipleChoices && !a.responseInfo.NotRun {
+		return g.readStreamStart(c, a)
+	}
+	if err := g.readBody(c, a); err != nil {
+		return railverdict.MayHaveRun, err
+	}
+	g.recordSelfReport(c, a)
 	if verdict, err := checkHeader(c, a); err != nil {
 		return verdict, err
 	}
-	if c.route.Kind == railroute.KindStreaming && a.exchange.Header.StatusCode() < fasthttp.StatusMultipleChoices {
-		return a.readFirstEvent()
-	}
-	body, err := a.exchange.ReadAll(maxResponseBytes, &g.responseMemory)
-	a.body = body
-	if err == nil && a.endedWithEngine(c) {
-		err = railexchange.ErrTruncated
+	a.lease.Started()
+	a.recordSuccess()
+	return railverdict.Ran, nil
+}
+
+// readStreamStart checks a stream's header and reads its first event.
+func (g *Gateway) readStreamStart(c *call, a *attempt) (railverdict.Verdict, error) {
+	if verdict, err := checkHeader(c, a); err != nil {
+		return verdict, err
 	}
-	if err != nil {
+	if err := a.readFirstEvent(); err != nil {
 		return railverdict.MayHaveRun, err
 	}
+	g.recordSelfReport(c, a)
 	a.lease.Started()
-	a.recordSuccess()
 	return railverdict.Ran, nil
 }
 
+// readBody reads the body of a response that is not a stream. That of a refusal must be complete within railexchange.RefusalTimeout.
+func (g *Gateway) readBody(c *call, a *attempt) error {
+	if a.responseInfo.NotRun {
+		limit := time.AfterFunc(railexchange.RefusalTimeout, func() { a.cancel(errSlowRefusal) })
+		defer limit.Stop()
+	}
+	body, err := a.exchange.ReadAll(maxResponseBytes, &g.responseMemory)
+	a.body = body
+	if err == nil && !a.responseInfo.NotRun && a.endedWithEngine(c) {
+		err = railexchange.ErrTruncated
+	}
+	return err
+}
+
 // checkHeader returns an error unless a response's header is that of an answer to the request which its caller may get.
 func checkHeader(c *call, a *attempt) (railverdict.Verdict, error) {
 	switch status := a.exchange.Header.StatusCode(); {
@@ -216,15 +242,13 @@
 	return railverdict.Ran, nil
 }
 
-func (a *attempt) readFirstEvent() (railverdict.Verdict, error) {
+func (a *attempt) readFirstEvent() (err error) {
 	a.isStream = true
 	a.events = railexchange.NewEvents(a.exchange)
-	var err error
 	if a.firstEvent, err = a.events.Next(); err != nil {
-		return railverdict.MayHaveRun, errors.Mark(err, railexchange.ErrTruncated)
+		return errors.Mark(err, railexchange.ErrTruncated)
 	}
-	a.lease.Started()
-	return railverdict.Ran, nil
+	return nil
 }
 
 // newRequest returns the request to send to a lease's endpoint. All attempts share the caller's body.
--- a/internal/node/railgateway/broken_answer_test.go
+++ b/internal/node/railgateway/broken_answer_test.go
@@ -3,10 +3,12 @@
 import (
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -54,6 +56,24 @@
 	return "HTTP/1.1 " + status + "\r\n" + idLine + sealLine + reportLines + line + "\r\n" + doneLines
 }
 
+// truncatedAnswers are responses with sound headers that break off in their body.
+var truncatedAnswers = map[string]string{
+	"truncated success":      "HTTP/1.1 200 OK\r\n" + idLine + sealLine + reportLines + "Content-Length: 9\r\n\r\ndone",
+	"truncated failure":      "HTTP/1.1 500 Text\r\n" + idLine + sealLine + reportLines + "Content-Length: 9\r\n\r\nfail",
+	"truncated refusal":      "HTTP/1.1 503 Text\r\n" + idLine + notRunHeader + ": 1\r\n" + reportLines + "Content-Length: 9\r\n\r\nfull",
+	"refusal in half chunks": "HTTP/1.1 503 Text\r\n" + idLine + notRunHeader + ": 1\r\n" + reportLines + "Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n",
+	"refusal in odd chunks":  "HTTP/1.1 503 Text\r\n" + idLine + notRunHeader + ": 1\r\n" + reportLines + "Transfer-Encoding: chunked\r\n\r\nzz\r\nfull\r\n0\r\n\r\n",
+	"truncated wrong engine": "HTTP/1.1 421 Text\r\n" + idLine + reportLines + "Content-Length: 9\r\n\r\nelse",
+	"truncated first event":  "HTTP/1.1 200 OK\r\n" + idLine + sealLine + reportLines + "Content-Length: 20\r\n\r\nid: 1\ndata: x\n",
+}
+
+// allBrokenAnswers returns the answers with broken headers and the truncated ones.
+func allBrokenAnswers() map[string]string {
+	all := maps.Clone(truncatedAnswers)
+	maps.Copy(all, brokenHeaders)
+	return all
+}
+
 // respondText returns a response of an engine that writes the text and closes.
 func respondText(text string) func(*net.TCPConn, *http.Request) {
 	return func(conn *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(conn, text) }
@@ -75,7 +95,7 @@
 
 // Guards against broken answers that callers get, that count as a refusal or a success, or whose headers say something of their engine.
 func TestBrokenAnswerIsNeitherPassedOnNorProof(t *testing.T) {
-	for name, answer := range brokenHeaders {
+	for name, answer := range allBrokenAnswers() {
 		for path, want := range map[string]struct {
 			status     int
 			farArrives int64
@@ -100,7 +120,7 @@
 
 // Guards against streams that are resumed with a broken answer, or end with it as if they were complete.
 func TestBrokenAnswerDoesNotResumeAStream(t *testing.T) {
-	for name, answer := range brokenHeaders {
+	for name, answer := range allBrokenAnswers() {
 		t.Run(name, func(t *testing.T) {
 			near := &rawEngine{name: "near", respond: respondBrokenStream(true, "")}
 			far := &rawEngine{name: "far", respond: respondText(strings.ReplaceAll(answer, "id: 1", "id: 3"))}
@@ -151,3 +171,22 @@
 		})
 	}
 }
+
+// Guards against requests that wait for their deadline at an engine that has begun to refuse them.
+func TestRefusalThatDoesNotEndIsNoProof(t *testing.T) {
+	for path, status := range map[string]int{"/unsafe/x": http.StatusBadGateway, "/safe/x": http.StatusOK} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			d, near, _ := newBrokenDeployment(t, path, func(conn *net.TCPConn, _ *http.Request) {
+				_, _ = io.WriteString(conn, truncatedAnswers["truncated refusal"])
+				_, _ = io.Copy(io.Discard, conn)
+			})
+			begun := time.Now()
+			got := d.call(t, path, validKey)
+			qt.Check(t, got.status, qt.Equals, status)
+			qt.Check(t, time.Since(begun) < requestTimeout/2, qt.IsTrue)
+			qt.Check(t, near.arrivals.Load(), qt.Equals, int64(1))
+			qt.Check(t, d.log.String(), qt.Not(qt.Contains), "source=response")
+		})
+	}
+}
