--- a/internal/node/railgateway/attempt.go
+++ b/internal/node/railgateway/attempt.go
@@ -177,46 +177,50 @@
 	return errors.IsAny(err, errWrongResponse, errServerError, errRejected, errUnprovenRefusal, errEventGap) || isPanic(err)
 }
 
-// readResponse reads a stream up to its first event and any other response completely, and checks the response's header. Nothing that the header says
-// counts before that, since a response that breaks off is none.
+// readResponse checks a response's header, and reads a stream up to its first event and any other response completely. What the header says of the
+// request or the endpoint counts only after that, since a response that breaks off is none.
 func (g *Gateway) readResponse(c *call, a *attempt) (railverdict.Verdict, error) {
-	if c.route.Kind == railroute.KindStreaming && a.exchange.Header.StatusCode() < fasthttp.StatusMultipleChoices && !a.responseInfo.NotRun {
-		return g.readStreamStart(c, a)
+	verdict, refusal := checkHeader(c, a)
+	if errors.Is(refusal, errWrongResponse) {
+		return verdict, refusal
 	}
-	if err := g.readBody(c, a); err != nil {
+	isStream := c.route.Kind == railroute.KindStreaming && a.exchange.Header.StatusCode() < fasthttp.StatusMultipleChoices
+	var err error
+	switch {
+	case refusal != nil:
+		err = g.readRefusal(a)
+	case isStream:
+		err = a.readFirstEvent()
+	default:
+		err = g.readBody(c, a)
+	}
+	if err != nil {
 		return railverdict.MayHaveRun, err
 	}
 	g.recordSelfReport(c, a)
-	if verdict, err := checkHeader(c, a); err != nil {
-		return verdict, err
+	if refusal != nil {
+		return verdict, refusal
 	}
 	a.lease.Started()
-	a.recordSuccess()
+	if !isStream {
+		a.recordSuccess()
+	}
 	return railverdict.Ran, nil
 }
 
-// readStreamStart checks a stream's header and reads its first event.
-func (g *Gateway) readStreamStart(c *call, a *attempt) (railverdict.Verdict, error) {
-	if verdict, err := checkHeader(c, a); err != nil {
-		return verdict, err
-	}
-	if err := a.readFirstEvent(); err != nil {
-		return railverdict.MayHaveRun, err
-	}
-	g.recordSelfReport(c, a)
-	a.lease.Started()
-	return railverdict.Ran, nil
+// readRefusal reads the body of a response that its caller does not get. It must be complete within railexchange.RefusalTimeout.
+func (g *Gateway) readRefusal(a *attempt) error {
+	limit := time.AfterFunc(railexchange.RefusalTimeout, func() { a.cancel(errSlowRefusal) })
+	defer limit.Stop()
+	_, err := a.exchange.ReadAll(maxResponseBytes, &g.responseMemory)
+	return err
 }
 
-// readBody reads the body of a response that is not a stream. That of a refusal must be complete within railexchange.RefusalTimeout.
+// readBody reads the body of a response that is not a stream.
 func (g *Gateway) readBody(c *call, a *attempt) error {
-	if a.responseInfo.NotRun {
-		limit := time.AfterFunc(railexchange.RefusalTimeout, func() { a.cancel(errSlowRefusal) })
-		defer limit.Stop()
-	}
 	body, err := a.exchange.ReadAll(maxResponseBytes, &g.responseMemory)
 	a.body = body
-	if err == nil && !a.responseInfo.NotRun && a.endedWithEngine(c) {
+	if err == nil && a.endedWithEngine(c) {
 		err = railexchange.ErrTruncated
 	}
 	return err
--- a/internal/node/railgateway/broken_answer_test.go
+++ b/internal/node/railgateway/broken_answer_test.go
@@ -190,3 +190,24 @@
 		})
 	}
 }
+
+// Trailers are dropped, whatever they say: a body in chunks is complete with its last chunk.
+func TestTrailersAreNeitherPassedOnNorHeeded(t *testing.T) {
+	const chunks = "HTTP/1.1 200 OK\r\n" + idLine + sealLine + "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n"
+	for name, trailers := range map[string]string{
+		"reports":         reportLines + notRunHeader + ": 1\r\n\r\n",
+		"other seal":      sealHeader + ": other\r\n\r\n",
+		"blank in a name": "X Odd: 1\r\n\r\n",
+		"cut":             "X-Odd",
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, _, _ := newBrokenDeployment(t, "/unsafe/x", respondText(chunks+trailers))
+			got := d.call(t, "/unsafe/x", validKey)
+			qt.Check(t, got.err, qt.IsNil)
+			qt.Check(t, got.status, qt.Equals, http.StatusOK)
+			qt.Check(t, got.body, qt.Equals, "done")
+			qt.Check(t, got.header.Get(sealHeader), qt.Equals, "seal")
+			qt.Check(t, d.log.String(), qt.Not(qt.Contains), "source=response")
+		})
+	}
+}
