--- a/internal/endpoint/railexchange/early_answer_test.go
+++ b/internal/endpoint/railexchange/early_answer_test.go
@@ -1,7 +1,6 @@
 package railexchange_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -14,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/fulmarrail/fulmarrail/internal/endpoint/railexchange"
+	"github.com/fulmarrail/fulmarrail/internal/lab/railrawserver"
 )
 
 const (
@@ -24,34 +24,6 @@
 	early       = "HTTP/1.1 200 OK\r\n\r\n"
 )
 
-// startEarlyServer starts an endpoint that reads only the header of a request, writes the response, and hands over the connection and what it has not
-// read of the request.
-func startEarlyServer(t *testing.T, response string, then func(conn *net.TCPConn, rest io.Reader)) string {
-	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { _ = lis.Close() })
-	go func() {
-		for {
-			conn, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				var h fasthttp.RequestHeader
-				if h.Read(reader) != nil {
-					return
-				}
-				_, _ = io.WriteString(conn, response)
-				then(conn.(*net.TCPConn), reader)
-			}()
-		}
-	}()
-	return lis.Addr().String()
-}
-
 // upload sends a request with a body of some bytes and returns the response's exchange.
 func upload(t *testing.T, address string, size int) (*railexchange.Exchange, error) {
 	t.Helper()
@@ -102,7 +74,7 @@
 		} {
 			t.Run(response+", "+ending, func(t *testing.T) {
 				t.Parallel()
-				address := startEarlyServer(t, head+"part", then)
+				address := railrawserver.StartEarly(t, head+"part", then)
 				for range plays {
 					e, err := upload(t, address, uploadBytes)
 					if err != nil {
@@ -120,7 +92,7 @@
 // Guards against a stream that ends as if it were complete, since it had no length and was reset between two events while the request was still being
 // sent.
 func TestEarlyStreamWithoutLengthIsNotCompleteAfterReset(t *testing.T) {
-	address := startEarlyServer(t, early+"id: 1\ndata: a\n\n", reset(30*time.Millisecond))
+	address := railrawserver.StartEarly(t, early+"id: 1\ndata: a\n\n", reset(30*time.Millisecond))
 	for range plays {
 		e, err := upload(t, address, uploadBytes)
 		qt.Assert(t, err, qt.IsNil)
@@ -167,7 +139,7 @@
 			}
 			t.Run(fmt.Sprintf("%s, %d bytes", name, size), func(t *testing.T) {
 				t.Parallel()
-				e, err := upload(t, startEarlyServer(t, test.response, test.then), size)
+				e, err := upload(t, railrawserver.StartEarly(t, test.response, test.then), size)
 				qt.Assert(t, err, qt.IsNil)
 				body, err := e.ReadAll(maxBodyBytes, nil)
 				qt.Check(t, err, qt.IsNil)
--- a/internal/endpoint/railupstream/broken_answer_test.go
+++ b/internal/endpoint/railupstream/broken_answer_test.go
@@ -1,12 +1,10 @@
 package railupstream_test
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"maps"
 	"net"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -16,6 +14,7 @@
 
 	"github.com/fulmarrail/fulmarrail/internal/endpoint/railendpoint"
 	"github.com/fulmarrail/fulmarrail/internal/endpoint/railupstream"
+	"github.com/fulmarrail/fulmarrail/internal/lab/railrawserver"
 	"github.com/fulmarrail/fulmarrail/internal/request/railheader"
 	"github.com/fulmarrail/fulmarrail/internal/request/railverdict"
 	"github.com/fulmarrail/fulmarrail/internal/wire/railproto"
@@ -146,35 +145,16 @@
 	}
 }
 
-// startEarlyEngine starts an engine that reads only the header of each request, writes the response, and resets the connection while the request's body
-// is being sent.
-func startEarlyEngine(c *qt.C, response string) *railupstream.Client {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { _ = lis.Close() })
-	go func() {
-		for {
-			conn, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = http.ReadRequest(bufio.NewReader(conn)) // Without a request, the caller gets no response and reports that.
-			_, _ = io.WriteString(conn, response)
-			time.Sleep(resetDelay)
-			_ = conn.(*net.TCPConn).SetLinger(0)
-			_ = conn.Close()
-		}
-	}()
-	return &railupstream.Client{Address: lis.Addr().String()}
-}
-
 // Guards against a part of an answer that counts as the whole, and against chunks and loads that count as done, since the answer had no length and its
 // connection was reset while the request was still being sent.
 func TestEarlyAnswerThatIsResetIsNotComplete(t *testing.T) {
 	body := make([]byte, uploadBytes)
+	client := &railupstream.Client{Address: railrawserver.StartEarly(t, "HTTP/1.1 200 OK\r\n\r\npart", func(conn *net.TCPConn, _ io.Reader) {
+		time.Sleep(resetDelay)
+		_ = conn.SetLinger(0)
+	})}
 	for range uploads {
 		c := qt.New(t)
-		client := startEarlyEngine(c, "HTTP/1.1 200 OK\r\n\r\npart")
 		verdict, err := client.Run(t.Context(), &railproto.ExecuteRequest{RequestId: "r", Path: "/", Body: body}, func(f *railproto.Frame) { c.Errorf("frame: %v", f) })
 		c.Check(err, qt.IsNotNil)
 		c.Check(verdict, qt.Equals, railverdict.MayHaveRun)
