--- a/internal/endpoint/railupstream/client.go
+++ b/internal/endpoint/railupstream/client.go
@@ -186,7 +186,7 @@
 	return req
 }
 
-// handleResponse emits the frames of a response. It calls report, maybe more than once, unless the response is broken.
+// handleResponse emits the frames of a response. It calls report, which acts only once, as soon as the response is known not to be broken.
 func (c *Client) handleResponse(
 	ctx context.Context, req *railproto.ExecuteRequest, incarnation string, exchange *railexchange.Exchange, report func(), emit func(*railproto.Frame),
 ) (railverdict.Verdict, error) {
