--- a/internal/node/railgateway/broken_answer_test.go
+++ b/internal/node/railgateway/broken_answer_test.go
@@ -79,18 +79,17 @@
 	return func(conn *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(conn, text) }
 }
 
-// newBrokenDeployment returns a deployment whose preferred engine responds with respond, and whose other one with a success.
-func newBrokenDeployment(t *testing.T, path string, respond func(*net.TCPConn, *http.Request)) (d *deployment, near, far *rawEngine) {
+// newBrokenDeployment returns a deployment with the preferred engine near, and another one that responds with a success.
+func newBrokenDeployment(t *testing.T, path string, near *rawEngine) (d *deployment, far *rawEngine) {
 	t.Helper()
 	body := "done"
 	if strings.HasPrefix(path, "/stream/") {
 		body = "id: 1\ndata: a\n\n"
 	}
-	near = &rawEngine{name: "near", respond: respond}
 	far = &rawEngine{name: "far", respond: respondRaw(200, "ID\r\n"+sealLine, body)}
 	d = newRawDeployment(t, near, far)
 	d.gateway.Fleet.Log = slog.New(slog.NewTextHandler(&d.log, nil))
-	return d, near, far
+	return d, far
 }
 
 // Guards against broken answers that callers get, that count as a refusal or a success, or whose headers say something of their engine.
@@ -105,7 +104,8 @@
 			"/stream/x": {http.StatusOK, 1},
 		} {
 			t.Run(name+path, func(t *testing.T) {
-				d, near, far := newBrokenDeployment(t, path, respondText(answer))
+				near := &rawEngine{name: "near", respond: respondText(answer)}
+				d, far := newBrokenDeployment(t, path, near)
 				got := d.call(t, path, validKey)
 				qt.Check(t, got.err, qt.IsNil)
 				qt.Check(t, got.status, qt.Equals, want.status)
@@ -160,7 +160,7 @@
 		"no length":                       {ok + "X-Odd: 1\r\n" + idLine + sealLine + "\r\ndone", "X-Odd", "1"},
 	} {
 		t.Run(kind, func(t *testing.T) {
-			d, _, far := newBrokenDeployment(t, "/unsafe/x", respondText(c.answer))
+			d, far := newBrokenDeployment(t, "/unsafe/x", &rawEngine{name: "near", respond: respondText(c.answer)})
 			got := d.call(t, "/unsafe/x", validKey)
 			qt.Check(t, got.err, qt.IsNil)
 			qt.Check(t, got.status, qt.Equals, http.StatusOK)
@@ -177,10 +177,11 @@
 	for path, status := range map[string]int{"/unsafe/x": http.StatusBadGateway, "/safe/x": http.StatusOK} {
 		t.Run(path, func(t *testing.T) {
 			t.Parallel()
-			d, near, _ := newBrokenDeployment(t, path, func(conn *net.TCPConn, _ *http.Request) {
+			near := &rawEngine{name: "near", respond: func(conn *net.TCPConn, _ *http.Request) {
 				_, _ = io.WriteString(conn, truncatedAnswers["truncated refusal"])
 				_, _ = io.Copy(io.Discard, conn)
-			})
+			}}
+			d, _ := newBrokenDeployment(t, path, near)
 			begun := time.Now()
 			got := d.call(t, path, validKey)
 			qt.Check(t, got.status, qt.Equals, status)
@@ -201,7 +202,7 @@
 		"cut":             "X-Odd",
 	} {
 		t.Run(name, func(t *testing.T) {
-			d, _, _ := newBrokenDeployment(t, "/unsafe/x", respondText(chunks+trailers))
+			d, _ := newBrokenDeployment(t, "/unsafe/x", &rawEngine{name: "near", respond: respondText(chunks + trailers)})
 			got := d.call(t, "/unsafe/x", validKey)
 			qt.Check(t, got.err, qt.IsNil)
 			qt.Check(t, got.status, qt.Equals, http.StatusOK)
--- a/internal/node/railgateway/early_answer_test.go
+++ b/internal/node/railgateway/early_answer_test.go
@@ -76,8 +76,8 @@
 			t.Run(name+", "+ending, func(t *testing.T) {
 				for path, status := range map[string]int{"/unsafe/x": http.StatusBadGateway, "/safe/x": http.StatusOK} {
 					for range uploads {
-						d, near, far := newBrokenDeployment(t, path, respondEarly(text, then))
-						near.early = true
+						near := &rawEngine{name: "near", early: true, respond: respondEarly(text, then)}
+						d, far := newBrokenDeployment(t, path, near)
 						got := d.upload(t, path)
 						qt.Check(t, got.err, qt.IsNil)
 						qt.Check(t, got.status, qt.Equals, status)
@@ -114,8 +114,7 @@
 		"no length, ended, reads on later": respondEarly(head+"\r\ndone", endSending(readOnAfter(400*time.Millisecond))),
 	} {
 		t.Run(name, func(t *testing.T) {
-			d, near, _ := newBrokenDeployment(t, "/unsafe/x", respond)
-			near.early = true
+			d, _ := newBrokenDeployment(t, "/unsafe/x", &rawEngine{name: "near", early: true, respond: respond})
 			got := d.upload(t, "/unsafe/x")
 			qt.Check(t, got.err, qt.IsNil)
 			qt.Check(t, got.status, qt.Equals, http.StatusOK)
