--- /dev/null
+++ b/review/_world3/main.go
@@ -0,0 +1,17 @@
+// Command world3 plays the cases 11 to 15 of the review: a small deployment of the project's own processes on loopback addresses, with stand-ins for the
+// platform, the servers and the clients.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+func main() {
+	cases := map[string]func(*world){"failback": failback, "poison": poison}
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: world3 CASE RECORD")
+		os.Exit(2)
+	}
+	cases[os.Args[1]](newWorld(os.Args[2]))
+}
