--- a/review/_world3/client.go
+++ b/review/_world3/client.go
@@ -58,7 +58,8 @@
 	body   []byte
 	sealed bool
 	retry  time.Duration
-	sentAt time.Time
+	// sentAt is when the request was sent, and doneAt when its answer was complete.
+	sentAt, doneAt time.Time
 }
 
 // attempt sends a request to a gateway on a new connection.
@@ -91,6 +92,7 @@
 		a.retry = time.Duration(s * float64(time.Second))
 	}
 	a.body, a.err = io.ReadAll(resp.Body)
+	a.doneAt = time.Now()
 	return a
 }
 
--- a/review/_world3/engine.go
+++ b/review/_world3/engine.go
@@ -37,7 +37,7 @@
 type arrival struct {
 	id, from, instance string
 	at                 time.Time
-	ran                bool
+	ran, leaving       bool
 	version            int64
 	parts              []string
 	tenant             string
@@ -55,6 +55,8 @@
 	work   time.Duration
 	events int
 	gap    time.Duration
+	// unframed makes a stream come with neither a length nor chunks, so that it ends with its connection.
+	unframed bool
 	// deadly is the part of a prompt that crashes the engine, and downTime how long it is away then.
 	deadly   string
 	downTime time.Duration
@@ -66,12 +68,16 @@
 	coldUntil time.Time
 	beats     int64
 	beating   bool
-	lis       net.Listener
-	server    *http.Server
-	stopped   chan struct{}
-	running   int
-	arrivals  []arrival
-	crashes   []time.Time
+	// leaving is set once the server says in its answers that it leaves. lateBeat is the time after which the next beat is done; it gets no answer.
+	leaving  bool
+	lateBeat time.Duration
+	lis      net.Listener
+	server   *http.Server
+	stopped  chan struct{}
+	running  int
+	arrivals []arrival
+	hijacked map[net.Conn]bool
+	crashes  []time.Time
 
 	// The weights of a model engine.
 	staged   map[int][]byte
@@ -142,9 +148,27 @@
 	r["service"], r["address"], r["zone"], r["version"], r["slots"], r["state"] = e.service, e.address(), e.zone, "v1", e.slots, e.state
 	r["cold-remaining-ms"] = max(time.Until(e.coldUntil).Milliseconds(), 0)
 	r["sequence"], r["stage"] = e.beats, "both"
-	id := e.id
+	id, late := e.id, e.lateBeat
+	e.lateBeat = 0
 	e.mu.Unlock()
-	e.w.store.put("servers", id, r)
+	if late == 0 {
+		e.w.store.put("servers", id, r)
+		return
+	}
+	e.w.log("the write of beat %v of server %s (%v) gets no answer; it is done %s later", r["sequence"], id, r["state"], late)
+	time.AfterFunc(late, func() {
+		e.w.store.put("servers", id, r)
+		e.w.log("the late write of beat %v of server %s (%v) is done", r["sequence"], id, r["state"])
+	})
+}
+
+// leave makes the server report that it is draining, and say so in all its answers.
+func (e *engine) leave() {
+	e.mu.Lock()
+	e.state, e.leaving = "draining", true
+	e.mu.Unlock()
+	e.beat()
+	e.w.log("server %s reports that it is draining", e.id)
 }
 
 // describe returns what a server says of its weights. The lock is held.
@@ -174,11 +198,15 @@
 	e.beating = false
 	e.crashes = append(e.crashes, time.Now())
 	e.from, e.to, e.version = 0, 0, 0
-	server, id := e.server, e.id
+	server, id, conns := e.server, e.id, e.hijacked
+	e.hijacked = nil
 	e.mu.Unlock()
 	e.w.log("server %s crashes", id)
+	_ = server.Close()
+	for c := range conns {
+		_ = c.Close() // As the kernel does when a process ends.
+	}
 	go func() {
-		_ = server.Close()
 		time.AfterFunc(3*heartbeat, func() { e.w.store.remove("servers", id) })
 		time.Sleep(e.downTime)
 		e.run()
@@ -298,7 +326,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	a.instance, a.version = e.id, e.version
+	a.instance, a.version, a.leaving = e.id, e.version, e.leaving
 	expected := r.Header.Get("X-Fulmarrail-Expected-Instance")
 	version := r.Header.Get("X-Fulmarrail-Expected-Version")
 	switch {
@@ -321,6 +349,9 @@
 	h := w.Header()
 	h.Set("X-Fulmarrail-Request-Id", a.id)
 	h.Set("X-Fulmarrail-Instance-Id", a.instance)
+	if a.leaving {
+		h.Set("Server-Leaving", "1")
+	}
 	if !a.ran {
 		h.Set("X-Fulmarrail-Not-Executed", "1")
 		e.w.log("server %s turns request %s away with %d", a.instance, a.id, status)
@@ -357,6 +388,10 @@
 			}
 		}
 	}
+	if e.unframed {
+		e.streamUnframed(w, r, a, stopped)
+		return
+	}
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("X-Fulmarrail-Weight-Versions", strconv.FormatInt(a.version, 10))
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
@@ -369,6 +404,40 @@
 	}
 }
 
+// streamUnframed sends a stream that ends with its connection.
+func (e *engine) streamUnframed(w http.ResponseWriter, r *http.Request, a arrival, stopped <-chan struct{}) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	e.mu.Lock()
+	if e.hijacked == nil {
+		e.hijacked = map[net.Conn]bool{}
+	}
+	e.hijacked[c] = true
+	e.mu.Unlock()
+	defer func() {
+		_ = c.Close()
+		e.mu.Lock()
+		delete(e.hijacked, c)
+		e.mu.Unlock()
+	}()
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Fulmarrail-Request-Id: %s\r\nX-Fulmarrail-Response-Seal: 3e1b.07.%s\r\nX-Fulmarrail-Weight-Versions: %d\r\n\r\n", a.id, a.id, a.version)
+	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for n := first + 1; n <= e.events; n++ {
+		if _, err := fmt.Fprintf(c, "id: %d\ndata: %s\n\n", n, strings.Repeat("y", 50)); err != nil {
+			e.w.log("server %s sends %d of %d events of request %s", a.instance, n-1, e.events, a.id)
+			return
+		}
+		select {
+		case <-stopped:
+			e.w.log("server %s ends with %d of %d events of request %s sent", a.instance, n, e.events, a.id)
+			return
+		case <-time.After(e.gap):
+		}
+	}
+}
+
 // pause waits, and reports false if the caller leaves or the server ends before.
 func pause(r *http.Request, stopped <-chan struct{}, d time.Duration) bool {
 	select {
@@ -395,7 +464,8 @@
 	if err != nil {
 		fatal("listen for the origin: %v", err)
 	}
-	newest := int64(1)
+	newest := int64(2)
+	var link sync.Mutex
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /manifest/{model}", func(rw http.ResponseWriter, r *http.Request) {
 		version := newest
@@ -413,7 +483,9 @@
 	mux.HandleFunc("GET /piece/{model}", func(rw http.ResponseWriter, r *http.Request) {
 		version, _ := strconv.ParseInt(r.URL.Query().Get("version"), 10, 64)
 		i, _ := strconv.Atoi(r.URL.Query().Get("item-count"))
-		time.Sleep(27 * time.Millisecond) // A piece at 7.3 Mbit/s.
+		link.Lock()
+		time.Sleep(27 * time.Millisecond) // A piece at 7.3 Mbit/s, which all pieces share.
+		link.Unlock()
 		_, _ = rw.Write(pieceOf(version, i))
 	})
 	go func() { _ = http.Serve(lis, mux) }()
--- a/review/_world3/main.go
+++ b/review/_world3/main.go
@@ -8,7 +8,7 @@
 )
 
 func main() {
-	cases := map[string]func(*world){"failback": failback, "poison": poison}
+	cases := map[string]func(*world){"cut": cut, "failback": failback, "leaving": leaving, "outage": outage, "poison": poison}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: world3 CASE RECORD")
 		os.Exit(2)
