--- a/review/_world3/outage.go
+++ b/review/_world3/outage_test.go
@@ -1,4 +1,4 @@
-package main
+package world3
 
 import (
 	"slices"
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p review/_bin
-go build -o review/_bin/world3 ./review/_world3
+go test -c -o review/_bin/world3 ./review/_world3
